--- a/benchmarks/convergence.py
+++ b/benchmarks/convergence.py
@@ -26,8 +26,8 @@
 from bulrushflow.configuration import Configure
 from bulrushflow.configuration import ServiceBody
 from bulrushflow.configuration import encode_record
-from bulrushflow.platform import CONFIGURATION_STREAM
-from bulrushflow.platform import HttpLog
+from bulrushflow.recording import CONFIGURATION_STREAM
+from bulrushflow.recording import HttpLog
 
 DATA_CENTRES = ("ayutthaya", "suphan", "ang-thong", "chainat")
 SINGLE_CHANGES = 5
--- a/benchmarks/mechanisms.py
+++ b/benchmarks/mechanisms.py
@@ -99,8 +99,8 @@
             ),
         ),
         (
-            "tests.platform.test_recovery",
-            "tests.platform.test_snapshots",
+            "tests.recording.test_recovery",
+            "tests.recording.test_snapshots",
             "tests.configuration.test_snapshots",
         ),
     ),
@@ -175,12 +175,12 @@
         "an answer goes to its own exchange only",
         (
             Edit(
-                "nodes/link.py",
+                "wire/link.py",
                 "future = self._pending.get(frame.exchange)",
                 "future = next(iter(self._pending.values()), None)",
             ),
         ),
-        ("tests.nodes.test_link",),
+        ("tests.wire.test_link",),
     ),
     Mechanism(
         "a connection that failed after the send leaves the outcome unknown",
@@ -231,8 +231,8 @@
     ),
     Mechanism(
         "a silent connection is given up",
-        (Edit("nodes/link.py", "if now - self._pinged_at >= PONG_S:", "if False:"),),
-        ("tests.nodes.test_link",),
+        (Edit("wire/link.py", "if now - self._pinged_at >= PONG_S:", "if False:"),),
+        ("tests.wire.test_link",),
     ),
     Mechanism(
         "a node refutes that it is dead",
--- a/src/bulrushflow/application.py
+++ b/src/bulrushflow/application.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import sys
-import time
 import typing as t
 
 from aiohttp import web
@@ -31,19 +30,20 @@
 from bulrushflow.nodes import Forwarding
 from bulrushflow.nodes import Gossip
 from bulrushflow.nodes import Introductions
-from bulrushflow.nodes import Links
 from bulrushflow.nodes import MoveDriver
 from bulrushflow.nodes import Spreading
 from bulrushflow.operators.endpoint import OperatorEndpoint
-from bulrushflow.platform import HttpLog
-from bulrushflow.platform import Recorder
-from bulrushflow.platform import SnapshotWriter
+from bulrushflow.recording import HttpLog
+from bulrushflow.recording import Recorder
+from bulrushflow.recording import SnapshotWriter
 from bulrushflow.routing import ByteBudget
 from bulrushflow.settings import Settings
 from bulrushflow.settings import load_settings
 from bulrushflow.targets import Gatekeeper
 from bulrushflow.targets import target_application
+from bulrushflow.timers import SystemClock
 from bulrushflow.timers import Timers
+from bulrushflow.wire import Links
 
 EXIT_SETTINGS = 2
 EXIT_BROKEN = 3
@@ -61,20 +61,6 @@
 """Time between telling the others that this node leaves and refusing callers."""
 
 
-class SystemClock:
-    """The operating system's clocks."""
-
-    __slots__ = ()
-
-    def monotonic(self) -> float:
-        """See :meth:`Clock.monotonic`."""
-        return time.monotonic()
-
-    def wall_ms(self) -> int:
-        """See :meth:`Clock.wall_ms`."""
-        return time.time_ns() // 1_000_000
-
-
 class Node(Service):
     """One node: construct with checked settings, start, stop."""
 
--- a/src/bulrushflow/callers/answers.py
+++ b/src/bulrushflow/callers/answers.py
@@ -53,15 +53,6 @@
     return answer
 
 
-def outcome_label(result: CallResult) -> str:
-    """Return the value of the metrics' ``outcome`` label."""
-    match result:
-        case Ok(answer):
-            return "error" if answer.status >= 500 else "ok"
-        case Err(failure):
-            return failure.outcome.name.lower()
-
-
 def _failure(call: Call, failure: CallFailure) -> web.Response:
     answer = web.json_response(
         {"error": failure.reason}, status=_STATUS_BY_OUTCOME[failure.outcome]
--- a/src/bulrushflow/callers/server.py
+++ b/src/bulrushflow/callers/server.py
@@ -9,11 +9,10 @@
 from result import Err
 from result import Ok
 
-from bulrushflow.callers.answers import outcome_label
+from bulrushflow.bodies import expected_bytes
+from bulrushflow.bodies import read_body
 from bulrushflow.callers.answers import refusal
 from bulrushflow.callers.answers import response
-from bulrushflow.callers.bodies import expected_bytes
-from bulrushflow.callers.bodies import read_body
 from bulrushflow.callers.dispatcher import Dispatcher
 from bulrushflow.configuration import Configuration
 from bulrushflow.configuration import ConfigurationStore
@@ -23,6 +22,7 @@
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import match_route
+from bulrushflow.routing import outcome_label
 from bulrushflow.settings import CallSettings
 from bulrushflow.targets.client import ATTEMPT_HEADER
 from bulrushflow.targets.client import HOP_HEADERS
--- a/src/bulrushflow/logs.py
+++ b/src/bulrushflow/logs.py
@@ -1,5 +1,6 @@
-"""Structured logs on standard error, as text or JSON lines."""
+"""Structured logs, as text or JSON lines, on standard error or bounded on standard output."""
 
+import os
 import sys
 import traceback
 import typing as t
@@ -13,6 +14,8 @@
 
 LogFormat = t.Literal["text", "json"]
 
+MAX_WAITING_BYTES = 256 << 10
+"""Lines that wait for a slow reader; what is beyond is dropped."""
 _PROCESS = "process"
 _TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {extra[process]} {name}: {message}"
 
@@ -37,7 +40,10 @@
 
 
 def _write_json(message: "Message") -> None:
-    record = message.record
+    sys.stderr.write(_json_line(message.record).decode())
+
+
+def _json_line(record: "Record") -> bytes:
     line: dict[str, t.Any] = {
         "time": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name,
@@ -48,8 +54,62 @@
     line.update({name: record["extra"][name] for name in _field_names(record)})
     if record["exception"] is not None:
         line["exception"] = "".join(traceback.format_exception(record["exception"].value))
-    sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode() + "\n")
+    return msgspec.json.encode(line, enc_hook=str) + b"\n"
 
 
 def _field_names(record: "Record") -> list[str]:
     return sorted(name for name in record["extra"] if name != _PROCESS)
+
+
+class BoundedWriter:
+    """Writes lines to a descriptor without ever waiting; what doesn't fit is dropped and counted."""
+
+    __slots__ = ("_descriptor", "_dropped", "_waiting", "_waiting_bytes")
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._waiting: list[bytes] = []
+        self._waiting_bytes = 0
+        self._dropped = 0
+
+    def write(self, line: bytes) -> None:
+        """Queue a line and write what the descriptor takes now."""
+        if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
+            self._dropped += 1
+            return
+        if self._dropped:
+            note = msgspec.json.encode({"message": "lines dropped", "count": self._dropped})
+            self._waiting.append(note + b"\n")
+            self._dropped = 0
+        self._waiting.append(line)
+        self._flush()
+
+    def _flush(self) -> None:
+        data = b"".join(self._waiting)
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody reads the logs any more; the process goes on without them.
+            written = len(data)
+        rest = data[written:]
+        self._waiting = [rest] if rest else []
+        self._waiting_bytes = len(rest)
+
+
+def configure_bounded_logs(process: str, level: str = "INFO") -> None:
+    """Send this process's logs to standard output as JSON lines, and never wait for a reader.
+
+    :param process: name shown in every line, such as the node's id.
+    """
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    writer = BoundedWriter(descriptor)
+    logger.remove()
+    logger.configure(extra={_PROCESS: process})
+    logger.add(
+        lambda message: writer.write(_json_line(message.record)),
+        level=level.upper(),
+        format="{message}",
+    )
--- a/src/bulrushflow/nodes/__init__.py
+++ b/src/bulrushflow/nodes/__init__.py
@@ -1,10 +1,9 @@
-"""Other nodes: membership over UDP, framed connections, spreading of records, forwarded calls."""
+"""Other nodes: membership over UDP, spreading of records, forwarded calls."""
 
 from bulrushflow.nodes.driving import MoveDriver
 from bulrushflow.nodes.forwarding import Forwarding
 from bulrushflow.nodes.gossip import Gossip
 from bulrushflow.nodes.introductions import Introductions
-from bulrushflow.nodes.links import Links
 from bulrushflow.nodes.spreading import Spreading
 
-__all__ = ["Forwarding", "Gossip", "Introductions", "Links", "MoveDriver", "Spreading"]
+__all__ = ["Forwarding", "Gossip", "Introductions", "MoveDriver", "Spreading"]
--- a/src/bulrushflow/nodes/composing.py
+++ b/src/bulrushflow/nodes/composing.py
@@ -12,8 +12,8 @@
 from bulrushflow.membership import transmissions
 from bulrushflow.moves import SharedMove
 from bulrushflow.moves import SharedMoves
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
 
 MAX_DATAGRAM_BYTES = 1200
 """Fits the MTU of a usual path with room for tunnels."""
--- a/src/bulrushflow/nodes/datagrams.py
+++ b/src/bulrushflow/nodes/datagrams.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from bulrushflow.nodes.links import Endpoint
+from bulrushflow.wire.links import Endpoint
 
 Receive = t.Callable[[bytes, Endpoint], None]
 
--- a/src/bulrushflow/nodes/exchange.py
+++ b/src/bulrushflow/nodes/exchange.py
@@ -9,11 +9,11 @@
 
 from bulrushflow.membership import Member
 from bulrushflow.membership import MemberTable
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
 from bulrushflow.nodes.composing import Composer
-from bulrushflow.nodes.links import Endpoint
-from bulrushflow.nodes.links import Links
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Endpoint
+from bulrushflow.wire.links import Links
 
 PAGE_MEMBERS = 200
 PAGE_TIMEOUT_S = 2.0
--- a/src/bulrushflow/nodes/forwarding.py
+++ b/src/bulrushflow/nodes/forwarding.py
@@ -8,13 +8,13 @@
 from result import Ok
 
 from bulrushflow.membership import Member
-from bulrushflow.nodes import codec
-from bulrushflow.nodes.links import Links
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import not_run
 from bulrushflow.routing import refused
 from bulrushflow.routing import unknown
+from bulrushflow.wire import codec
+from bulrushflow.wire.links import Links
 
 ANSWER_MARGIN_SHARE = 0.1
 MAX_ANSWER_MARGIN_S = 0.02
--- a/src/bulrushflow/nodes/gossip.py
+++ b/src/bulrushflow/nodes/gossip.py
@@ -14,8 +14,6 @@
 from bulrushflow.membership import Priority
 from bulrushflow.membership import Status
 from bulrushflow.moves import SharedMoves
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
 from bulrushflow.nodes.composing import Composer
 from bulrushflow.nodes.composing import Told
 from bulrushflow.nodes.composing import priority
@@ -24,13 +22,15 @@
 from bulrushflow.nodes.datagrams import open_udp
 from bulrushflow.nodes.detector import Detector
 from bulrushflow.nodes.exchange import MemberExchange
-from bulrushflow.nodes.links import Endpoint
-from bulrushflow.nodes.links import Links
 from bulrushflow.nodes.probing import Ack
 from bulrushflow.nodes.probing import Probes
 from bulrushflow.nodes.synchronizing import Synchronizer
 from bulrushflow.settings import GossipSettings
 from bulrushflow.timers import Timers
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Endpoint
+from bulrushflow.wire.links import Links
 
 FANOUT = 3
 """Members told at once of urgent news, and members that probe indirectly."""
--- a/src/bulrushflow/nodes/introductions.py
+++ b/src/bulrushflow/nodes/introductions.py
@@ -13,12 +13,12 @@
 
 from bulrushflow.membership import MemberTable
 from bulrushflow.membership import chosen
-from bulrushflow.nodes.links import Endpoint
-from bulrushflow.platform import INTRODUCTION_STREAM
-from bulrushflow.platform import Log
-from bulrushflow.platform import LogError
+from bulrushflow.recording import INTRODUCTION_STREAM
+from bulrushflow.recording import Log
+from bulrushflow.recording import LogError
 from bulrushflow.settings import parse_endpoint
 from bulrushflow.timers import Timers
+from bulrushflow.wire.links import Endpoint
 
 TAIL_RECORDS = 128
 FRESH_MS = 10 * 60 * 1000
--- a/src/bulrushflow/nodes/log_reader.py
+++ b/src/bulrushflow/nodes/log_reader.py
@@ -10,12 +10,12 @@
 
 from bulrushflow.configuration import ConfigurationStore
 from bulrushflow.configuration import LogRecord
-from bulrushflow.platform import CONFIGURATION_STREAM
-from bulrushflow.platform import Log
-from bulrushflow.platform import LogError
-from bulrushflow.platform import LogErrorKind
-from bulrushflow.platform import LogPage
-from bulrushflow.platform import recover
+from bulrushflow.recording import CONFIGURATION_STREAM
+from bulrushflow.recording import Log
+from bulrushflow.recording import LogError
+from bulrushflow.recording import LogErrorKind
+from bulrushflow.recording import LogPage
+from bulrushflow.recording import recover
 from bulrushflow.settings import PlatformSettings
 
 FIRST_BACKOFF_S = 0.1
--- a/src/bulrushflow/nodes/probing.py
+++ b/src/bulrushflow/nodes/probing.py
@@ -7,9 +7,9 @@
 
 from bulrushflow.membership import Member
 from bulrushflow.membership import Status
-from bulrushflow.nodes import messages
-from bulrushflow.nodes.links import Endpoint
 from bulrushflow.nodes.synchronizing import Sender
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Endpoint
 
 MAX_RELAYS = 32
 """Pings that are made for other nodes at a time."""
--- a/src/bulrushflow/nodes/pulling.py
+++ b/src/bulrushflow/nodes/pulling.py
@@ -14,10 +14,10 @@
 from bulrushflow.configuration import LogRecord
 from bulrushflow.membership import Member
 from bulrushflow.membership import MemberTable
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
-from bulrushflow.nodes.links import Endpoint
-from bulrushflow.nodes.links import Links
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Endpoint
+from bulrushflow.wire.links import Links
 
 RECORDS_TIMEOUT_S = 2.0
 PULL_WAIT_S = 0.2
--- a/src/bulrushflow/nodes/reporting.py
+++ b/src/bulrushflow/nodes/reporting.py
@@ -9,9 +9,9 @@
 from bulrushflow.membership import Member
 from bulrushflow.membership import rank
 from bulrushflow.moves import EvidenceBook
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
-from bulrushflow.nodes.links import Endpoint
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Endpoint
 
 MAX_RECEIVERS = 8
 MIN_RECEIVERS = 3
--- a/src/bulrushflow/nodes/spreading.py
+++ b/src/bulrushflow/nodes/spreading.py
@@ -21,20 +21,20 @@
 from bulrushflow.membership import MemberTable
 from bulrushflow.membership import rank
 from bulrushflow.metrics import Metrics
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
-from bulrushflow.nodes.links import Endpoint
-from bulrushflow.nodes.links import Links
 from bulrushflow.nodes.log_reader import LogReader
 from bulrushflow.nodes.pulling import PullAnswer
 from bulrushflow.nodes.pulling import Puller
 from bulrushflow.nodes.pulling import PullServer
 from bulrushflow.nodes.push_tree import children
 from bulrushflow.nodes.push_tree import parent
-from bulrushflow.platform import Log
-from bulrushflow.platform import LogPage
+from bulrushflow.recording import Log
+from bulrushflow.recording import LogPage
 from bulrushflow.settings import PlatformSettings
 from bulrushflow.timers import Timers
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Endpoint
+from bulrushflow.wire.links import Links
 
 READERS_PER_DATA_CENTRE = 2
 TICK_S = 0.25
--- a/src/bulrushflow/nodes/synchronizing.py
+++ b/src/bulrushflow/nodes/synchronizing.py
@@ -5,10 +5,10 @@
 
 from bulrushflow.membership import Member
 from bulrushflow.membership import MemberTable
-from bulrushflow.nodes import messages
 from bulrushflow.nodes.composing import Composer
-from bulrushflow.nodes.links import Endpoint
 from bulrushflow.timers import Timers
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Endpoint
 
 COMPARE_PERIODS = 6
 """Periods of the probes between two comparisons that this node starts, at least."""
--- a/src/bulrushflow/operators/client.py
+++ b/src/bulrushflow/operators/client.py
@@ -20,9 +20,9 @@
 from bulrushflow.configuration import encode_record
 from bulrushflow.configuration import record_digest
 from bulrushflow.operators.reports import Convergence
-from bulrushflow.platform import CONFIGURATION_STREAM
-from bulrushflow.platform import HttpLog
-from bulrushflow.platform import LogErrorKind
+from bulrushflow.recording import CONFIGURATION_STREAM
+from bulrushflow.recording import HttpLog
+from bulrushflow.recording import LogErrorKind
 
 APPEND_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 2.0
--- a/src/bulrushflow/operators/endpoint.py
+++ b/src/bulrushflow/operators/endpoint.py
@@ -30,7 +30,7 @@
 from bulrushflow.operators.reports import MoveAccount
 from bulrushflow.operators.reports import NodeStatus
 from bulrushflow.operators.reports import UnrecordedAccount
-from bulrushflow.platform import Recorder
+from bulrushflow.recording import Recorder
 
 PROBES_AT_ONCE = 64
 
--- a/src/bulrushflow/operators/inspecting.py
+++ b/src/bulrushflow/operators/inspecting.py
@@ -40,7 +40,7 @@
 from bulrushflow.operators.reports import Convergence
 from bulrushflow.operators.reports import MoveAccount
 from bulrushflow.operators.reports import NodeStatus
-from bulrushflow.platform import CONFIGURATION_STREAM
+from bulrushflow.recording import CONFIGURATION_STREAM
 
 LONG_POLL_S = 10.0
 RETRY_S = 1.0
--- a/src/bulrushflow/operators/reading.py
+++ b/src/bulrushflow/operators/reading.py
@@ -14,9 +14,9 @@
 from bulrushflow.configuration import decode_record
 from bulrushflow.configuration import open_snapshot
 from bulrushflow.operators.client import OperatorClient
-from bulrushflow.platform import CONFIGURATION_STREAM
-from bulrushflow.platform import Log
-from bulrushflow.platform import LogErrorKind
+from bulrushflow.recording import CONFIGURATION_STREAM
+from bulrushflow.recording import Log
+from bulrushflow.recording import LogErrorKind
 
 
 class ReadRecords(msgspec.Struct, frozen=True):
--- a/src/bulrushflow/platform/__init__.py
+++ b/src/bulrushflow/platform/__init__.py
@@ -1,27 +1,10 @@
-"""The platform's append-only log."""
+"""The adapter to the users' platform: settings, store, documents and headers.
 
-from bulrushflow.platform.http import HttpLog
-from bulrushflow.platform.log import CONFIGURATION_STREAM
-from bulrushflow.platform.log import INTRODUCTION_STREAM
-from bulrushflow.platform.log import Log
-from bulrushflow.platform.log import LogError
-from bulrushflow.platform.log import LogErrorKind
-from bulrushflow.platform.log import LogPage
-from bulrushflow.platform.recorder import Recorder
-from bulrushflow.platform.recovery import Recovery
-from bulrushflow.platform.recovery import recover
-from bulrushflow.platform.snapshots import SnapshotWriter
+Names of the platform's pages are decoded here, once, into the product's own types.
+"""
 
-__all__ = [
-    "CONFIGURATION_STREAM",
-    "INTRODUCTION_STREAM",
-    "HttpLog",
-    "Log",
-    "LogError",
-    "LogErrorKind",
-    "LogPage",
-    "Recorder",
-    "Recovery",
-    "SnapshotWriter",
-    "recover",
-]
+from bulrushflow.platform.settings import MachineSettings
+from bulrushflow.platform.settings import load_machine_settings
+from bulrushflow.platform.store import PlatformStore
+
+__all__ = ["MachineSettings", "PlatformStore", "load_machine_settings"]
--- /dev/null
+++ b/src/bulrushflow/platform/adapter.py
@@ -0,0 +1,92 @@
+"""The adapter that the sidecar is given: names, paths, topics and decoders."""
+
+import typing as t
+
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.platform import documents
+from bulrushflow.platform.headers import HEADER_NAMES
+from bulrushflow.sidecar.announcements import AnnouncementPaths
+from bulrushflow.sidecar.application import OrderSink
+from bulrushflow.sidecar.application import Topics
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import StoreWrite
+
+STATUS_KEY_PREFIX = "rollout/"
+
+
+class OrderFollower:
+    """Decodes the operator's records; one that can't be read leaves what is in force."""
+
+    def __init__(self, orders: OrderSink) -> None:
+        self._orders = orders
+
+    def replace(self, records: t.Sequence[KeyedRecord]) -> None:
+        """See :meth:`Follower.replace`."""
+        for record in records:
+            self.apply(record)
+
+    def apply(self, record: KeyedRecord) -> None:
+        """See :meth:`Follower.apply`."""
+        if record.key == documents.CONFIGURATION_KEY:
+            self._configure(record)
+        elif record.key.startswith(documents.MOVE_KEY_PREFIX):
+            self._order(record)
+
+    def _configure(self, record: KeyedRecord) -> None:
+        match documents.decode_configuration(record.value):
+            case Ok(routing):
+                self._orders.configure(routing)
+            case Err(reason):
+                self._orders.unreadable(record.key, reason)
+
+    def _order(self, record: KeyedRecord) -> None:
+        if not record.value:
+            self._orders.withdraw_move(record.key.removeprefix(documents.MOVE_KEY_PREFIX))
+            return
+        match documents.decode_order(record.key, record.value, record.offset):
+            case Ok(order):
+                self._orders.order_move(order)
+            case Err(reason):
+                self._orders.unreadable(record.key, reason)
+
+
+class PlatformAdapter:
+    """Implements the sidecar's adapter for this platform."""
+
+    names = HEADER_NAMES
+    topics = Topics(orders="keyed.op", statuses="keyed.status", nodes="keyed.nodes")
+    paths = AnnouncementPaths("/-/instances/{target_id}", "/-/ready")
+
+    def decode_announcement(
+        self, target_id: str, data: bytes
+    ) -> Result[tuple[TargetEntry, Endpoint], str]:
+        """See :meth:`Adapter.decode_announcement`."""
+        match documents.decode_announcement(target_id, data):
+            case Err(reason):
+                return Err(reason)
+            case Ok((entry, address)):
+                pass
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            return Err(f"announcement: {address!r} is no IP:PORT")
+        return Ok((entry, Endpoint(host, int(port))))
+
+    def encode_status(self, status: MoveStatus) -> StoreWrite:
+        """See :meth:`Adapter.encode_status`."""
+        return StoreWrite(STATUS_KEY_PREFIX + status.service, documents.encode_status(status))
+
+    def decode_status(self, record: KeyedRecord) -> MoveStatus | None:
+        """See :meth:`Adapter.decode_status`."""
+        if not record.key.startswith(STATUS_KEY_PREFIX):
+            return None
+        return documents.decode_status(record.value)
+
+    def order_follower(self, orders: OrderSink) -> OrderFollower:
+        """See :meth:`Adapter.order_follower`."""
+        return OrderFollower(orders)
--- /dev/null
+++ b/src/bulrushflow/platform/documents.py
@@ -0,0 +1,229 @@
+"""Documents of the operator and announcements of targets, decoded into the product's types."""
+
+import time
+import typing as t
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.platform.settings import seconds
+from bulrushflow.sidecar.model import Limits
+from bulrushflow.sidecar.model import MoveOrder
+from bulrushflow.sidecar.model import MovePhase
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.model import Route
+from bulrushflow.sidecar.model import Routing
+from bulrushflow.sidecar.model import ServiceSettings
+from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.model import WeightedService
+
+CONFIGURATION_KEY = "config"
+MOVE_KEY_PREFIX = "rollout/"
+KINDS = {"safe": True, "unsafe": False, "keyed": False}
+"""Whether calls of a kind of route may run more than once."""
+PHASES = {
+    MovePhase.RUNNING: "running",
+    MovePhase.DONE: "completed",
+    MovePhase.TAKEN_BACK: "rolled_back",
+}
+STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Action(msgspec.Struct):
+    timeout: str
+    maxAttempts: int  # noqa: N815  targets that one call may be sent to
+    service: str | None = None
+    trafficSplit: list[_Part] = []  # noqa: N815  instead of one service
+
+
+class _Match(msgspec.Struct):
+    pathPrefix: str  # noqa: N815
+
+
+class _Rule(msgspec.Struct):
+    name: str
+    kind: str
+    match: _Match
+    action: _Action
+    targetLatency: str = "1s"  # noqa: N815  answers beyond it lose worth
+    priority: int = 0
+
+
+class _Listener(msgspec.Struct):
+    host: str
+    ruleSet: list[_Rule]  # noqa: N815
+
+
+class _Cluster(msgspec.Struct):
+    name: str
+    healthPath: str = "/health"  # noqa: N815
+    maxConnections: int = 100  # noqa: N815  of one target, from all its clients
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int = 16384  # noqa: N815
+    maxBodyBytes: int = 67108864  # noqa: N815
+    headerTimeout: str = "3s"  # noqa: N815
+    idleTimeout: str = "15s"  # noqa: N815
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    listeners: list[_Listener]
+    clusters: list[_Cluster]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Rollout(msgspec.Struct):
+    service: str
+    targetVersion: str  # noqa: N815
+    duration: str
+
+
+class _Status(msgspec.Struct):
+    move: MoveStatus
+
+
+class _Announcement(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    version: str  # release of the target's software
+    slots: int
+    state: str
+    seq: int
+    born: int  # epoch milliseconds of the target's start
+    coldRemaining: str = "0ms"  # noqa: N815  time until the target is at its usual speed
+
+
+def decode_configuration(data: bytes) -> Result[Routing, str]:
+    """Decode the operator's newest configuration; all of it or nothing."""
+    try:
+        document = msgspec.json.decode(data, type=_Configuration)
+        return _routing(document)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(f"configuration: {exc}")
+
+
+def decode_order(key: str, data: bytes, offset: int) -> Result[MoveOrder, str]:
+    """Decode the operator's order to move a service to a version."""
+    try:
+        document = msgspec.json.decode(data, type=_Rollout)
+        duration_s = seconds(document.duration)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(f"{key}: {exc}")
+    if key != MOVE_KEY_PREFIX + document.service:
+        return Err(f"{key}: names service {document.service}")
+    return Ok(MoveOrder(document.service, document.targetVersion, duration_s, offset))
+
+
+def encode_status(status: MoveStatus) -> bytes:
+    """Encode a move's status: the fields that operators read, and the product's own beside them."""
+    return msgspec.json.encode(
+        {
+            "service": status.service,
+            "targetVersion": status.to_version,
+            "state": PHASES[status.phase],
+            "move": status,
+        }
+    )
+
+
+def decode_status(data: bytes) -> MoveStatus | None:
+    """Return the product's own fields of a move's status; ``None`` without them."""
+    try:
+        return msgspec.json.decode(data, type=_Status).move
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_announcement(target_id: str, data: bytes) -> Result[tuple[TargetEntry, str], str]:
+    """Decode what a target says of itself, with its address."""
+    try:
+        said = msgspec.json.decode(data, type=_Announcement)
+        cold_s = seconds(said.coldRemaining)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(f"announcement: {exc}")
+    state = STATES.get(said.state)
+    if state is None:
+        return Err(f"announcement: unknown state {said.state!r}")
+    if not target_id or said.slots < 1 or not said.service or not said.address:
+        return Err("announcement: an empty id, service or address, or no slots")
+    warm_at_ms = int(time.time() * 1000 + cold_s * 1000) if cold_s else 0
+    entry = TargetEntry(
+        target_id=target_id,
+        incarnation=said.born,
+        sequence=said.seq,
+        service=said.service,
+        version=said.version,
+        slots=said.slots,
+        state=state,
+        warm_at_ms=warm_at_ms,
+    )
+    return Ok((entry, said.address))
+
+
+def _routing(document: _Configuration) -> Result[Routing, str]:
+    services = {
+        c.name: ServiceSettings(c.name, c.healthPath, c.maxConnections) for c in document.clusters
+    }
+    routes_by_host: dict[str, dict[str, Route]] = {}
+    for listener in document.listeners:
+        routes = routes_by_host.setdefault(listener.host, {})
+        for rule in listener.ruleSet:
+            match _route(listener.host, rule, services):
+                case Err(reason):
+                    return Err(f"configuration {document.version}: route {rule.name}: {reason}")
+                case Ok(route):
+                    routes[route.prefix] = route
+    limits = document.limits
+    return Ok(
+        Routing(
+            document.version,
+            routes_by_host,
+            services,
+            Limits(
+                limits.maxHeaderBytes,
+                limits.maxBodyBytes,
+                seconds(limits.headerTimeout),
+                seconds(limits.idleTimeout),
+            ),
+        )
+    )
+
+
+def _route(host: str, rule: _Rule, services: t.Mapping[str, t.Any]) -> Result[Route, str]:
+    action = rule.action
+    parts = [WeightedService(part.service, part.weight) for part in action.trafficSplit]
+    if action.service is not None:
+        parts = [WeightedService(action.service, 1.0)]
+    if not parts or any(part.service not in services for part in parts):
+        return Err("names a service that isn't defined")
+    if sum(part.weight for part in parts) <= 0 or any(part.weight < 0 for part in parts):
+        return Err("has no weights to divide by")
+    if rule.kind not in KINDS:
+        return Err(f"unknown kind {rule.kind!r}")
+    prefix = rule.match.pathPrefix
+    if not (prefix.startswith("/") and prefix.endswith("/")) or action.maxAttempts < 1:
+        return Err("a prefix without slashes at both ends, or no attempts")
+    return Ok(
+        Route(
+            name=rule.name,
+            host=host,
+            prefix=prefix,
+            services=tuple(parts),
+            idempotent=KINDS[rule.kind],
+            timeout_s=seconds(action.timeout),
+            target_latency_s=seconds(rule.targetLatency),
+            max_attempts=action.maxAttempts,
+            priority=rule.priority,
+        )
+    )
--- /dev/null
+++ b/src/bulrushflow/platform/headers.py
@@ -0,0 +1,13 @@
+"""Names of the platform's HTTP headers, given to the parts that read and write them."""
+
+from bulrushflow.sidecar.headers import HeaderNames
+
+HEADER_NAMES = HeaderNames(
+    request_id="X-Bulrushflow-Attempt-Id",
+    timeout_ms="X-Bulrushflow-Deadline-Ms",  # time left, not a point in time
+    signature="X-Bulrushflow-Response-Signature",
+    expected_target="X-Bulrushflow-Expect-Instance",
+    not_run="X-Bulrushflow-Not-Executed",
+    caller_service="X-Bulrushflow-Caller-Service",
+    target_id="X-Bulrushflow-Instance-Id",
+)
--- /dev/null
+++ b/src/bulrushflow/platform/settings.py
@@ -0,0 +1,141 @@
+"""The platform's settings file of a process, decoded into the sidecar's settings."""
+
+import os
+import pathlib
+import re
+import tomllib
+import typing as t
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.sidecar.settings import Bounds
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.settings import SidecarSettings
+
+SETTINGS_VARIABLE = "BULRUSHFLOW_NODE_FILE"
+DEFAULT_PATH = "/etc/bulrushflow/local.toml"
+_TIME = re.compile(r"^\s*([0-9]+(?:\.[0-9]+)?)\s*(ms|s)\s*$")
+
+MachineSettings = SidecarSettings
+
+
+def seconds(text: t.Any) -> float:
+    """Decode a time such as ``1500ms`` or ``2.5s`` to seconds.
+
+    :raises ValueError: when it is something else.
+    """
+    found = _TIME.match(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f"{text!r} is no time such as 1500ms or 2.5s")
+    return float(found[1]) / (1000 if found[2] == "ms" else 1)
+
+
+class _Listen(msgspec.Struct):
+    outbound: str  # where callers on this instance send their calls
+    ready: str  # where the platform asks whether this node takes calls
+    control: str  # where the target beside this node announces itself
+    inbound: str = ""  # offered for traffic between nodes; the peer port is used instead
+
+
+class _Limits(msgspec.Struct):
+    memoryMb: float = 300.0  # noqa: N815  memory above which the process is killed
+    maxFds: int = 4100  # noqa: N815  open files; some 200 are not for sockets
+
+
+class _Bounds(msgspec.Struct):
+    drain: str = "2s"
+    grace: str = "6s"
+    configApply: str = "2s"  # noqa: N815
+    rollback: str = "5s"
+    budgetWindow: str = "10s"  # noqa: N815
+    retryBudgetRatio: float = 0.2  # noqa: N815
+    retryBudgetSlack: float = 60.0  # noqa: N815
+    canaryShare: float = 0.1  # noqa: N815
+    canarySlack: float = 50.0  # noqa: N815
+    addrReuse: str = "2s"  # noqa: N815
+
+
+class _Platform(msgspec.Struct):
+    address: str  # the store
+    writesPerS: float = 400.0  # noqa: N815  of all nodes together
+    readsPerS: float = 2000.0  # noqa: N815  of all nodes together
+
+
+class _File(msgspec.Struct):
+    nodeName: str  # noqa: N815
+    ip: str
+    zone: str  # the brief's data centre
+    internalPortRange: tuple[int, int]  # noqa: N815  free for traffic between nodes
+    listen: _Listen
+    platform: _Platform
+    appAddr: str = ""  # noqa: N815  the target beside this node
+    service: str = ""  # the service of that target
+    heartbeat: str = "1500ms"  # time between two announcements of a target
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> pathlib.Path:
+    """Return where the platform put the settings file."""
+    return pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+
+
+def load_machine_settings(path: pathlib.Path) -> Result[SidecarSettings, str]:
+    """Read and check a settings file; unknown fields are ignored."""
+    try:
+        return decode_settings(path.read_bytes())
+    except OSError as exc:
+        return Err(f"{path}: {exc.strerror}")
+
+
+def decode_settings(data: bytes) -> Result[SidecarSettings, str]:
+    """Check the bytes of a settings file; the error names the faulty field."""
+    try:
+        file = msgspec.convert(tomllib.loads(data.decode()), _File, strict=True)
+        return Ok(_settings(file))
+    except (ValueError, TypeError) as exc:
+        # TOML, UTF-8 and field errors are all value errors.
+        return Err(f"settings: {exc}")
+
+
+def _settings(file: _File) -> SidecarSettings:
+    bounds = file.bounds
+    return SidecarSettings(
+        node_id=file.nodeName,
+        address=file.ip,
+        data_centre=file.zone,
+        peer_port=file.internalPortRange[0],
+        metrics_port=file.internalPortRange[1],
+        callers=_endpoint(file.listen.outbound),
+        readiness=_endpoint(file.listen.ready),
+        announcements=_endpoint(file.listen.control),
+        target=_endpoint(file.appAddr) if file.appAddr else None,
+        own_service=file.service,
+        announcement_period_s=seconds(file.heartbeat),
+        memory_bytes=int(file.limits.memoryMb * (1 << 20)),
+        max_descriptors=file.limits.maxFds,
+        store=_endpoint(file.platform.address),
+        store_writes_per_s=file.platform.writesPerS,
+        bounds=Bounds(
+            drain_s=seconds(bounds.drain),
+            grace_s=seconds(bounds.grace),
+            apply_s=seconds(bounds.configApply),
+            take_back_s=seconds(bounds.rollback),
+            retry_window_s=seconds(bounds.budgetWindow),
+            retry_ratio=bounds.retryBudgetRatio,
+            retry_slack=bounds.retryBudgetSlack,
+            new_version_share=bounds.canaryShare,
+            new_version_slack=bounds.canarySlack,
+            address_reuse_s=seconds(bounds.addrReuse),
+        ),
+    )
+
+
+def _endpoint(text: str) -> Endpoint:
+    address, _, port = text.rpartition(":")
+    if not address or not port.isdigit():
+        raise ValueError(f"{text!r} is no IP:PORT")
+    return Endpoint(address, int(port))
--- /dev/null
+++ b/src/bulrushflow/platform/store.py
@@ -0,0 +1,216 @@
+"""The client of the platform's store: topics of keyed records behind HTTP."""
+
+import asyncio
+import base64
+import socket
+import struct
+import typing as t
+
+import aiohttp
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import StoreError
+from bulrushflow.sidecar.storage import StoreErrorKind
+from bulrushflow.sidecar.storage import StorePage
+from bulrushflow.sidecar.storage import StoreWrite
+
+CALL_TIMEOUT_S = 1.5
+"""Time after which a call without a wait counts as failed."""
+CONNECT_TIMEOUT_S = 1.0
+READ_MARGIN_S = 2.0
+"""Time beyond its wait after which a read counts as failed."""
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+USER_TIMEOUT_MS = 3_000
+"""A connection whose packets nobody acknowledges is given up after so long."""
+MAX_READ_KB = 1_024
+
+_LENGTH = struct.Struct(">I")
+_ENDS = struct.Struct(">QQ")
+
+
+class _Appended(msgspec.Struct):
+    offset: int = -1  # of the first record
+    end: int = -1  # offset that the next record will get
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str  # base64
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    more: bool  # whether to go on after the last key
+    end: int
+
+
+class PlatformStore:
+    """One partition's keyed records: read all, read on, append."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._base = f"http://{endpoint}"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def newest(self, topic: str) -> Result[StorePage, StoreError]:
+        """Return the newest record of each key, and where to read on from.
+
+        The pages are no snapshot, so reading goes on from the first page's end.
+        """
+        records: list[KeyedRecord] = []
+        end: int | None = None
+        after: str | None = None
+        while True:
+            query = {"topic": topic, "part": "0"}
+            if after is not None:
+                query["after"] = after
+            match await self._call("GET", "/-/log-newest", query, CALL_TIMEOUT_S):
+                case Err(error):
+                    return Err(error)
+                case Ok((status, body)):
+                    pass
+            if status == 404:
+                return Ok(StorePage((), 0))
+            if status != 200:
+                return Err(_refused(status))
+            try:
+                page = msgspec.json.decode(body, type=_Newest)
+                for item in page.items:
+                    value = base64.b64decode(item.value)
+                    records.append(KeyedRecord(item.key, value, item.offset))
+            except ValueError as exc:
+                return Err(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
+            end = page.end if end is None else end
+            if not page.more or not page.items:
+                return Ok(StorePage(tuple(records), end))
+            after = page.items[-1].key
+
+    async def read(
+        self, topic: str, from_offset: int, wait_s: float
+    ) -> Result[StorePage, StoreError]:
+        """Return records from an offset on, waiting up to ``wait_s`` seconds for the first."""
+        query = {
+            "topic": topic,
+            "part": "0",
+            "from": str(from_offset),
+            "waitMs": str(int(wait_s * 1000)),
+            "maxKb": str(MAX_READ_KB),
+        }
+        match await self._call("GET", "/-/log-read", query, wait_s + READ_MARGIN_S):
+            case Err(error):
+                return Err(error)
+            case Ok((200, body)):
+                return _decode_records(body, from_offset)
+            case Ok((410, _)):
+                return Err(StoreError(StoreErrorKind.TRIMMED, "the offset is no longer kept"))
+            case Ok((404, _)):
+                # A topic that nobody wrote to yet.
+                await asyncio.sleep(wait_s)
+                return Ok(StorePage((), from_offset))
+            case Ok((status, _)):
+                return Err(_refused(status))
+
+    async def append(
+        self, topic: str, writes: t.Sequence[StoreWrite], as_of: int | None = None
+    ) -> Result[int, StoreError]:
+        """Append records, all or none; return the offset of the first.
+
+        :param as_of: append only if the partition ends at this offset.
+        """
+        query = {"topic": topic, "part": "0"}
+        if as_of is not None:
+            query["asOf"] = str(as_of)
+        body = b"".join(_encode_record(write) for write in writes)
+        match await self._call("POST", "/-/log-append", query, CALL_TIMEOUT_S, body):
+            case Err(error):
+                return Err(error)
+            case Ok((200, answer)):
+                pass
+            case Ok((412, _)):
+                return Err(StoreError(StoreErrorKind.CONFLICT, "others appended meanwhile"))
+            case Ok((status, _)):
+                return Err(_refused(status))
+        try:
+            return Ok(msgspec.json.decode(answer, type=_Appended).offset)
+        except msgspec.MsgspecError as exc:
+            return Err(StoreError(StoreErrorKind.UNKNOWN, str(exc)))
+
+    async def _call(
+        self, method: str, path: str, query: dict[str, str], timeout_s: float, body: bytes = b""
+    ) -> Result[tuple[int, bytes], StoreError]:
+        session = self._session
+        if session is None:
+            session = self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(socket_factory=_socket, limit=0),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with session.request(
+                method, self._base + path, params=query, data=body or None, timeout=timeout
+            ) as response:
+                return Ok((response.status, await response.read()))
+        except aiohttp.ClientConnectorError as exc:
+            return Err(StoreError(StoreErrorKind.REFUSED, f"no connection: {exc}"))
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            return Err(StoreError(StoreErrorKind.UNKNOWN, f"{type(exc).__name__}: {exc}"))
+
+
+def _socket(address_info: t.Any) -> socket.socket:
+    family, kind, protocol, _, _ = address_info
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return made
+
+
+def _refused(status: int) -> StoreError:
+    if status in {429, 503}:
+        return StoreError(StoreErrorKind.REFUSED, f"status {status}")
+    return StoreError(StoreErrorKind.UNKNOWN, f"status {status}")
+
+
+def _encode_record(write: StoreWrite) -> bytes:
+    key = write.key.encode()
+    body = bytes([len(key)]) + key + write.value
+    return _LENGTH.pack(len(body)) + body
+
+
+def _decode_records(data: bytes, from_offset: int) -> Result[StorePage, StoreError]:
+    if len(data) < _ENDS.size:
+        return Err(StoreError(StoreErrorKind.UNREADABLE, "an answer without the ends"))
+    records: list[KeyedRecord] = []
+    start = _ENDS.size
+    offset = from_offset
+    while start + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, start)
+        start += _LENGTH.size
+        body = data[start : start + length]
+        if len(body) < length:
+            break
+        start += length
+        records.append(_keyed(body, offset))
+        offset += 1
+    return Ok(StorePage(tuple(records), offset))
+
+
+def _keyed(body: bytes, offset: int) -> KeyedRecord:
+    size = body[0] if body else 0
+    key = body[1 : 1 + size].decode(errors="replace")
+    return KeyedRecord(key, body[1 + size :], offset)
--- /dev/null
+++ b/src/bulrushflow/recording/__init__.py
@@ -0,0 +1,27 @@
+"""The platform's append-only log."""
+
+from bulrushflow.recording.http import HttpLog
+from bulrushflow.recording.log import CONFIGURATION_STREAM
+from bulrushflow.recording.log import INTRODUCTION_STREAM
+from bulrushflow.recording.log import Log
+from bulrushflow.recording.log import LogError
+from bulrushflow.recording.log import LogErrorKind
+from bulrushflow.recording.log import LogPage
+from bulrushflow.recording.recorder import Recorder
+from bulrushflow.recording.recovery import Recovery
+from bulrushflow.recording.recovery import recover
+from bulrushflow.recording.snapshots import SnapshotWriter
+
+__all__ = [
+    "CONFIGURATION_STREAM",
+    "INTRODUCTION_STREAM",
+    "HttpLog",
+    "Log",
+    "LogError",
+    "LogErrorKind",
+    "LogPage",
+    "Recorder",
+    "Recovery",
+    "SnapshotWriter",
+    "recover",
+]
--- a/src/bulrushflow/platform/http.py
+++ b/src/bulrushflow/recording/http.py
@@ -10,13 +10,13 @@
 from result import Result
 
 from bulrushflow.configuration import LogRecord
-from bulrushflow.platform.log import LogError
-from bulrushflow.platform.log import LogErrorKind
-from bulrushflow.platform.log import LogPage
+from bulrushflow.recording.log import LogError
+from bulrushflow.recording.log import LogErrorKind
+from bulrushflow.recording.log import LogPage
 
 
 class HttpLog:
-    """Implements :class:`~bulrushflow.platform.log.Log` with an HTTP session."""
+    """Implements :class:`~bulrushflow.recording.log.Log` with an HTTP session."""
 
     __slots__ = ("_session", "_timeout_s", "_url")
 
--- a/src/bulrushflow/platform/recorder.py
+++ b/src/bulrushflow/recording/recorder.py
@@ -13,9 +13,9 @@
 from bulrushflow.configuration import ConfigurationStore
 from bulrushflow.configuration import Record
 from bulrushflow.configuration import encode_record
-from bulrushflow.platform.log import CONFIGURATION_STREAM
-from bulrushflow.platform.log import Log
-from bulrushflow.platform.log import LogErrorKind
+from bulrushflow.recording.log import CONFIGURATION_STREAM
+from bulrushflow.recording.log import Log
+from bulrushflow.recording.log import LogErrorKind
 
 FLEET_APPENDS_PER_S = 200.0
 """Appends by all nodes together, below what the log takes."""
--- a/src/bulrushflow/platform/recovery.py
+++ b/src/bulrushflow/recording/recovery.py
@@ -13,9 +13,9 @@
 from bulrushflow.configuration import decode_header
 from bulrushflow.configuration import decode_record
 from bulrushflow.configuration import open_snapshot
-from bulrushflow.platform.log import CONFIGURATION_STREAM
-from bulrushflow.platform.log import Log
-from bulrushflow.platform.log import LogError
+from bulrushflow.recording.log import CONFIGURATION_STREAM
+from bulrushflow.recording.log import Log
+from bulrushflow.recording.log import LogError
 
 SPAN_FACTOR = 4
 """By how much the search goes further back each time it finds no usable snapshot."""
--- a/src/bulrushflow/platform/snapshots.py
+++ b/src/bulrushflow/recording/snapshots.py
@@ -13,8 +13,8 @@
 from bulrushflow.configuration import encode_record
 from bulrushflow.configuration import is_snapshot_due
 from bulrushflow.configuration import make_snapshot
-from bulrushflow.platform.log import CONFIGURATION_STREAM
-from bulrushflow.platform.log import Log
+from bulrushflow.recording.log import CONFIGURATION_STREAM
+from bulrushflow.recording.log import Log
 from bulrushflow.timers import Clock
 from bulrushflow.timers import Timers
 
--- a/src/bulrushflow/routing/__init__.py
+++ b/src/bulrushflow/routing/__init__.py
@@ -9,6 +9,7 @@
 from bulrushflow.routing.model import Outcome
 from bulrushflow.routing.model import answer_lost
 from bulrushflow.routing.model import not_run
+from bulrushflow.routing.model import outcome_label
 from bulrushflow.routing.model import refused
 from bulrushflow.routing.model import unknown
 from bulrushflow.routing.queues import FairQueue
@@ -37,6 +38,7 @@
     "match_route",
     "may_retry",
     "not_run",
+    "outcome_label",
     "refused",
     "retry_wait_s",
     "unknown",
--- a/src/bulrushflow/routing/model.py
+++ b/src/bulrushflow/routing/model.py
@@ -42,6 +42,8 @@
     deadline: float
     idempotent: bool
     attempt: int = 0
+    priority: int = 0
+    """0 is the most important."""
 
     def for_attempt(self, version: str, retries: int) -> "Call":
         """Return the call for a target version, after ``retries`` attempts of this node's own."""
@@ -61,6 +63,7 @@
             self.deadline,
             self.idempotent,
             self.attempt + retries,
+            self.priority,
         )
 
 
@@ -110,3 +113,12 @@
 def answer_lost(reason: str) -> CallResult:
     """Return the outcome of a call that ran and whose answer can't be passed on."""
     return CallFailure(Outcome.ANSWER_LOST, reason).as_result()
+
+
+def outcome_label(result: CallResult) -> str:
+    """Return the value of the metrics' ``outcome`` label."""
+    match result:
+        case Ok(answer):
+            return "error" if answer.status >= 500 else "ok"
+        case Err(failure):
+            return failure.outcome.name.lower()
--- /dev/null
+++ b/src/bulrushflow/sidecar/announcements.py
@@ -0,0 +1,81 @@
+"""The HTTP listeners for the target's announcements and for the platform's readiness checks."""
+
+import typing as t
+
+from aiohttp import web
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.gate import Gate
+from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.registration import Registration
+from bulrushflow.sidecar.settings import Endpoint
+
+ACKNOWLEDGE_S = 0.6
+"""Longest wait for the store before a leave is acknowledged; the target waits for a second."""
+
+Decoder = t.Callable[[str, bytes], Result[tuple[TargetEntry, Endpoint], str]]
+
+
+class AnnouncementPaths(t.NamedTuple):
+    """Paths that the platform uses."""
+
+    targets: str
+    """With the placeholder ``{target_id}``."""
+    readiness: str
+
+
+def announcement_application(
+    paths: AnnouncementPaths,
+    decode: Decoder,
+    gate: Gate,
+    registration: Registration,
+    decisions: Decisions,
+) -> web.Application:
+    """Return the application that takes the target's announcements.
+
+    That a target leaves is in force here before the answer, and in the store if that answers soon.
+    """
+
+    async def announce(request: web.Request) -> web.Response:
+        target_id = request.match_info["target_id"]
+        match decode(target_id, await request.read()):
+            case Err(reason):
+                decisions.belief("announcement refused", target=target_id, reason=reason)
+                return web.json_response({"error": reason}, status=400)
+            case Ok((entry, endpoint)):
+                pass
+        if not gate.announce(entry, endpoint):
+            decisions.belief(
+                "announcement late",
+                target=target_id,
+                incarnation=entry.incarnation,
+                sequence=entry.sequence,
+            )
+        elif entry.state is not TargetState.READY:
+            await registration.settled(ACKNOWLEDGE_S)
+        return web.json_response({})
+
+    async def leave(request: web.Request) -> web.Response:
+        gate.depart(request.match_info["target_id"])
+        await registration.settled(ACKNOWLEDGE_S)
+        return web.json_response({})
+
+    app = web.Application()
+    app.router.add_put(paths.targets, announce)
+    app.router.add_delete(paths.targets, leave)
+    return app
+
+
+def readiness_application(path: str, is_ready: t.Callable[[], bool]) -> web.Application:
+    """Return the application that tells whether this node takes calls."""
+
+    async def ready(_: web.Request) -> web.Response:
+        return web.Response(status=200 if is_ready() else 503)
+
+    app = web.Application()
+    app.router.add_get(path, ready)
+    return app
--- /dev/null
+++ b/src/bulrushflow/sidecar/application.py
@@ -0,0 +1,297 @@
+"""The sidecar: one object that owns every part, and their start and stop."""
+
+import asyncio
+import random
+import typing as t
+from dataclasses import dataclass
+
+from aiohttp import web
+from loguru import logger
+from mode import Service
+from result import Result
+
+from bulrushflow.metrics import Metrics
+from bulrushflow.routing import Call
+from bulrushflow.sidecar.announcements import AnnouncementPaths
+from bulrushflow.sidecar.announcements import announcement_application
+from bulrushflow.sidecar.announcements import readiness_application
+from bulrushflow.sidecar.balancer import Balancer
+from bulrushflow.sidecar.callers import CallerServer
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Directory
+from bulrushflow.sidecar.dispatcher import Dispatcher
+from bulrushflow.sidecar.driver import MoveDriver
+from bulrushflow.sidecar.driver import StatusEncoder
+from bulrushflow.sidecar.followers import MoveFollower
+from bulrushflow.sidecar.followers import NodeFollower
+from bulrushflow.sidecar.gate import Gate
+from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.model import MoveOrder
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.model import NodeEntry
+from bulrushflow.sidecar.model import Routing
+from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.moves import Moves
+from bulrushflow.sidecar.peers import Peers
+from bulrushflow.sidecar.records import node_key
+from bulrushflow.sidecar.registration import Registration
+from bulrushflow.sidecar.repeats import RepeatLimit
+from bulrushflow.sidecar.replica import Follower
+from bulrushflow.sidecar.replica import Replica
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.settings import SidecarSettings
+from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import Store
+from bulrushflow.timers import SystemClock
+from bulrushflow.timers import Timers
+from bulrushflow.wire.links import Links
+
+MAX_ROUTE_LABELS = 64
+CHECK_S = 0.5
+QUIET_S = 3.0
+"""Callers notice within so long that a stopping node is not ready; calls go on until then."""
+STOP_MARGIN_S = 0.4
+"""Time kept before the kill for closing what is left."""
+POLL_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Topics:
+    """Where the store keeps what."""
+
+    orders: str
+    """The operator's configuration and orders; read only."""
+    statuses: str
+    """What became of the operator's orders."""
+    nodes: str
+    """The nodes' own entries."""
+
+
+class Adapter(t.Protocol):
+    """What differs between platforms."""
+
+    names: HeaderNames
+    topics: Topics
+    paths: AnnouncementPaths
+
+    def decode_announcement(
+        self, target_id: str, data: bytes
+    ) -> Result[tuple[TargetEntry, Endpoint], str]:
+        """Decode a target's word on itself."""
+
+    def encode_status(self, status: MoveStatus) -> t.Any:
+        """Return the store's record of a move's status."""
+
+    def decode_status(self, record: KeyedRecord) -> MoveStatus | None:
+        """Decode the store's record of a move's status."""
+
+    def order_follower(self, orders: "OrderSink") -> Follower:
+        """Return what decodes the operator's records."""
+
+
+class OrderSink(t.Protocol):
+    """What the operator's decoded records are handed to."""
+
+    def configure(self, routing: Routing) -> None:
+        """Put a configuration in force."""
+
+    def order_move(self, order: MoveOrder) -> None:
+        """Take in an order."""
+
+    def withdraw_move(self, service: str) -> None:
+        """Take in that an order is gone."""
+
+    def unreadable(self, key: str, reason: str) -> None:
+        """Tell of a record that can't be read."""
+
+
+class Sidecar(Service):
+    """One sidecar: construct with checked settings, start, stop."""
+
+    def __init__(self, settings: SidecarSettings, store: Store, adapter: Adapter) -> None:
+        super().__init__()
+        self.settings = settings
+        self.routing = Routing(0)
+        self._adapter = adapter
+        self._store = store
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._decisions = Decisions()
+        self._metrics = Metrics(MAX_ROUTE_LABELS)
+        self._own_key = node_key(settings.address)
+        self._stopping = False
+        self._runners: list[web.AppRunner | web.ServerRunner] = []
+        self._timers = Timers(self._rng)
+        self._links = Links(settings.address, settings.peer_port, self._timers)
+        self._directory = Directory()
+        self._moves = Moves(settings.node_id, self._clock.wall_ms(), self._decisions, self._rng)
+        self._registration = Registration(store, adapter.topics.nodes, self._decisions, self._rng)
+        bounds = settings.bounds
+        self._repeats = RepeatLimit(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+        self._gate = Gate(
+            adapter.names,
+            self._moves.is_forbidden,
+            self._observe,
+            self._announce_target,
+            self._repeats,
+            self._decisions,
+        )
+        self._peers = Peers(self._links, self._gate)
+        self._dispatcher = Dispatcher(
+            settings.address,
+            self._directory,
+            self._gate,
+            self._peers,
+            Balancer(settings.data_centre, self._rng, self._clock.wall_ms),
+            self._moves.choose,
+            self._metrics,
+            self._decisions,
+            self._rng,
+        )
+        self._callers = CallerServer(
+            adapter.names,
+            lambda: self.routing,
+            lambda: self.settings.own_service,
+            self._dispatcher,
+            self._metrics,
+            self._decisions,
+            self._rng,
+        )
+        self._build_replicas(adapter, store)
+
+    def _build_replicas(self, adapter: Adapter, store: Store) -> None:
+        topics = adapter.topics
+        nodes = NodeFollower(self._directory, self._own_key, self._found_own, self._decisions)
+        statuses = MoveFollower(adapter.decode_status, self._take_status)
+        self._orders = Replica(
+            store, topics.orders, adapter.order_follower(self), self._decisions, self._rng
+        )
+        self._nodes = Replica(store, topics.nodes, nodes, self._decisions, self._rng)
+        self._statuses = Replica(store, topics.statuses, statuses, self._decisions, self._rng)
+
+    async def on_start(self) -> None:
+        await self._timers.start()
+        await self._links.start()
+        self._driver = MoveDriver(
+            self._own_key,
+            self.settings.node_id,
+            lambda: self.settings.own_service,
+            self._moves,
+            self._directory,
+            self._links,
+            self._store,
+            self._adapter.topics.statuses,
+            self._statuses,
+            t.cast(StatusEncoder, self._adapter.encode_status),
+            self._timers,
+            self._clock,
+            self._decisions,
+            self._rng,
+        )
+        await self._registration.start()
+        for replica in (self._orders, self._nodes, self._statuses):
+            await replica.start()
+        application = announcement_application(
+            self._adapter.paths,
+            self._adapter.decode_announcement,
+            self._gate,
+            self._registration,
+            self._decisions,
+        )
+        await self._serve_application(application, self.settings.announcements)
+        readiness = readiness_application(self._adapter.paths.readiness, self.is_ready)
+        await self._serve_application(readiness, self.settings.readiness)
+        await self._serve(web.ServerRunner(self._callers.server()), self.settings.callers)
+        self._timers.subscribe("gate", CHECK_S, self._check)
+        logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
+
+    async def on_stop(self) -> None:
+        """Serve until callers know that this node stops, finish what is in flight, then close."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        ends_at = started_at + self.settings.bounds.grace_s - STOP_MARGIN_S
+        self._stopping = True
+        self._callers.stopping = True
+        logger.bind(in_flight=self._callers.in_flight).info("stopping")
+        while loop.time() < ends_at:
+            busy = self._callers.in_flight or self._gate.in_flight
+            if not busy and loop.time() - started_at >= QUIET_S:
+                break
+            await asyncio.sleep(POLL_S)
+        for link in list(self._links._accepted):
+            link.leave()
+        await asyncio.sleep(POLL_S)
+        for runner in reversed(self._runners):
+            await runner.cleanup()
+        for service in (self._orders, self._nodes, self._statuses, self._registration):
+            await service.stop()
+        await self._timers.stop()
+        await self._links.stop()
+        self._gate.close()
+        await self._store.close()
+        logger.bind(seconds=round(loop.time() - started_at, 2)).info("stopped")
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should use this node."""
+        return not self._stopping and bool(self.routing.version) and self._nodes.loaded
+
+    def configure(self, routing: Routing) -> None:
+        """See :meth:`OrderSink.configure`; an older configuration is never taken."""
+        if routing.version <= self.routing.version:
+            return
+        self._decisions.belief(
+            "configuration in force", version=routing.version, before=self.routing.version
+        )
+        self.routing = routing
+
+    def order_move(self, order: MoveOrder) -> None:
+        """See :meth:`OrderSink.order_move`."""
+        self._moves.order(order, asyncio.get_running_loop().time())
+
+    def withdraw_move(self, service: str) -> None:
+        """See :meth:`OrderSink.withdraw_move`."""
+        self._moves.withdraw(service)
+
+    def unreadable(self, key: str, reason: str) -> None:
+        """See :meth:`OrderSink.unreadable`."""
+        self._decisions.belief("record unreadable", key=key, reason=reason)
+
+    def _take_status(self, status: MoveStatus) -> None:
+        self._moves.take(status, asyncio.get_running_loop().time())
+
+    def _observe(self, call: Call, failed: bool, seconds: float) -> None:
+        entry = self._gate.entry
+        warming = entry is not None and entry.warm_at_ms > self._clock.wall_ms()
+        self._moves.observe(call, failed, seconds, warming)
+
+    def _announce_target(self, entry: TargetEntry | None) -> None:
+        settings = self.settings
+        own = NodeEntry(
+            settings.node_id, settings.data_centre, settings.address, settings.peer_port, entry
+        )
+        self._directory.put(self._own_key, own)
+        self._registration.want(own)
+
+    def _found_own(self, entry: NodeEntry | None) -> None:
+        """Take up the target that the store has for this address, before it announces itself."""
+        first = not self._nodes.loaded
+        self._registration.found(entry)
+        settings = self.settings
+        if not first or self._gate.entry is not None or settings.target is None:
+            return
+        if entry is not None and entry.target is not None:
+            self._gate.announce(entry.target, settings.target)
+
+    async def _check(self) -> None:
+        self._gate.check()
+        service = self.settings.own_service
+        self._repeats.sharers = max(1, len(self._directory.ready(service)))
+
+    async def _serve_application(self, app: web.Application, endpoint: Endpoint) -> None:
+        await self._serve(web.AppRunner(app, access_log=None), endpoint)
+
+    async def _serve(self, runner: web.AppRunner | web.ServerRunner, endpoint: Endpoint) -> None:
+        await runner.setup()
+        self._runners.append(runner)
+        site = web.TCPSite(runner, endpoint.address, endpoint.port, backlog=1024)
+        await site.start()
--- /dev/null
+++ b/src/bulrushflow/sidecar/callers.py
@@ -0,0 +1,204 @@
+"""The HTTP listener for callers on this instance."""
+
+import asyncio
+import random
+import typing as t
+
+from aiohttp import web
+from multidict import CIMultiDict
+from result import Err
+from result import Ok
+
+from bulrushflow.bodies import read_body
+from bulrushflow.metrics import Metrics
+from bulrushflow.routing import Answer
+from bulrushflow.routing import Call
+from bulrushflow.routing import CallFailure
+from bulrushflow.routing import CallResult
+from bulrushflow.routing import Outcome
+from bulrushflow.routing import outcome_label
+from bulrushflow.routing import unknown
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.dispatcher import Dispatcher
+from bulrushflow.sidecar.headers import HOP_HEADERS
+from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.model import Route
+from bulrushflow.sidecar.model import Routing
+
+IDLE_S = 75.0
+"""Idle time after which a caller's connection is closed; callers leave earlier."""
+MAX_LINE_BYTES = 64 << 10
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 0.3
+"""Spread of the waits that refused callers are told, so that they don't come back together."""
+NOT_SET_S = 60.0
+"""Time that a call without a timeout of its caller has; the route's timeout is shorter."""
+_STATUS_BY_OUTCOME = {
+    Outcome.NOT_RUN: 503,
+    Outcome.REFUSED: 503,
+    Outcome.UNKNOWN: 502,
+    Outcome.ANSWER_LOST: 502,
+}
+
+
+class CallerServer:
+    """Turns HTTP requests into calls, and their outcomes into HTTP answers."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        routing: t.Callable[[], Routing],
+        own_service: t.Callable[[], str],
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+        decisions: Decisions,
+        rng: random.Random,
+    ) -> None:
+        self._names = names
+        self._own_headers = HOP_HEADERS | {
+            names.request_id.lower(),
+            names.timeout_ms.lower(),
+            names.caller_service.lower(),
+            names.expected_target.lower(),
+        }
+        self._routing = routing
+        self._own_service = own_service
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._decisions = decisions
+        self._rng = rng
+        self.in_flight = 0
+        self.stopping = False
+        """Whether each answer asks the caller to use another connection."""
+
+    def server(self) -> web.Server:
+        """Return the HTTP server. A caller that disconnects cancels its call."""
+        return web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=IDLE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.in_flight += 1
+        try:
+            response = await self._serve(request)
+            if self.stopping:
+                response.force_close()
+            await response.prepare(request)
+            await response.write_eof()
+            return response
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        started_at = asyncio.get_running_loop().time()
+        request_id = request.headers.get(self._names.request_id, "")
+        routing = self._routing()
+        if not routing.version:
+            return self._refusal(request_id, 503, "no configuration yet")
+        route = routing.match(request.headers.get("Host", "").lower(), request.raw_path)
+        if route is None:
+            self._decisions.belief(
+                "no route",
+                request=request_id,
+                host=request.headers.get("Host"),
+                path=request.raw_path,
+                configuration=routing.version,
+            )
+            return self._refusal(request_id, 404, "no route")
+        if not request_id:
+            return self._refusal(request_id, 400, f"no {self._names.request_id}")
+        match await read_body(request, routing.limits.max_body_bytes):
+            case Err(reason):
+                return self._refusal(request_id, 413, reason)
+            case Ok(body):
+                pass
+        call = self._call(request, route, body, started_at)
+        result = await self._run(route, call)
+        seconds = asyncio.get_running_loop().time() - started_at
+        self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
+        return self._response(call, result, routing.version, seconds)
+
+    async def _run(self, route: Route, call: Call) -> CallResult:
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                return await self._dispatcher.dispatch(route, call)
+        except TimeoutError:
+            return unknown("no answer within the timeout")
+        except asyncio.CancelledError:
+            self._metrics.observe_call(route.name, call.service, "cancelled", 0.0)
+            self._decisions.failed(call, "cancelled", reason="the caller left")
+            raise
+
+    def _call(self, request: web.BaseRequest, route: Route, body: bytes, started_at: float) -> Call:
+        headers = request.headers
+        left_s = min(_seconds(headers.get(self._names.timeout_ms)), route.timeout_s)
+        return Call(
+            request_id=headers[self._names.request_id],
+            tenant=self._own_service(),
+            service=self._dispatcher.choose_service(route),
+            version="",
+            route=route.name,
+            method=request.method,
+            path=request.raw_path,
+            headers=tuple((k, v) for k, v in headers.items() if k.lower() not in self._own_headers),
+            body=body,
+            deadline=started_at + left_s,
+            idempotent=route.idempotent,
+            priority=route.priority,
+        )
+
+    def _response(
+        self, call: Call, result: CallResult, version: int, seconds: float
+    ) -> web.Response:
+        match result:
+            case Ok(answer):
+                self._decisions.answered(
+                    call, answer.status, configuration=version, seconds=round(seconds, 3)
+                )
+                return self._passed_on(call, answer)
+            case Err(failure):
+                return self._failure(call, failure, version, seconds)
+
+    def _passed_on(self, call: Call, answer: Answer) -> web.Response:
+        headers = CIMultiDict(answer.headers)
+        headers[self._names.request_id] = call.request_id
+        return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+    def _failure(
+        self, call: Call, failure: CallFailure, version: int, seconds: float
+    ) -> web.Response:
+        status = _STATUS_BY_OUTCOME[failure.outcome]
+        if failure.outcome is Outcome.UNKNOWN and seconds >= call.deadline:
+            status = 504
+        self._decisions.failed(
+            call,
+            failure.outcome.name.lower(),
+            status=status,
+            reason=failure.reason,
+            service=call.service,
+            configuration=version,
+            seconds=round(seconds, 3),
+        )
+        return self._refusal(call.request_id, status, failure.reason)
+
+    def _refusal(self, request_id: str, status: int, reason: str) -> web.Response:
+        response = web.json_response({"error": reason}, status=status)
+        if request_id:
+            response.headers[self._names.request_id] = request_id
+        if status == 503:
+            wait_s = self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
+            response.headers["Retry-After"] = f"{wait_s:.2f}"
+        return response
+
+
+def _seconds(text: str | None) -> float:
+    """Return the seconds in a header with milliseconds."""
+    if text is None or not (text.isascii() and text.isdigit()):
+        return NOT_SET_S
+    return min(NOT_SET_S, int(text[:9]) / 1000)
--- /dev/null
+++ b/src/bulrushflow/sidecar/decisions.py
@@ -0,0 +1,92 @@
+"""The account of decisions: one structured log line each, bounded under load."""
+
+import asyncio
+import typing as t
+
+from loguru import logger
+
+from bulrushflow.routing import Call
+
+LINES_PER_S = 20.0
+"""Lines of one kind a second; what is beyond is counted and told with the next line."""
+BURST_LINES = 40.0
+SUCCESS_EVERY = 100
+"""One answered call in so many is told; failures are told up to the bound."""
+
+
+class _Bound:
+    """A token bucket for one kind of line."""
+
+    __slots__ = ("at", "left_out", "tokens")
+
+    def __init__(self, now: float) -> None:
+        self.tokens = BURST_LINES
+        self.at = now
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        self.tokens = min(BURST_LINES, self.tokens + (now - self.at) * LINES_PER_S)
+        self.at = now
+        if self.tokens < 1:
+            self.left_out += 1
+            return False
+        self.tokens -= 1
+        return True
+
+
+class Decisions:
+    """Writes what touches a call or changes what this process believes."""
+
+    __slots__ = ("_answered", "_bounds_by_kind")
+
+    def __init__(self) -> None:
+        self._bounds_by_kind: dict[str, _Bound] = {}
+        self._answered = 0
+
+    def belief(self, event: str, **inputs: t.Any) -> None:
+        """Tell that this process believes something else now, and why."""
+        self._write(event, inputs)
+
+    def refused(self, call: Call, reason: str, **inputs: t.Any) -> None:
+        """Tell that a call was refused before it was sent to the target."""
+        self._write(
+            "call refused",
+            {
+                "request": call.request_id,
+                "route": call.route,
+                "service": call.service,
+                "attempt": call.attempt,
+                "outcome": "not run",
+                "reason": reason,
+                **inputs,
+            },
+        )
+
+    def failed(self, call: Call, outcome: str, **inputs: t.Any) -> None:
+        """Tell that an attempt or a call failed."""
+        self._write(
+            "call failed",
+            {"request": call.request_id, "route": call.route, "outcome": outcome, **inputs},
+        )
+
+    def answered(self, call: Call, status: int, **inputs: t.Any) -> None:
+        """Tell of an answered call; most are left out."""
+        self._answered += 1
+        if self._answered % SUCCESS_EVERY:
+            return
+        self._write(
+            "call answered",
+            {"request": call.request_id, "route": call.route, "status": status, **inputs},
+        )
+
+    def _write(self, event: str, fields: dict[str, t.Any]) -> None:
+        now = asyncio.get_running_loop().time()
+        bound = self._bounds_by_kind.get(event)
+        if bound is None:
+            bound = self._bounds_by_kind[event] = _Bound(now)
+        if not bound.take(now):
+            return
+        if bound.left_out:
+            fields["left_out"] = bound.left_out
+            bound.left_out = 0
+        logger.bind(**fields).info(event)
--- /dev/null
+++ b/src/bulrushflow/sidecar/directory.py
@@ -0,0 +1,113 @@
+"""The targets that this node knows of, and what its own calls to them showed."""
+
+import typing as t
+from dataclasses import dataclass
+from dataclasses import field
+
+from bulrushflow.sidecar.model import NodeEntry
+from bulrushflow.sidecar.model import TargetState
+
+LATENCY_SMOOTHING = 0.1
+"""Weight of the newest answer in the smoothed latency."""
+FAILURE_SMOOTHING = 0.15
+"""Weight of the newest outcome in the smoothed share of failures."""
+LOAD_HALF_LIFE_S = 0.5
+"""Time in which a reported load loses half of its weight."""
+MAX_BACKOFF_S = 2.0
+FIRST_BACKOFF_S = 0.1
+EJECT_FAILURES = 0.4
+"""Smoothed share of failures from which a target gets no calls for a while."""
+EJECT_S = 2.0
+
+
+@dataclass(slots=True)
+class Peer:
+    """One node with its target, as seen from here."""
+
+    entry: NodeEntry
+    in_flight: int = 0
+    latency_s: float = 0.0
+    failures: float = 0.0
+    reported_load: float = 0.0
+    reported_at: float = 0.0
+    unavailable_until: float = 0.0
+    ejected_until: float = 0.0
+    backoff_s: float = field(default=FIRST_BACKOFF_S)
+
+    def load(self, now: float) -> float:
+        """Return calls per slot: this node's own, or what the peer reported not long ago."""
+        target = self.entry.target
+        own = self.in_flight / target.slots if target is not None else 1.0
+        age_s = now - self.reported_at
+        return max(own, self.reported_load * 0.5 ** (age_s / LOAD_HALF_LIFE_S))
+
+    def report(self, load: float, now: float) -> None:
+        """Take in the load that the peer told with an answer."""
+        self.reported_load = load
+        self.reported_at = now
+
+    def answered(self, seconds: float, failed: bool, now: float) -> None:
+        """Take in an answer of the target."""
+        self.backoff_s = FIRST_BACKOFF_S
+        self.failures += (failed - self.failures) * FAILURE_SMOOTHING
+        if not failed:
+            weight = LATENCY_SMOOTHING if self.latency_s else 1.0
+            self.latency_s += (seconds - self.latency_s) * weight
+        if self.failures >= EJECT_FAILURES:
+            self.ejected_until = now + EJECT_S
+            self.failures = EJECT_FAILURES / 2
+
+    def unreachable(self, now: float) -> None:
+        """Take in that the peer could not be reached, or has no target now."""
+        self.unavailable_until = now + self.backoff_s
+        self.backoff_s = min(MAX_BACKOFF_S, self.backoff_s * 2)
+
+
+class Directory:
+    """Nodes by key, and the peers whose target is ready by service."""
+
+    __slots__ = ("_ready_by_service", "peers_by_key")
+
+    def __init__(self) -> None:
+        self.peers_by_key: dict[str, Peer] = {}
+        self._ready_by_service: dict[str, list[Peer]] = {}
+
+    def put(self, key: str, entry: NodeEntry) -> None:
+        """Take in a node's newest entry. A new target starts without a record."""
+        held = self.peers_by_key.get(key)
+        if held is not None and _same_target(held.entry, entry):
+            held.entry = entry
+            held.unavailable_until = 0.0
+        else:
+            self.peers_by_key[key] = Peer(entry)
+        self._index()
+
+    def drop(self, key: str) -> None:
+        """Forget a node."""
+        if self.peers_by_key.pop(key, None) is not None:
+            self._index()
+
+    def keep_only(self, keys: t.Collection[str]) -> None:
+        """Forget every other node."""
+        for key in [key for key in self.peers_by_key if key not in keys]:
+            del self.peers_by_key[key]
+        self._index()
+
+    def ready(self, service: str) -> t.Sequence[Peer]:
+        """Return the peers whose target takes calls of a service."""
+        return self._ready_by_service.get(service, ())
+
+    def _index(self) -> None:
+        by_service: dict[str, list[Peer]] = {}
+        for peer in self.peers_by_key.values():
+            target = peer.entry.target
+            if target is not None and target.state is TargetState.READY:
+                by_service.setdefault(target.service, []).append(peer)
+        self._ready_by_service = by_service
+
+
+def _same_target(held: NodeEntry, entry: NodeEntry) -> bool:
+    if held.target is None or entry.target is None or held.endpoint != entry.endpoint:
+        return False
+    same_id = held.target.target_id == entry.target.target_id
+    return same_id and held.target.incarnation == entry.target.incarnation
--- /dev/null
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -0,0 +1,168 @@
+"""Brings a call to a target: service, version, target, attempt, repeat."""
+
+import asyncio
+import random
+import typing as t
+
+from result import Err
+from result import Ok
+
+from bulrushflow.metrics import Metrics
+from bulrushflow.routing import Call
+from bulrushflow.routing import CallResult
+from bulrushflow.routing import Outcome
+from bulrushflow.routing import not_run
+from bulrushflow.sidecar.balancer import Balancer
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Directory
+from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.gate import Gate
+from bulrushflow.sidecar.model import Route
+from bulrushflow.sidecar.peers import PeerReport
+from bulrushflow.sidecar.peers import Peers
+
+SERVER_ERROR = 500
+MAX_REFUSALS = 6
+"""Attempts at targets that refuse a call before it is given up."""
+HELD_PART = 0.1
+"""Part of the route's target latency for which a call waits for a target to show up."""
+WAIT_STEP_S = 0.02
+FULL_LOAD = 1.0
+
+VersionFilter = t.Callable[[str, t.Sequence[Peer]], t.Sequence[Peer]]
+
+
+class Dispatcher:
+    """Routes calls, each with the route that it began with.
+
+    :param choose_version: leaves the peers whose target has the version that a call goes to.
+    """
+
+    def __init__(
+        self,
+        own_address: str,
+        directory: Directory,
+        gate: Gate,
+        peers: Peers,
+        balancer: Balancer,
+        choose_version: VersionFilter,
+        metrics: Metrics,
+        decisions: Decisions,
+        rng: random.Random,
+    ) -> None:
+        self._own_address = own_address
+        self._directory = directory
+        self._gate = gate
+        self._peers = peers
+        self._balancer = balancer
+        self._choose_version = choose_version
+        self._metrics = metrics
+        self._decisions = decisions
+        self._rng = rng
+        self._split_credit_by_route: dict[str, dict[str, float]] = {}
+
+    def choose_service(self, route: Route) -> str:
+        """Return the service for the next call of a route, by smooth weighted turns."""
+        if len(route.services) == 1:
+            return route.services[0].service
+        key = f"{route.host}{route.prefix}"
+        credit_by_service = self._split_credit_by_route.setdefault(key, {})
+        total = 0.0
+        best = route.services[0].service
+        for part in route.services:
+            total += part.weight
+            credit = credit_by_service.get(part.service, self._rng.uniform(0, part.weight))
+            credit_by_service[part.service] = credit + part.weight
+        best = max(route.services, key=lambda part: credit_by_service[part.service]).service
+        credit_by_service[best] -= total
+        return best
+
+    async def dispatch(self, route: Route, call: Call) -> CallResult:
+        """Run a call; the outcome says whether it ran."""
+        loop = asyncio.get_running_loop()
+        held_until = min(call.deadline, loop.time() + route.target_latency_s * HELD_PART)
+        last: CallResult = not_run(f"no target of {call.service} takes calls")
+        tried: set[str] = set()
+        sent = 0
+        refusals = 0
+        while loop.time() < call.deadline:
+            peer = self._choose(call.service, tried)
+            if peer is None:
+                if sent or loop.time() + WAIT_STEP_S > held_until:
+                    return last
+                tried.clear()
+                await asyncio.sleep(WAIT_STEP_S)
+                continue
+            tried.add(peer.entry.address)
+            target = peer.entry.target
+            version = target.version if target is not None else ""
+            result = await self._attempt(peer, call.for_attempt(version, sent))
+            match result:
+                case Ok(answer):
+                    last = result
+                    if answer.status < SERVER_ERROR or not call.idempotent:
+                        return result
+                    sent += 1
+                case Err(failure) if failure.outcome is Outcome.NOT_RUN:
+                    refusals += 1
+                    if not sent:
+                        last = result
+                    if refusals >= MAX_REFUSALS or sent:
+                        return last
+                    continue
+                case Err(failure):
+                    last = result
+                    if not call.idempotent or failure.outcome is not Outcome.UNKNOWN:
+                        return result
+                    sent += 1
+            if sent >= route.max_attempts:
+                return last
+            self._metrics.retries.inc({"service": call.service})
+        return last
+
+    def _choose(self, service: str, tried: set[str]) -> Peer | None:
+        candidates = self._choose_version(service, self._directory.ready(service))
+        return self._balancer.choose(candidates, tried, asyncio.get_running_loop().time())
+
+    async def _attempt(self, peer: Peer, call: Call) -> CallResult:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        peer.in_flight += 1
+        try:
+            if peer.entry.address == self._own_address:
+                result = await self._gate.run(call)
+                capacity = self._gate.capacity
+                load = self._gate.load / capacity if capacity else None
+                report = PeerReport(True, load)
+            else:
+                result, report = await self._peers.send(peer.entry.endpoint, call)
+        finally:
+            peer.in_flight -= 1
+        self._learn(peer, call, result, report, loop.time() - started_at)
+        return result
+
+    def _learn(
+        self, peer: Peer, call: Call, result: CallResult, report: PeerReport, seconds: float
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        match result:
+            case Ok(answer):
+                peer.answered(seconds, answer.status >= SERVER_ERROR, now)
+                peer.report(report.load or 0.0, now)
+                return
+            case Err(failure):
+                pass
+        if failure.outcome is Outcome.UNKNOWN:
+            peer.answered(seconds, True, now)
+        if not report.reached or report.load is None:
+            peer.unreachable(now)
+        elif failure.outcome is Outcome.NOT_RUN:
+            peer.report(max(report.load, FULL_LOAD), now)
+        self._decisions.failed(
+            call,
+            failure.outcome.name.lower(),
+            reason=failure.reason,
+            node=peer.entry.node_id,
+            attempt=call.attempt,
+            seconds=round(seconds, 3),
+        )
--- /dev/null
+++ b/src/bulrushflow/sidecar/driver.py
@@ -0,0 +1,226 @@
+"""Drives moves: spreads evidence, takes faulty versions back, writes each step to the store.
+
+Every node beside a target of the service judges. Steps are conditional on all earlier ones, so two
+drivers, or one that wakes late, can't overwrite each other.
+"""
+
+import asyncio
+import random
+import typing as t
+from dataclasses import replace
+
+from result import Err
+from result import Ok
+
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Directory
+from bulrushflow.sidecar.model import MovePhase
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.moves import FULL_PERMILLE
+from bulrushflow.sidecar.moves import Move
+from bulrushflow.sidecar.moves import Moves
+from bulrushflow.sidecar.records import MOVE_KEY_PREFIX
+from bulrushflow.sidecar.records import decode_move
+from bulrushflow.sidecar.records import encode_move
+from bulrushflow.sidecar.replica import Replica
+from bulrushflow.sidecar.storage import Store
+from bulrushflow.sidecar.storage import StoreErrorKind
+from bulrushflow.sidecar.storage import StoreWrite
+from bulrushflow.timers import Clock
+from bulrushflow.timers import Timers
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
+from bulrushflow.wire.links import Links
+
+CHECK_S = 0.4
+RANK_WAIT_S = 1.2
+"""Wait of each further node for the ones before it to take a step that is due."""
+EMPTYING_S = 1.8
+"""Time without new calls after which the old version has answered what it had."""
+
+StatusEncoder = t.Callable[[MoveStatus], StoreWrite]
+
+
+class MoveDriver:
+    """Judges and paces the moves of this node's service.
+
+    :param status_replica: follows the topic that statuses are written to.
+    :param encode: encodes a status as the store's record.
+    """
+
+    def __init__(
+        self,
+        own_key: str,
+        own_id: str,
+        own_service: t.Callable[[], str],
+        moves: Moves,
+        directory: Directory,
+        links: Links,
+        store: Store,
+        status_topic: str,
+        status_replica: Replica,
+        encode: StatusEncoder,
+        timers: Timers,
+        clock: Clock,
+        decisions: Decisions,
+        rng: random.Random,
+    ) -> None:
+        self._own_key = own_key
+        self._own_id = own_id
+        self._own_service = own_service
+        self._moves = moves
+        self._directory = directory
+        self._links = links
+        self._store = store
+        self._status_topic = status_topic
+        self._status_replica = status_replica
+        self._encode = encode
+        self._clock = clock
+        self._decisions = decisions
+        self._rng = rng
+        self._due_since: dict[tuple[int, int], float] = {}
+        self._unwritten: dict[str, MoveStatus] = {}
+        links.handle("evidence_report", self._take_evidence)
+        links.handle("state_notice", self._take_notice)
+        timers.subscribe("moves", CHECK_S, self.check)
+
+    async def check(self) -> None:
+        """Look after this service's move once."""
+        move = self._moves.by_service.get(self._own_service())
+        if move is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if move.phase is MovePhase.RUNNING:
+            await self._spread(move)
+            reason = self._moves.judge(move, now)
+            if reason is not None:
+                self._take_back(move, reason)
+            else:
+                await self._pace(move, now)
+        unwritten = self._unwritten.get(move.order.service)
+        if unwritten is not None:
+            await self._write(move, unwritten)
+
+    async def _spread(self, move: Move) -> None:
+        evidence = self._moves.own_evidence(move)
+        if not evidence.sequence:
+            return
+        message = codec.evidence_to_message(evidence)
+        await self._tell(move.order.service, evidence_report=message)
+
+    async def _tell(self, service: str | None, **body: t.Any) -> None:
+        sends = [
+            self._links.send(peer.entry.endpoint, **body)
+            for key, peer in self._directory.peers_by_key.items()
+            if key != self._own_key
+            and peer.entry.target is not None
+            and (service is None or peer.entry.target.service == service)
+        ]
+        await asyncio.gather(*sends)
+
+    def _take_back(self, move: Move, reason: str) -> None:
+        status = self._next(move, 0, MovePhase.TAKEN_BACK, reason)
+        self._moves.take(status, asyncio.get_running_loop().time())
+        self._unwritten[move.order.service] = status
+        notice = messages.StateNotice(
+            key=MOVE_KEY_PREFIX + move.order.service, value=encode_move(status)
+        )
+        # No version may wait for the store, or for a node that doesn't answer.
+        self._notifying = asyncio.get_running_loop().create_task(
+            self._tell(None, state_notice=notice)
+        )
+
+    async def _pace(self, move: Move, now: float) -> None:
+        step = self._due_step(move, now)
+        if step is None:
+            return
+        key = (move.order.order_id, step.step)
+        since = self._due_since.setdefault(key, now)
+        if now - since < self._rank() * RANK_WAIT_S:
+            return
+        await self._write(move, step)
+
+    def _due_step(self, move: Move, now: float) -> MoveStatus | None:
+        status = move.status
+        if status is None:
+            return self._next(move, 0, MovePhase.RUNNING, "ordered")
+        if status.share_permille >= FULL_PERMILLE:
+            if now - move.share_since < EMPTYING_S:
+                return None
+            return self._next(move, FULL_PERMILLE, MovePhase.DONE, status.reason)
+        pace = self._moves.pace(move, now, self._clock.wall_ms())
+        if pace.take_back:
+            return self._next(move, 0, MovePhase.TAKEN_BACK, pace.rule)
+        if pace.done:
+            return self._next(move, FULL_PERMILLE, MovePhase.RUNNING, pace.rule)
+        if pace.share_permille != status.share_permille:
+            return self._next(move, pace.share_permille, MovePhase.RUNNING, pace.rule)
+        return None
+
+    def _next(self, move: Move, share: int, phase: MovePhase, reason: str) -> MoveStatus:
+        if move.status is not None:
+            return replace(
+                move.status,
+                step=move.status.step + 1,
+                share_permille=share,
+                phase=phase,
+                reason=reason,
+                decided_by=self._own_id,
+            )
+        now = asyncio.get_running_loop().time()
+        order = move.order
+        stated_at_ms = self._clock.wall_ms() - int((now - move.seen_at) * 1000)
+        return MoveStatus(
+            service=order.service,
+            to_version=order.to_version,
+            order_id=order.order_id,
+            step=1,
+            share_permille=share,
+            phase=phase,
+            stated_at_ms=stated_at_ms,
+            finish_by_ms=stated_at_ms + int(order.duration_s * 1000),
+            reason=reason,
+            decided_by=self._own_id,
+        )
+
+    async def _write(self, move: Move, status: MoveStatus) -> None:
+        service = status.service
+        match await self._store.append(
+            self._status_topic, [self._encode(status)], self._status_replica.offset
+        ):
+            case Ok(_):
+                self._unwritten.pop(service, None)
+                self._moves.take(status, asyncio.get_running_loop().time())
+            case Err(error):
+                self._decisions.belief(
+                    "move step not written",
+                    service=service,
+                    step=status.step,
+                    phase=status.phase.value,
+                    reason=error.message,
+                    known_offset=self._status_replica.offset,
+                )
+                if error.kind is StoreErrorKind.UNKNOWN:
+                    # It may have been written; the replica will tell.
+                    await asyncio.sleep(0)
+
+    def _rank(self) -> int:
+        """Return how many nodes of the service come before this one as drivers."""
+        keys = sorted(
+            key
+            for key, peer in self._directory.peers_by_key.items()
+            if peer.entry.target is not None and peer.entry.target.service == self._own_service()
+        )
+        return keys.index(self._own_key) if self._own_key in keys else len(keys)
+
+    async def _take_evidence(self, message: t.Any) -> None:
+        self._moves.merge(codec.evidence_from_message(message), asyncio.get_running_loop().time())
+
+    async def _take_notice(self, message: t.Any) -> None:
+        if not message.key.startswith(MOVE_KEY_PREFIX):
+            return
+        match decode_move(message.value):
+            case Ok(status):
+                self._moves.take(status, asyncio.get_running_loop().time())
+            case Err(reason):
+                self._decisions.belief("notice unreadable", key=message.key, reason=reason)
--- /dev/null
+++ b/src/bulrushflow/sidecar/followers.py
@@ -0,0 +1,100 @@
+"""What takes in the records of the store: the nodes' entries, and the moves' status."""
+
+import typing as t
+
+from result import Err
+from result import Ok
+
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Directory
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.model import NodeEntry
+from bulrushflow.sidecar.records import NODE_KEY_PREFIX
+from bulrushflow.sidecar.records import decode_node
+from bulrushflow.sidecar.storage import KeyedRecord
+
+
+class NodeFollower:
+    """Keeps the directory as the store has it.
+
+    :param on_own: told of this node's own entry as the store has it, ``None`` without one.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        own_key: str,
+        on_own: t.Callable[[NodeEntry | None], None],
+        decisions: Decisions,
+    ) -> None:
+        self._directory = directory
+        self._own_key = own_key
+        self._on_own = on_own
+        self._decisions = decisions
+
+    def replace(self, records: t.Sequence[KeyedRecord]) -> None:
+        """See :meth:`Follower.replace`."""
+        held = [record for record in records if record.value]
+        if all(record.key != self._own_key for record in held):
+            self._on_own(None)
+        self._directory.keep_only({record.key for record in held} | {self._own_key})
+        for record in held:
+            self.apply(record)
+
+    def apply(self, record: KeyedRecord) -> None:
+        """See :meth:`Follower.apply`."""
+        if not record.key.startswith(NODE_KEY_PREFIX):
+            return
+        if not record.value:
+            self._drop(record)
+            return
+        match decode_node(record.value):
+            case Err(reason):
+                self._decisions.belief("record unreadable", key=record.key, reason=reason)
+            case Ok(entry) if record.key == self._own_key:
+                self._on_own(entry)
+            case Ok(entry):
+                self._put(record, entry)
+
+    def _put(self, record: KeyedRecord, entry: NodeEntry) -> None:
+        self._directory.put(record.key, entry)
+        target = entry.target
+        self._decisions.belief(
+            "node entry",
+            node=entry.node_id,
+            target=target.target_id if target else None,
+            state=target.state.value if target else "gone",
+            offset=record.offset,
+        )
+
+    def _drop(self, record: KeyedRecord) -> None:
+        if record.key == self._own_key:
+            self._on_own(None)
+            return
+        self._directory.drop(record.key)
+
+
+class MoveFollower:
+    """Hands each move's status in the store to the moves.
+
+    :param decode: decodes a record; the keys are the platform's.
+    """
+
+    def __init__(
+        self,
+        decode: t.Callable[[KeyedRecord], MoveStatus | None],
+        on_status: t.Callable[[MoveStatus], None],
+    ) -> None:
+        self._decode = decode
+        self._on_status = on_status
+
+    def replace(self, records: t.Sequence[KeyedRecord]) -> None:
+        """See :meth:`Follower.replace`."""
+        for record in records:
+            self.apply(record)
+
+    def apply(self, record: KeyedRecord) -> None:
+        """See :meth:`Follower.apply`."""
+        status = self._decode(record) if record.value else None
+        if status is not None:
+            self._on_status(status)
--- /dev/null
+++ b/src/bulrushflow/sidecar/gate.py
@@ -0,0 +1,240 @@
+"""Admission to the target beside this node: the only way to it, and the last word on each call."""
+
+import asyncio
+import collections
+import typing as t
+
+from result import Err
+from result import Ok
+
+from bulrushflow.routing import Call
+from bulrushflow.routing import CallResult
+from bulrushflow.routing import Outcome
+from bulrushflow.routing import not_run
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.repeats import RepeatLimit
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.slots import Slots
+from bulrushflow.sidecar.target_client import TargetClient
+
+SERVER_ERROR = 500
+MAX_DEPARTED = 64
+"""Targets that left and whose late announcements are recognized."""
+SILENT_ANNOUNCEMENTS = 4
+"""Announcements missed in a row after which a target counts as gone."""
+
+Observer = t.Callable[[Call, bool, float], None]
+EntryCallback = t.Callable[[TargetEntry | None], None]
+
+
+class Gate:
+    """Holds the target's slots, and refuses a call before it is sent.
+
+    :param is_forbidden: tells whether a version of a service may get no new calls.
+    :param observer: told of each answer of the target: the call, whether it failed, its seconds.
+    :param on_change: told when the others have to know another entry.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        is_forbidden: t.Callable[[str, str], bool],
+        observer: Observer,
+        on_change: EntryCallback,
+        repeats: RepeatLimit,
+        decisions: Decisions,
+    ) -> None:
+        self.entry: TargetEntry | None = None
+        self.endpoint: Endpoint | None = None
+        self.reachable = True
+        self._names = names
+        self._is_forbidden = is_forbidden
+        self._observer = observer
+        self._on_change = on_change
+        self._repeats = repeats
+        self._decisions = decisions
+        self._slots = Slots(1)
+        self._client: TargetClient | None = None
+        self._departed: collections.OrderedDict[str, tuple[int, int]] = collections.OrderedDict()
+        self._sends: set[asyncio.Task[CallResult]] = set()
+        self._heard_at = 0.0
+
+    @property
+    def load(self) -> int:
+        """Slots in use, and calls that wait for one."""
+        return self._slots.load
+
+    @property
+    def capacity(self) -> int:
+        """Slots of the target; 0 while it takes no calls."""
+        return self._slots.capacity if self._takes_calls() else 0
+
+    @property
+    def in_flight(self) -> int:
+        """Calls at the target."""
+        return len(self._sends)
+
+    def announce(self, entry: TargetEntry, endpoint: Endpoint) -> bool:
+        """Take the target's word on itself; ``False`` when a newer word is held already."""
+        held = self.entry
+        departed = self._departed.get(entry.target_id)
+        if departed is not None and entry.incarnation <= departed[0]:
+            return False
+        if held is not None and entry.order <= held.order:
+            # A word that was late, perhaps of a process that ended.
+            return entry.order == held.order
+        self._heard_at = asyncio.get_running_loop().time()
+        replaced = held is None or held.target_id != entry.target_id
+        replaced = replaced or t.cast(TargetEntry, held).incarnation != entry.incarnation
+        if replaced or endpoint != self.endpoint:
+            self._replace(entry, endpoint)
+        self._slots.capacity = entry.slots
+        changed = replaced or not self.reachable or not _equal(t.cast(TargetEntry, held), entry)
+        self.entry = entry
+        self.reachable = True
+        if entry.state is not TargetState.READY:
+            self._slots.refuse_queued("the target takes no new calls")
+        if changed:
+            self._decisions.belief(
+                "target announced",
+                target=entry.target_id,
+                service=entry.service,
+                version=entry.version,
+                state=entry.state.value,
+                incarnation=entry.incarnation,
+                sequence=entry.sequence,
+            )
+            self._on_change(entry)
+        return True
+
+    def depart(self, target_id: str) -> None:
+        """Take the word of a target that it leaves for good; it gets no new calls."""
+        held = self.entry
+        if held is None or held.target_id != target_id:
+            self._departed[target_id] = (0, 0)
+            return
+        self._departed[target_id] = held.order
+        while len(self._departed) > MAX_DEPARTED:
+            self._departed.popitem(last=False)
+        self._decisions.belief("target left", target=target_id, service=held.service)
+        self.entry = None
+        self._slots.refuse_queued("the target left")
+        self._on_change(None)
+
+    async def run(self, call: Call) -> CallResult:
+        """Run a call on the target, or refuse it with the certainty that it did not run."""
+        refusal = self._refusal(call)
+        if refusal is None:
+            refusal = await self._slots.acquire(call.priority, call.deadline)
+            if refusal is None:
+                refusal = self._refusal(call) or self._repeat_refusal(call)
+                if refusal is None:
+                    return await self._send(call)
+                self._slots.release(None)
+        self._decisions.refused(call, refusal, load=self.load, slots=self._slots.capacity)
+        return not_run(refusal)
+
+    def check(self) -> None:
+        """Take a target for gone whose announcements stopped and that takes no connections."""
+        if self._client is not None and self._client.replaced and self.entry is not None:
+            self._lose("another target has the address")
+
+    def close(self) -> None:
+        """Close the connections."""
+        if self._client is not None:
+            self._client.close()
+
+    def _takes_calls(self) -> bool:
+        entry = self.entry
+        return entry is not None and entry.state is TargetState.READY and self.reachable
+
+    def _refusal(self, call: Call) -> str | None:
+        entry = self.entry
+        if entry is None:
+            return "no target"
+        if not self.reachable:
+            return "the target takes no connections"
+        if entry.state is not TargetState.READY:
+            return "the target takes no new calls"
+        if (entry.service, entry.version) != (call.service, call.version):
+            return f"the target is {entry.service} {entry.version}"
+        if self._is_forbidden(call.service, call.version):
+            return f"version {call.version} was taken back"
+        return None
+
+    def _repeat_refusal(self, call: Call) -> str | None:
+        now = asyncio.get_running_loop().time()
+        if not call.attempt:
+            self._repeats.first(now)
+            return None
+        return None if self._repeats.repeat(now) else "too many repeated calls"
+
+    async def _send(self, call: Call) -> CallResult:
+        task = asyncio.get_running_loop().create_task(self._exchange(call))
+        self._sends.add(task)
+        task.add_done_callback(self._sends.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # What may run only once is left to finish; anything else stops at the target too.
+            if call.idempotent:
+                task.cancel()
+            raise
+
+    async def _exchange(self, call: Call) -> CallResult:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        client = t.cast(TargetClient, self._client)
+        seconds: float | None = None
+        try:
+            result = await client.send(call)
+            seconds = loop.time() - started_at
+        finally:
+            self._slots.release(seconds if seconds and result.is_ok() else None)
+        match result:
+            case Ok(answer):
+                self._observer(call, answer.status >= SERVER_ERROR, seconds)
+            case Err(failure):
+                if failure.outcome is Outcome.UNKNOWN:
+                    self._observer(call, True, seconds)
+                self._after_failure(client)
+        return result
+
+    def _after_failure(self, client: TargetClient) -> None:
+        if client is not self._client or self.entry is None:
+            return
+        if client.replaced:
+            self._lose("another target has the address")
+        elif client.unreachable and self.reachable:
+            self._decisions.belief("target unreachable", target=self.entry.target_id)
+            self.reachable = False
+            self._slots.refuse_queued("the target takes no connections")
+
+    def _lose(self, reason: str) -> None:
+        entry = t.cast(TargetEntry, self.entry)
+        self._decisions.belief("target lost", target=entry.target_id, reason=reason)
+        self._departed[entry.target_id] = entry.order
+        self.entry = None
+        self._slots.refuse_queued(reason)
+        self._on_change(None)
+
+    def _replace(self, entry: TargetEntry, endpoint: Endpoint) -> None:
+        self._slots.refuse_queued("the target was replaced")
+        if self._client is not None:
+            self._client.close()
+        self._slots = Slots(entry.slots)
+        self._client = TargetClient(endpoint, entry.target_id, self._names)
+        self.endpoint = endpoint
+
+
+def _equal(held: TargetEntry, entry: TargetEntry) -> bool:
+    """Tell whether the others know all of an entry already."""
+    return (held.service, held.version, held.slots, held.state) == (
+        entry.service,
+        entry.version,
+        entry.slots,
+        entry.state,
+    )
--- /dev/null
+++ b/src/bulrushflow/sidecar/moves.py
@@ -0,0 +1,185 @@
+"""Moves of traffic between two versions: what every node holds, judges and follows."""
+
+import random
+import typing as t
+
+from bulrushflow.moves import EvidenceBook
+from bulrushflow.moves import Judgement
+from bulrushflow.moves import MoveController
+from bulrushflow.moves import MoveTimes
+from bulrushflow.moves import Pace
+from bulrushflow.moves.evidence import Evidence
+from bulrushflow.routing import Call
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.model import MoveOrder
+from bulrushflow.sidecar.model import MovePhase
+from bulrushflow.sidecar.model import MoveStatus
+
+FULL_PERMILLE = 1000
+FINISH_MARGIN_S = 2.5
+"""Time kept before the deadline, in which the last calls at the old version end."""
+OLD_VERSION = "old"
+"""Stands for every other version of the service in the evidence."""
+
+
+class Move:
+    """One order, its status, and this node's judgement on it."""
+
+    __slots__ = ("controller", "judged_share", "order", "seen_at", "share_since", "status")
+
+    def __init__(self, order: MoveOrder, seen_at: float) -> None:
+        self.order = order
+        self.seen_at = seen_at
+        self.share_since = seen_at
+        self.status: MoveStatus | None = None
+        times = MoveTimes(0, int(max(1.0, order.duration_s - FINISH_MARGIN_S) * 1000))
+        self.controller = MoveController(OLD_VERSION, order.to_version, times, seen_at)
+
+    @property
+    def phase(self) -> MovePhase:
+        """Where the move stands, as far as this node knows."""
+        return self.status.phase if self.status is not None else MovePhase.RUNNING
+
+    @property
+    def share_permille(self) -> int:
+        """Share of the calls that go to the new version."""
+        if self.status is None or self.phase is MovePhase.TAKEN_BACK:
+            return 0
+        return FULL_PERMILLE if self.phase is MovePhase.DONE else self.status.share_permille
+
+    def elapsed_s(self, now: float, now_ms: int) -> float:
+        """Return the seconds since the order, on this node's own clock where it saw the order."""
+        own_s = now - self.seen_at
+        if self.status is None:
+            return own_s
+        return max(own_s, (now_ms - self.status.stated_at_ms) / 1000)
+
+
+class Moves:
+    """The moves by service.
+
+    :param changed: told when a status that others have to know was decided here.
+    """
+
+    def __init__(
+        self, own_id: str, incarnation: int, decisions: Decisions, rng: random.Random
+    ) -> None:
+        self.by_service: dict[str, Move] = {}
+        self._book = EvidenceBook(own_id, incarnation)
+        self._statuses_by_service: dict[str, MoveStatus] = {}
+        self._decisions = decisions
+        self._rng = rng
+
+    def order(self, order: MoveOrder, now: float) -> None:
+        """Take in the operator's order; a later one of the service replaces an earlier one."""
+        held = self.by_service.get(order.service)
+        if held is not None and held.order.order_id >= order.order_id:
+            return
+        move = Move(order, now)
+        self.by_service[order.service] = move
+        self._book.keep_only([m.order.order_id for m in self.by_service.values()])
+        self._decisions.belief(
+            "move ordered",
+            service=order.service,
+            version=order.to_version,
+            order=order.order_id,
+            duration_s=order.duration_s,
+        )
+        status = self._statuses_by_service.get(order.service)
+        if status is not None:
+            self.take(status, now)
+
+    def withdraw(self, service: str) -> None:
+        """Take in that the operator's order is gone."""
+        self.by_service.pop(service, None)
+
+    def take(self, status: MoveStatus, now: float) -> bool:
+        """Take in a status; ``False`` when it says nothing new."""
+        known = self._statuses_by_service.get(status.service)
+        if known is not None and not _supersedes(status, known):
+            return False
+        self._statuses_by_service[status.service] = status
+        move = self.by_service.get(status.service)
+        if move is None or move.order.order_id != status.order_id:
+            return False
+        before = move.share_permille
+        move.status = status
+        if move.share_permille != before:
+            move.share_since = now
+        self._decisions.belief(
+            "move status",
+            service=status.service,
+            version=status.to_version,
+            order=status.order_id,
+            step=status.step,
+            share=status.share_permille,
+            phase=status.phase.value,
+            reason=status.reason,
+            decided_by=status.decided_by,
+        )
+        return True
+
+    def is_forbidden(self, service: str, version: str) -> bool:
+        """Tell whether a version may get no new calls."""
+        move = self.by_service.get(service)
+        if move is None or move.order.to_version != version:
+            return False
+        return move.phase is MovePhase.TAKEN_BACK
+
+    def choose(self, service: str, peers: t.Sequence[Peer]) -> t.Sequence[Peer]:
+        """Leave the peers with the version that one call goes to."""
+        move = self.by_service.get(service)
+        if move is None:
+            return peers
+        new = [peer for peer in peers if _version(peer) == move.order.to_version]
+        old = [peer for peer in peers if _version(peer) != move.order.to_version]
+        share = move.share_permille
+        if move.phase is MovePhase.TAKEN_BACK or not share:
+            return old
+        if share >= FULL_PERMILLE or self._rng.randrange(FULL_PERMILLE) < share:
+            return new or old
+        return old or new
+
+    def observe(self, call: Call, failed: bool, seconds: float, warming: bool) -> None:
+        """Count an answer of this node's own target."""
+        move = self.by_service.get(call.service)
+        if move is None or move.phase is not MovePhase.RUNNING:
+            return
+        version = call.version if call.version == move.order.to_version else OLD_VERSION
+        own = self._book.own(move.order.order_id)
+        own.observe(version, call.route, failed, seconds, warming)
+
+    def own_evidence(self, move: Move) -> Evidence:
+        """Return what this node's target showed."""
+        return self._book.own(move.order.order_id)
+
+    def merge(self, evidence: Evidence, now: float) -> None:
+        """Take in what another node's target showed."""
+        self._book.merge(evidence, now)
+
+    def judge(self, move: Move, now: float) -> str | None:
+        """Judge the new version on all evidence; return why it must be taken back, if it must."""
+        totals = self._book.total(move.order.order_id)
+        verdict = move.controller.observe(totals, move.share_permille, now)
+        if verdict.judgement is not Judgement.FAULTY:
+            return None
+        return f"{verdict.rule}: {verdict.evidence}"
+
+    def pace(self, move: Move, now: float, now_ms: int) -> Pace:
+        """Return the next step of a move by the evidence and the time."""
+        elapsed_ms = int(move.elapsed_s(now, now_ms) * 1000)
+        return move.controller.pace(move.share_permille, elapsed_ms, now)
+
+
+def _version(peer: Peer) -> str:
+    target = peer.entry.target
+    return target.version if target is not None else ""
+
+
+def _supersedes(status: MoveStatus, known: MoveStatus) -> bool:
+    if status.order_id != known.order_id:
+        return status.order_id > known.order_id
+    if known.phase is not MovePhase.RUNNING:
+        return False
+    return status.phase is not MovePhase.RUNNING or status.step > known.step
--- /dev/null
+++ b/src/bulrushflow/sidecar/peers.py
@@ -0,0 +1,59 @@
+"""Calls between nodes: sent to the node beside the chosen target, and run for the others."""
+
+import asyncio
+import typing as t
+from dataclasses import dataclass
+
+from result import Err
+from result import Ok
+
+from bulrushflow.routing import Call
+from bulrushflow.routing import CallResult
+from bulrushflow.routing import not_run
+from bulrushflow.routing import refused
+from bulrushflow.routing import unknown
+from bulrushflow.sidecar.gate import Gate
+from bulrushflow.wire import codec
+from bulrushflow.wire.links import Links
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReport:
+    """What came of one attempt at another node, besides the call's outcome."""
+
+    reached: bool
+    """Whether the node answered at all."""
+    load: float | None = None
+    """Calls per slot; ``None`` while its target takes no calls."""
+
+
+class Peers:
+    """Sends calls to other nodes, and runs the calls that they send."""
+
+    def __init__(self, links: Links, gate: Gate) -> None:
+        self._links = links
+        self._gate = gate
+        links.handle("call_request", self._serve)
+
+    async def send(self, endpoint: tuple[str, int], call: Call) -> tuple[CallResult, PeerReport]:
+        """Run a call through another node."""
+        left_s = call.deadline - asyncio.get_running_loop().time()
+        if left_s <= 0:
+            return refused("no time left"), PeerReport(True, 0.0)
+        request = codec.call_to_message(call, left_s)
+        match await self._links.exchange(endpoint, left_s, call_request=request):
+            case Err(error):
+                result = (unknown if error.sent else not_run)(error.reason)
+                return result, PeerReport(False)
+            case Ok(frame) if frame.call_answer is not None:
+                answer = frame.call_answer
+            case _:
+                return unknown("the other node answered something else"), PeerReport(False)
+        load = answer.in_flight / answer.capacity if answer.capacity else None
+        return codec.result_from_message(answer), PeerReport(True, load)
+
+    async def _serve(self, message: t.Any) -> dict[str, t.Any]:
+        call = codec.call_from_message(message, asyncio.get_running_loop().time())
+        result = await self._gate.run(call)
+        gate = self._gate
+        return {"call_answer": codec.result_to_message(result, gate.load, gate.capacity)}
--- /dev/null
+++ b/src/bulrushflow/sidecar/records.py
@@ -0,0 +1,43 @@
+"""The sidecar's own records in the store: one entry a node, as JSON."""
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.model import NodeEntry
+
+NODE_KEY_PREFIX = "node/"
+MOVE_KEY_PREFIX = "move/"
+
+
+def node_key(address: str) -> str:
+    """Return the key of a node's entry; a node at a used address replaces the one before."""
+    return NODE_KEY_PREFIX + address
+
+
+def encode_node(entry: NodeEntry) -> bytes:
+    """Encode a node's entry."""
+    return msgspec.json.encode(entry)
+
+
+def decode_node(data: bytes) -> Result[NodeEntry, str]:
+    """Decode a node's entry."""
+    try:
+        return Ok(msgspec.json.decode(data, type=NodeEntry))
+    except msgspec.MsgspecError as exc:
+        return Err(f"node entry: {exc}")
+
+
+def encode_move(status: MoveStatus) -> bytes:
+    """Encode a move's status."""
+    return msgspec.json.encode(status)
+
+
+def decode_move(data: bytes) -> Result[MoveStatus, str]:
+    """Decode a move's status."""
+    try:
+        return Ok(msgspec.json.decode(data, type=MoveStatus))
+    except msgspec.MsgspecError as exc:
+        return Err(f"move status: {exc}")
--- /dev/null
+++ b/src/bulrushflow/sidecar/registration.py
@@ -0,0 +1,89 @@
+"""Keeps this node's entry in the store as it is here: written on a change, until it is there."""
+
+import asyncio
+import contextlib
+import random
+
+from mode import Service
+from result import Err
+from result import Ok
+
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.model import NodeEntry
+from bulrushflow.sidecar.records import encode_node
+from bulrushflow.sidecar.records import node_key
+from bulrushflow.sidecar.storage import Store
+from bulrushflow.sidecar.storage import StoreWrite
+
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0
+
+
+class Registration(Service):
+    """Writes the newest entry; earlier ones that were not written yet are left out."""
+
+    def __init__(self, store: Store, topic: str, decisions: Decisions, rng: random.Random) -> None:
+        super().__init__()
+        self._store = store
+        self._topic = topic
+        self._decisions = decisions
+        self._rng = rng
+        self._wanted: NodeEntry | None = None
+        self._written: NodeEntry | None = None
+        self._changed = asyncio.Event()
+        self._settled = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def on_start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def on_stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    def want(self, entry: NodeEntry) -> None:
+        """Have the store hold an entry."""
+        self._wanted = entry
+        if entry != self._written:
+            self._settled.clear()
+            self._changed.set()
+
+    def found(self, entry: NodeEntry | None) -> None:
+        """Take in what the store holds; it is corrected where it differs."""
+        self._written = entry
+        if self._wanted is not None:
+            self.want(self._wanted)
+
+    async def settled(self, timeout_s: float) -> bool:
+        """Wait until the store holds what is wanted; ``False`` when that takes too long."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._settled.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _run(self) -> None:
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            entry = self._wanted
+            if entry is None or entry == self._written:
+                self._settled.set()
+                continue
+            write = StoreWrite(node_key(entry.address), encode_node(entry))
+            match await self._store.append(self._topic, [write]):
+                case Ok(offset):
+                    self._written = entry
+                    backoff_s = FIRST_BACKOFF_S
+                    self._decisions.belief("entry written", offset=offset)
+                    if entry == self._wanted:
+                        self._settled.set()
+                case Err(error):
+                    self._decisions.belief("entry not written", reason=error.message)
+                    await asyncio.sleep(self._rng.uniform(0.5, 1.0) * backoff_s)
+                    backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+                    self._changed.set()
--- /dev/null
+++ b/src/bulrushflow/sidecar/replica.py
@@ -0,0 +1,117 @@
+"""Keeps what one topic of the store holds: all of it first, then each new record."""
+
+import asyncio
+import contextlib
+import random
+import typing as t
+
+from mode import Service
+from result import Err
+from result import Ok
+
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import Store
+from bulrushflow.sidecar.storage import StoreErrorKind
+
+WAIT_S = 10.0
+"""Longest wait of a read for the next record."""
+PAUSE_S = 0.25
+"""Pause after records, so that several come with one read."""
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.8
+
+
+class Follower(t.Protocol):
+    """What takes in a topic's records."""
+
+    def replace(self, records: t.Sequence[KeyedRecord]) -> None:
+        """Take in the newest record of every key; keys that are missing are gone."""
+
+    def apply(self, record: KeyedRecord) -> None:
+        """Take in one further record; an empty value drops its key."""
+
+
+class Replica(Service):
+    """Follows one topic."""
+
+    def __init__(
+        self,
+        store: Store,
+        topic: str,
+        follower: Follower,
+        decisions: Decisions,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._topic = topic
+        self._follower = follower
+        self._decisions = decisions
+        self._rng = rng
+        self._task: asyncio.Task[None] | None = None
+        self._connected: bool | None = None
+        self._backoff_s = FIRST_BACKOFF_S
+        self.offset: int | None = None
+        """Where the next read begins; ``None`` while the whole state has to be read."""
+        self.loaded = False
+        """Whether the topic's whole state was read since the start."""
+
+    async def on_start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def on_stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def _run(self) -> None:
+        while True:
+            if await self._step():
+                self._backoff_s = FIRST_BACKOFF_S
+                continue
+            await asyncio.sleep(self._rng.uniform(0.5, 1.0) * self._backoff_s)
+            self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
+
+    async def _step(self) -> bool:
+        """Read once; tell whether the store answered."""
+        if self.offset is None:
+            match await self._store.newest(self._topic):
+                case Err(error):
+                    self._lost(error.message)
+                    return False
+                case Ok(page):
+                    pass
+            self._regained(page.next_offset)
+            self._follower.replace(page.records)
+            self.offset = page.next_offset
+            self.loaded = True
+            return True
+        match await self._store.read(self._topic, self.offset, WAIT_S):
+            case Err(error):
+                if error.kind is StoreErrorKind.TRIMMED:
+                    self._decisions.belief("store trimmed", topic=self._topic, offset=self.offset)
+                    self.offset = None
+                    return True
+                self._lost(error.message)
+                return False
+            case Ok(page):
+                pass
+        self._regained(page.next_offset)
+        for record in page.records:
+            self._follower.apply(record)
+        self.offset = page.next_offset
+        if page.records:
+            await asyncio.sleep(PAUSE_S)
+        return True
+
+    def _lost(self, reason: str) -> None:
+        if self._connected is not False:
+            self._connected = False
+            self._decisions.belief("store lost", topic=self._topic, reason=reason)
+
+    def _regained(self, offset: int) -> None:
+        if not self._connected:
+            self._connected = True
+            self._decisions.belief("store reached", topic=self._topic, offset=offset)
--- a/src/bulrushflow/timers.py
+++ b/src/bulrushflow/timers.py
@@ -28,6 +28,20 @@
         """Milliseconds since the epoch, as operators and the log state times."""
 
 
+class SystemClock:
+    """The operating system's clocks."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """See :meth:`Clock.monotonic`."""
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        """See :meth:`Clock.wall_ms`."""
+        return time.time_ns() // 1_000_000
+
+
 class Subscription:
     """A periodic callback; :meth:`cancel` ends it."""
 
--- a/src/bulrushflow/nodes/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -11,12 +11,12 @@
 from bulrushflow.moves import RouteCounts
 from bulrushflow.moves import SharedMove
 from bulrushflow.moves import empty_buckets
-from bulrushflow.nodes import messages
 from bulrushflow.routing import Answer
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
+from bulrushflow.wire import messages
 
 _MEMBER_BYTES = 47
 """What thrift's binary protocol needs for a member besides its texts, which are ASCII."""
@@ -119,6 +119,7 @@
         timeout_ms=max(1, int(timeout_s * 1000)),
         idempotent=call.idempotent,
         attempt=call.attempt,
+        priority=call.priority,
     )
 
 
@@ -137,6 +138,7 @@
         deadline=now + message.timeout_ms / 1000,
         idempotent=message.idempotent,
         attempt=message.attempt or 0,
+        priority=message.priority or 0,
     )
 
 
--- a/src/bulrushflow/nodes/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -11,7 +11,7 @@
 from result import Ok
 from result import Result
 
-from bulrushflow.nodes import messages
+from bulrushflow.wire import messages
 
 MAX_FRAME_BYTES = 16 << 20
 HIGH_WATER_BYTES = 1 << 20
@@ -33,6 +33,7 @@
     "members_request",
     "evidence_report",
     "records_push",
+    "state_notice",
 )
 
 Handler = t.Callable[[t.Any], t.Awaitable[dict[str, t.Any] | None]]
--- a/src/bulrushflow/nodes/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -9,10 +9,10 @@
 from result import Ok
 from result import Result
 
-from bulrushflow.nodes.link import Handler
-from bulrushflow.nodes.link import Link
-from bulrushflow.nodes.link import LinkError
 from bulrushflow.timers import Timers
+from bulrushflow.wire.link import Handler
+from bulrushflow.wire.link import Link
+from bulrushflow.wire.link import LinkError
 
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_S = 0.2
--- a/src/bulrushflow/nodes/messages.py
+++ b/src/bulrushflow/wire/messages.py
@@ -57,6 +57,7 @@
 Heartbeat: t.Any = _module.Heartbeat
 ExchangeFailure: t.Any = _module.ExchangeFailure
 Goodbye: t.Any = _module.Goodbye
+StateNotice: t.Any = _module.StateNotice
 Frame: t.Any = _module.Frame
 
 
--- a/src/bulrushflow/nodes/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -93,6 +93,8 @@
   10: required i32 timeout_ms
   11: required bool idempotent
   50: optional i32 attempt
+  // 0 is the most important.
+  60: optional i32 priority
 }
 
 struct CallAnswer {
@@ -188,6 +190,12 @@
 struct Goodbye {
 }
 
+// A record of the state that the store keeps, passed on without waiting for the store.
+struct StateNotice {
+  1: required string key
+  2: required binary value
+}
+
 // One message on a connection between nodes. Requests and answers share an exchange number.
 struct Frame {
   1: required i64 exchange
@@ -204,4 +212,5 @@
   20: optional RecordsPush records_push
   50: optional ExchangeFailure failure
   51: optional Goodbye goodbye
+  60: optional StateNotice state_notice
 }
--- a/tests/nodes/fleet.py
+++ b/tests/nodes/fleet.py
@@ -9,13 +9,13 @@
 from bulrushflow.membership import Status
 from bulrushflow.moves import SharedMoves
 from bulrushflow.nodes import Gossip
-from bulrushflow.nodes import Links
 from bulrushflow.nodes.datagrams import DatagramTransport
 from bulrushflow.nodes.datagrams import Receive
 from bulrushflow.nodes.datagrams import open_udp
-from bulrushflow.nodes.links import Endpoint
 from bulrushflow.settings import GossipSettings
 from bulrushflow.timers import Timers
+from bulrushflow.wire import Links
+from bulrushflow.wire.links import Endpoint
 from tests.waiting import until
 
 QUICK = GossipSettings(period_s=0.05, ack_timeout_s=0.05, suspicion_s=0.3)
--- a/tests/nodes/stores.py
+++ b/tests/nodes/stores.py
@@ -13,12 +13,12 @@
 from bulrushflow.membership import Status
 from bulrushflow.membership import rank
 from bulrushflow.metrics import Metrics
-from bulrushflow.nodes import Links
 from bulrushflow.nodes import Spreading
-from bulrushflow.platform import Log
+from bulrushflow.recording import Log
 from bulrushflow.settings import PlatformSettings
 from bulrushflow.timers import Timers
-from tests.platform.fakes import MemoryLog
+from bulrushflow.wire import Links
+from tests.recording.fakes import MemoryLog
 
 
 class FleetNode:
--- a/tests/nodes/test_composing.py
+++ b/tests/nodes/test_composing.py
@@ -15,11 +15,11 @@
 from bulrushflow.membership import transmissions
 from bulrushflow.moves import SharedMove
 from bulrushflow.moves import SharedMoves
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
 from bulrushflow.nodes.composing import MAX_DATAGRAM_BYTES
 from bulrushflow.nodes.composing import Composer
 from bulrushflow.nodes.composing import Told
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
 
 OWN = Member("own", "celje-a", "127.0.0.1", 1, 1)
 names = st.text("abcdefgh-0123", min_size=1, max_size=64)
--- a/tests/nodes/test_forwarding.py
+++ b/tests/nodes/test_forwarding.py
@@ -6,8 +6,6 @@
 
 from bulrushflow.membership import Member
 from bulrushflow.nodes import Forwarding
-from bulrushflow.nodes import Links
-from bulrushflow.nodes import codec
 from bulrushflow.nodes.forwarding import MAX_ANSWER_MARGIN_S
 from bulrushflow.routing import Answer
 from bulrushflow.routing import Call
@@ -16,6 +14,8 @@
 from bulrushflow.routing import answer_lost
 from bulrushflow.routing import not_run
 from bulrushflow.timers import Timers
+from bulrushflow.wire import Links
+from bulrushflow.wire import codec
 from tests.targets.servers import call
 from tests.targets.servers import until
 
--- a/tests/nodes/test_introductions.py
+++ b/tests/nodes/test_introductions.py
@@ -20,11 +20,11 @@
 from bulrushflow.nodes.introductions import WANTED_PER_DATA_CENTRE
 from bulrushflow.nodes.introductions import Introduction
 from bulrushflow.nodes.introductions import Introductions
-from bulrushflow.nodes.links import Endpoint
-from bulrushflow.platform import LogError
-from bulrushflow.platform import LogErrorKind
-from bulrushflow.platform import LogPage
+from bulrushflow.recording import LogError
+from bulrushflow.recording import LogErrorKind
+from bulrushflow.recording import LogPage
 from bulrushflow.timers import Timers
+from bulrushflow.wire.links import Endpoint
 from tests.waiting import until
 
 NOW_MS = 1_000_000_000
--- a/tests/nodes/test_log_reader.py
+++ b/tests/nodes/test_log_reader.py
@@ -9,11 +9,11 @@
 from bulrushflow.configuration import ConfigurationStore
 from bulrushflow.configuration import LogRecord
 from bulrushflow.nodes.log_reader import LogReader
-from bulrushflow.platform import LogPage
+from bulrushflow.recording import LogPage
 from bulrushflow.settings import PlatformSettings
-from tests.platform.fakes import MemoryLog
-from tests.platform.test_recovery import change
-from tests.platform.test_recovery import log_with_snapshots
+from tests.recording.fakes import MemoryLog
+from tests.recording.test_recovery import change
+from tests.recording.test_recovery import log_with_snapshots
 from tests.waiting import until
 
 
--- a/tests/nodes/test_reporting.py
+++ b/tests/nodes/test_reporting.py
@@ -12,8 +12,6 @@
 from bulrushflow.membership import Member
 from bulrushflow.moves import Evidence
 from bulrushflow.moves import EvidenceBook
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
 from bulrushflow.nodes.driving import TICK_S
 from bulrushflow.nodes.evidence_freshness import FRESH_S
 from bulrushflow.nodes.reporting import BUDGET_BYTES_PER_S
@@ -23,6 +21,8 @@
 from bulrushflow.nodes.reporting import UNCHANGED_REPORT_S
 from bulrushflow.nodes.reporting import Reporting
 from bulrushflow.nodes.reporting import report_limits
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
 
 MOVE = Move("m", 7, "plots", "v1", "v2", 0, 60_000, "ana")
 GROUP = [Member(f"n{i}", "celje-a", "127.0.0.1", 1 + i, 1) for i in range(30)]
--- a/tests/nodes/test_spreading.py
+++ b/tests/nodes/test_spreading.py
@@ -8,9 +8,9 @@
 from bulrushflow.configuration import make_snapshot
 from bulrushflow.nodes.pulling import PullServer
 from tests.nodes.stores import FleetTestCase
-from tests.platform.fakes import MemoryLog
-from tests.platform.test_recovery import change
-from tests.platform.test_recovery import log_with_snapshots
+from tests.recording.fakes import MemoryLog
+from tests.recording.test_recovery import change
+from tests.recording.test_recovery import log_with_snapshots
 from tests.waiting import until
 
 
--- a/tests/nodes/test_synchronizing.py
+++ b/tests/nodes/test_synchronizing.py
@@ -9,11 +9,11 @@
 from bulrushflow.membership import Status
 from bulrushflow.moves import SharedMoves
 from bulrushflow.nodes.composing import Composer
-from bulrushflow.nodes.links import Endpoint
 from bulrushflow.nodes.synchronizing import MAX_DATAGRAMS
 from bulrushflow.nodes.synchronizing import WHOLE_TABLE_MEMBERS
 from bulrushflow.nodes.synchronizing import Synchronizer
 from bulrushflow.timers import Timers
+from bulrushflow.wire.links import Endpoint
 
 PEER = ("127.0.0.1", 9)
 
--- a/tests/operators/test_client.py
+++ b/tests/operators/test_client.py
@@ -8,7 +8,7 @@
 from bulrushflow.configuration import Configure
 from bulrushflow.configuration import ServiceBody
 from bulrushflow.operators.client import OperatorClient
-from tests.platform.test_http import StandinBench
+from tests.recording.test_http import StandinBench
 
 FIRST = Configure(1, "p1", "ana", services={"plots": ServiceBody("v1")})
 OTHER = Configure(1, "p1", "bojan", services={"plots": ServiceBody("v2")})
--- a/tests/operators/test_endpoint.py
+++ b/tests/operators/test_endpoint.py
@@ -14,7 +14,7 @@
 from bulrushflow.moves import SharedMove
 from bulrushflow.operators.client import OperatorClient
 from bulrushflow.operators.incidents import account_since
-from bulrushflow.platform import CONFIGURATION_STREAM
+from bulrushflow.recording import CONFIGURATION_STREAM
 from tests.operators.nodes import NodeTestCase
 
 PLOTS = Configure(
--- a/tests/operators/test_publishing.py
+++ b/tests/operators/test_publishing.py
@@ -3,8 +3,8 @@
 from bulrushflow.configuration import Configure
 from bulrushflow.configuration import ServiceBody
 from bulrushflow.operators.client import OperatorClient
-from bulrushflow.platform import CONFIGURATION_STREAM
-from bulrushflow.platform import INTRODUCTION_STREAM
+from bulrushflow.recording import CONFIGURATION_STREAM
+from bulrushflow.recording import INTRODUCTION_STREAM
 from tests.operators.nodes import NodeTestCase
 from tests.processes.programs import until
 
--- a/tests/processes/test_log_faults.py
+++ b/tests/processes/test_log_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bulrushflow.configuration import Verdict
-from bulrushflow.platform import CONFIGURATION_STREAM
+from bulrushflow.recording import CONFIGURATION_STREAM
 from tests.processes.fleet import PLACES
 from tests.processes.fleet import FleetTestCase
 from tests.processes.fleet import extra_route
--- a/tests/platform/contract.py
+++ b/tests/recording/contract.py
@@ -3,8 +3,8 @@
 import asyncio
 import typing as t
 
-from bulrushflow.platform import Log
-from bulrushflow.platform import LogErrorKind
+from bulrushflow.recording import Log
+from bulrushflow.recording import LogErrorKind
 
 STREAM = "configuration"
 
--- a/tests/platform/fakes.py
+++ b/tests/recording/fakes.py
@@ -7,9 +7,9 @@
 from result import Result
 
 from bulrushflow.configuration import LogRecord
-from bulrushflow.platform import LogError
-from bulrushflow.platform import LogErrorKind
-from bulrushflow.platform import LogPage
+from bulrushflow.recording import LogError
+from bulrushflow.recording import LogErrorKind
+from bulrushflow.recording import LogPage
 
 DOWN = LogError(LogErrorKind.UNAVAILABLE, "down")
 
--- a/tests/platform/test_http.py
+++ b/tests/recording/test_http.py
@@ -6,11 +6,11 @@
 import aiohttp
 from aiohttp import web
 
-from bulrushflow.platform import HttpLog
-from bulrushflow.platform import LogErrorKind
+from bulrushflow.recording import HttpLog
+from bulrushflow.recording import LogErrorKind
 from bulrushflow.standins.log import StandinLog
-from tests.platform.contract import STREAM
-from tests.platform.contract import LogContract
+from tests.recording.contract import STREAM
+from tests.recording.contract import LogContract
 
 
 class StandinBench:
--- a/tests/platform/test_recorder.py
+++ b/tests/recording/test_recorder.py
@@ -6,10 +6,10 @@
 
 from bulrushflow.configuration import ConfigurationStore
 from bulrushflow.configuration import FinishMove
-from bulrushflow.platform import LogError
-from bulrushflow.platform import LogErrorKind
-from bulrushflow.platform import Recorder
-from tests.platform.fakes import MemoryLog
+from bulrushflow.recording import LogError
+from bulrushflow.recording import LogErrorKind
+from bulrushflow.recording import Recorder
+from tests.recording.fakes import MemoryLog
 from tests.waiting import until
 
 FINISH = FinishMove(1, "m/done", "m", False, "healthy", "", "n1")
--- a/tests/platform/test_recovery.py
+++ b/tests/recording/test_recovery.py
@@ -11,8 +11,8 @@
 from bulrushflow.configuration import encode_record
 from bulrushflow.configuration import fold_records
 from bulrushflow.configuration import make_snapshot
-from bulrushflow.platform import recover
-from tests.platform.fakes import MemoryLog
+from bulrushflow.recording import recover
+from tests.recording.fakes import MemoryLog
 
 
 def change(number: int) -> bytes:
--- a/tests/platform/test_snapshots.py
+++ b/tests/recording/test_snapshots.py
@@ -6,10 +6,10 @@
 
 from bulrushflow.configuration import ConfigurationStore
 from bulrushflow.configuration import SnapshotPolicy
-from bulrushflow.platform import SnapshotWriter
+from bulrushflow.recording import SnapshotWriter
 from bulrushflow.timers import Timers
-from tests.platform.fakes import MemoryLog
-from tests.platform.test_recovery import change
+from tests.recording.fakes import MemoryLog
+from tests.recording.test_recovery import change
 
 
 class FixedClock:
@@ -24,8 +24,8 @@
         return 1000
 
 
-@mock.patch("bulrushflow.platform.snapshots.FIRST_WAIT_S", 0.0)
-@mock.patch("bulrushflow.platform.snapshots.OTHERS_WAIT_S", 0.0)
+@mock.patch("bulrushflow.recording.snapshots.FIRST_WAIT_S", 0.0)
+@mock.patch("bulrushflow.recording.snapshots.OTHERS_WAIT_S", 0.0)
 class SnapshotWriterTests(unittest.IsolatedAsyncioTestCase):
     def writer(self, log: MemoryLog, is_first: bool) -> tuple[SnapshotWriter, ConfigurationStore]:
         store = ConfigurationStore()
--- a/tests/nodes/test_link.py
+++ b/tests/wire/test_link.py
@@ -9,13 +9,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from bulrushflow.nodes import link as link_module
-from bulrushflow.nodes import messages
-from bulrushflow.nodes.link import IDLE_SILENCE_S
-from bulrushflow.nodes.link import MAX_FRAME_BYTES
-from bulrushflow.nodes.link import PONG_S
-from bulrushflow.nodes.link import Handler
-from bulrushflow.nodes.link import Link
+from bulrushflow.wire import link as link_module
+from bulrushflow.wire import messages
+from bulrushflow.wire.link import IDLE_SILENCE_S
+from bulrushflow.wire.link import MAX_FRAME_BYTES
+from bulrushflow.wire.link import PONG_S
+from bulrushflow.wire.link import Handler
+from bulrushflow.wire.link import Link
 from tests.targets.servers import GUARD_S
 from tests.targets.servers import until
 
--- a/tests/nodes/test_links.py
+++ b/tests/wire/test_links.py
@@ -6,14 +6,14 @@
 import unittest
 from unittest import mock
 
-from bulrushflow.nodes import Links
-from bulrushflow.nodes import links as links_module
-from bulrushflow.nodes import messages
+from bulrushflow.wire import links as links_module
 from bulrushflow.timers import Timers
-from tests.nodes.test_link import answer
-from tests.nodes.test_link import request
+from bulrushflow.wire import Links
+from bulrushflow.wire import messages
 from tests.targets.servers import GUARD_S
 from tests.targets.servers import until
+from tests.wire.test_link import answer
+from tests.wire.test_link import request
 
 
 class LinksTests(unittest.IsolatedAsyncioTestCase):
--- a/tests/nodes/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -7,8 +7,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from bulrushflow.nodes import codec
-from bulrushflow.nodes import messages
+from bulrushflow.wire import codec
+from bulrushflow.wire import messages
 
 CALL = messages.CallRequest(
     request_id="r1",
