Read anew where other nodes are ahead, and count what targets refuse as arrivals

Ruled out: decoding (all other nodes took the same record). Now waits start at 1 s after records, and nodes tell each other how far they have read.

--- a/src/bulrushflow/routing/model.py
+++ b/src/bulrushflow/routing/model.py
@@ -86,6 +86,8 @@
 
     outcome: Outcome
     reason: str
+    arrived: bool = False
+    """Whether the call reached a target, which refused it."""
 
     def as_result(self) -> "CallResult":
         """Return the failure as a call's outcome."""
@@ -95,9 +97,12 @@
 CallResult = Result[Answer, CallFailure]
 
 
-def not_run(reason: str) -> CallResult:
-    """Return the outcome of a call that certainly did not run."""
-    return CallFailure(Outcome.NOT_RUN, reason).as_result()
+def not_run(reason: str, arrived: bool = False) -> CallResult:
+    """Return the outcome of a call that certainly did not run.
+
+    :param arrived: whether a target got the call and refused it.
+    """
+    return CallFailure(Outcome.NOT_RUN, reason, arrived).as_result()
 
 
 def unknown(reason: str) -> CallResult:
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -136,7 +136,8 @@
             self._repeats,
             self._decisions,
         )
-        self._peers = Peers(self._links, self._gate)
+        self._build_replicas(adapter, store)
+        self._peers = Peers(self._links, self._gate, self._orders)
         self._dispatcher = Dispatcher(
             settings.address,
             self._directory,
@@ -157,7 +158,6 @@
             self._decisions,
             self._rng,
         )
-        self._build_replicas(adapter, store)
 
     def _build_replicas(self, adapter: Adapter, store: Store) -> None:
         topics = adapter.topics
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -32,6 +32,40 @@
 VersionFilter = t.Callable[[str, t.Sequence[Peer]], t.Sequence[Peer]]
 
 
+class Progress:
+    """What is known of one call after its attempts so far."""
+
+    __slots__ = ("arrivals", "refusals", "result", "runs")
+
+    def __init__(self, result: CallResult) -> None:
+        self.result = result
+        self.arrivals = 0
+        """How often the call may have reached a target."""
+        self.runs = 0
+        """How often the call may have run."""
+        self.refusals = 0
+
+    def take(self, result: CallResult, idempotent: bool, max_runs: int) -> bool:
+        """Take in an attempt's outcome; tell whether it was the last."""
+        match result:
+            case Ok(answer):
+                self.result = result
+                final = answer.status < SERVER_ERROR
+            case Err(failure) if failure.outcome is Outcome.NOT_RUN:
+                # Once an attempt may have run, one that did not leaves the call uncertain.
+                if not self.runs:
+                    self.result = result
+                self.refusals += 1
+                self.arrivals += failure.arrived
+                return self.refusals >= MAX_REFUSALS
+            case Err(failure):
+                self.result = result
+                final = failure.outcome is not Outcome.UNKNOWN
+        self.runs += 1
+        self.arrivals += 1
+        return final or not idempotent or self.runs >= max_runs
+
+
 class Dispatcher:
     """Routes calls, each with the route that it began with.
 
@@ -81,44 +115,25 @@
         """Run a call; the outcome says whether it ran."""
         loop = asyncio.get_running_loop()
         held_until = min(call.deadline, loop.time() + route.target_latency_s * HELD_PART)
-        last: CallResult = not_run(f"no target of {call.service} takes calls")
+        progress = Progress(not_run(f"no target of {call.service} takes calls"))
         tried: set[str] = set()
-        sent = 0
-        refusals = 0
         while loop.time() < call.deadline:
             peer = self._choose(call.service, tried)
             if peer is None:
-                if sent or loop.time() + WAIT_STEP_S > held_until:
-                    return last
+                if progress.arrivals or loop.time() + WAIT_STEP_S > held_until:
+                    break
                 tried.clear()
                 await asyncio.sleep(WAIT_STEP_S)
                 continue
             tried.add(peer.entry.address)
             target = peer.entry.target
             version = target.version if target is not None else ""
-            result = await self._attempt(peer, call.for_attempt(version, sent))
-            match result:
-                case Ok(answer):
-                    last = result
-                    if answer.status < SERVER_ERROR or not call.idempotent:
-                        return result
-                    sent += 1
-                case Err(failure) if failure.outcome is Outcome.NOT_RUN:
-                    refusals += 1
-                    if not sent:
-                        last = result
-                    if refusals >= MAX_REFUSALS or sent:
-                        return last
-                    continue
-                case Err(failure):
-                    last = result
-                    if not call.idempotent or failure.outcome is not Outcome.UNKNOWN:
-                        return result
-                    sent += 1
-            if sent >= route.max_attempts:
-                return last
-            self._metrics.retries.inc({"service": call.service})
-        return last
+            if progress.arrivals:
+                self._metrics.retries.inc({"service": call.service})
+            result = await self._attempt(peer, call.for_attempt(version, progress.arrivals))
+            if progress.take(result, call.idempotent, route.max_attempts):
+                break
+        return progress.result
 
     def _choose(self, service: str, tried: set[str]) -> Peer | None:
         candidates = self._choose_version(service, self._directory.ready(service))
@@ -152,7 +167,7 @@
                 return
             case Err(failure):
                 pass
-        if failure.outcome is Outcome.UNKNOWN:
+        if failure.outcome is Outcome.UNKNOWN or failure.arrived:
             peer.answered(seconds, True, now)
         if not report.reached or report.load is None:
             peer.unreachable(now)
--- a/src/bulrushflow/sidecar/peers.py
+++ b/src/bulrushflow/sidecar/peers.py
@@ -13,6 +13,7 @@
 from bulrushflow.routing import refused
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.gate import Gate
+from bulrushflow.sidecar.replica import Replica
 from bulrushflow.wire import codec
 from bulrushflow.wire.links import Links
 
@@ -28,11 +29,15 @@
 
 
 class Peers:
-    """Sends calls to other nodes, and runs the calls that they send."""
+    """Sends calls to other nodes, and runs the calls that they send.
 
-    def __init__(self, links: Links, gate: Gate) -> None:
+    :param orders: follows the operator's records; the nodes tell each other how far they are.
+    """
+
+    def __init__(self, links: Links, gate: Gate, orders: Replica) -> None:
         self._links = links
         self._gate = gate
+        self._orders = orders
         links.handle("call_request", self._serve)
 
     async def send(self, endpoint: tuple[str, int], call: Call) -> tuple[CallResult, PeerReport]:
@@ -41,6 +46,7 @@
         if left_s <= 0:
             return refused("no time left"), PeerReport(True, 0.0)
         request = codec.call_to_message(call, left_s)
+        request.read_offset = self._orders.offset
         match await self._links.exchange(endpoint, left_s, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
@@ -49,11 +55,15 @@
                 answer = frame.call_answer
             case _:
                 return unknown("the other node answered something else"), PeerReport(False)
+        self._orders.hint(answer.read_offset or 0)
         load = answer.in_flight / answer.capacity if answer.capacity else None
         return codec.result_from_message(answer), PeerReport(True, load)
 
     async def _serve(self, message: t.Any) -> dict[str, t.Any]:
+        self._orders.hint(message.read_offset or 0)
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
         result = await self._gate.run(call)
         gate = self._gate
-        return {"call_answer": codec.result_to_message(result, gate.load, gate.capacity)}
+        answer = codec.result_to_message(result, gate.load, gate.capacity)
+        answer.read_offset = self._orders.offset
+        return {"call_answer": answer}
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -8,16 +8,23 @@
 from mode import Service
 from result import Err
 from result import Ok
+from result import Result
 
 from bulrushflow.sidecar.decisions import Decisions
 from bulrushflow.sidecar.storage import KeyedRecord
 from bulrushflow.sidecar.storage import Store
+from bulrushflow.sidecar.storage import StoreError
 from bulrushflow.sidecar.storage import StoreErrorKind
+from bulrushflow.sidecar.storage import StorePage
 
-WAIT_S = 10.0
-"""Longest wait of a read for the next record."""
-PAUSE_S = 0.25
+FIRST_WAIT_S = 1.0
+"""Wait of a read for the next record, after records came; changes often come in series, and a
+read that crosses an append may not be woken by it."""
+MAX_WAIT_S = 10.0
+PAUSE_S = 0.5
 """Pause after records, so that several come with one read."""
+BEHIND_S = 0.3
+"""Time that a read may lag behind what other nodes have before it is made anew."""
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
 
@@ -52,6 +59,9 @@
         self._task: asyncio.Task[None] | None = None
         self._connected: bool | None = None
         self._backoff_s = FIRST_BACKOFF_S
+        self._wait_s = FIRST_WAIT_S
+        self._reading: asyncio.Task[t.Any] | None = None
+        self._hinted = 0
         self.offset: int | None = None
         """Where the next read begins; ``None`` while the whole state has to be read."""
         self.loaded = False
@@ -66,6 +76,22 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
 
+    def hint(self, offset: int) -> None:
+        """Take in that another node has read up to ``offset``."""
+        if self.offset is None or offset <= max(self.offset, self._hinted):
+            return
+        self._hinted = offset
+        asyncio.get_running_loop().call_later(BEHIND_S, self._check_hint, offset)
+
+    def _check_hint(self, offset: int) -> None:
+        if self.offset is None or self.offset >= offset or self._reading is None:
+            return
+        self._decisions.belief(
+            "read lags behind", topic=self._topic, offset=self.offset, others_have=offset
+        )
+        self._wait_s = 0.0
+        self._reading.cancel()
+
     async def _run(self) -> None:
         while True:
             if await self._step():
@@ -88,7 +114,10 @@
             self.offset = page.next_offset
             self.loaded = True
             return True
-        match await self._store.read(self._topic, self.offset, WAIT_S):
+        result = await self._read(self.offset)
+        if result is None:
+            return True
+        match result:
             case Err(error):
                 if error.kind is StoreErrorKind.TRIMMED:
                     self._decisions.belief("store trimmed", topic=self._topic, offset=self.offset)
@@ -103,9 +132,29 @@
             self._follower.apply(record)
         self.offset = page.next_offset
         if page.records:
+            self._wait_s = FIRST_WAIT_S
             await asyncio.sleep(PAUSE_S)
+        else:
+            self._wait_s = min(MAX_WAIT_S, max(FIRST_WAIT_S, self._wait_s * 2))
         return True
 
+    async def _read(self, offset: int) -> Result[StorePage, StoreError] | None:
+        """Wait for records; ``None`` when the read is to be made anew."""
+        reading = asyncio.get_running_loop().create_task(
+            self._store.read(self._topic, offset, self._wait_s)
+        )
+        self._reading = reading
+        try:
+            return await reading
+        except asyncio.CancelledError:
+            current = asyncio.current_task()
+            if current is not None and current.cancelling():
+                reading.cancel()
+                raise
+            return None
+        finally:
+            self._reading = None
+
     def _lost(self, reason: str) -> None:
         if self._connected is not False:
             self._connected = False
--- a/src/bulrushflow/sidecar/target_client.py
+++ b/src/bulrushflow/sidecar/target_client.py
@@ -1,7 +1,6 @@
 """Calls to the target beside this node, over a small pool of connections."""
 
 import asyncio
-import typing as t
 
 from bulrushflow.routing import Answer
 from bulrushflow.routing import Call
@@ -84,9 +83,9 @@
         """Tell a refusal and an unproved success from an answer that may be passed on."""
         if answer.status == 421:
             self.replaced = True
-            return not_run("another target has the address")
+            return not_run("another target has the address", arrived=True)
         if answer.header(self._not_run_header) is not None:
-            return not_run(f"the target refused the call with {answer.status}")
+            return not_run(f"the target refused the call with {answer.status}", arrived=True)
         if answer.status in SUCCESS:
             if answer.header(self._signature_header) is None:
                 return unknown("a success without the target's signature")
--- a/src/bulrushflow/wire/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -162,6 +162,7 @@
         headers=[],
         body=b"",
         reason=failure.reason,
+        arrived=failure.arrived,
         in_flight=load,
         capacity=capacity,
     )
@@ -174,7 +175,7 @@
         return CallFailure(Outcome.UNKNOWN, message.reason or "").as_result()
     outcome = Outcome(message.outcome)
     if outcome is not Outcome.ANSWERED:
-        return CallFailure(outcome, message.reason).as_result()
+        return CallFailure(outcome, message.reason, bool(message.arrived)).as_result()
     headers = _headers_from_message(message.headers)
     return Answer(message.status, headers, message.body).as_result()
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -95,6 +95,8 @@
   50: optional i32 attempt
   // 0 is the most important.
   60: optional i32 priority
+  // How far the sender has read the operator's records.
+  61: optional i64 read_offset
 }
 
 struct CallAnswer {
@@ -105,6 +107,10 @@
   5: required string reason
   6: required i32 in_flight
   50: optional i32 capacity
+  // How far the sender has read the operator's records.
+  61: optional i64 read_offset
+  // The call reached the target, which refused it.
+  62: optional bool arrived
 }
 
 struct CallCancel {
