Let nodes tell the others before they stop, as late as callers allow

Now it closes its listener, says goodbye on its links and waits for what is in flight. Ruled out: the target (its run was cut from our side).

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -48,7 +48,7 @@
 
 MAX_ROUTE_LABELS = 64
 CHECK_S = 0.5
-QUIET_S = 3.0
+CALLERS_NOTICE_S = 2.5
 """Callers notice within so long that a stopping node is not ready; calls go on until then."""
 STOP_MARGIN_S = 0.4
 """Time kept before the kill for closing what is left."""
@@ -213,14 +213,12 @@
         self._stopping = True
         self._callers.stopping = True
         logger.bind(in_flight=self._callers.in_flight).info("stopping")
-        while loop.time() < ends_at:
-            busy = self._callers.in_flight or self._gate.in_flight
-            if not busy and loop.time() - started_at >= QUIET_S:
-                break
+        await asyncio.sleep(CALLERS_NOTICE_S)
+        # The others are told as late as possible: until then the target is served.
+        if not await self._links.drain(ends_at - loop.time()):
+            logger.warning("calls of other nodes were still in flight")
+        while loop.time() < ends_at and (self._callers.in_flight or self._gate.in_flight):
             await asyncio.sleep(POLL_S)
-        for link in list(self._links._accepted):
-            link.leave()
-        await asyncio.sleep(POLL_S)
         for runner in reversed(self._runners):
             await runner.cleanup()
         for service in (self._orders, self._nodes, self._statuses, self._registration):
--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -65,12 +65,14 @@
             link.close()
 
     async def drain(self, timeout_s: float) -> bool:
-        """Tell the others to send no new requests and finish what is under way.
+        """Take no new connections, tell the others to send no new requests, finish the rest.
 
         Requests that were sent before the others heard of it are still answered.
 
         :return: whether all ended in time.
         """
+        if self._server is not None:
+            self._server.close()
         for link in self._all():
             link.leave()
         loop = asyncio.get_running_loop()
