--- a/src/bulrushflow/sidecar/moves.py
+++ b/src/bulrushflow/sidecar/moves.py
@@ -87,8 +87,8 @@
             duration_s=order.duration_s,
         )
         status = self._statuses_by_service.get(order.service)
-        if status is not None:
-            self.take(status, now)
+        if status is not None and status.order_id == order.order_id:
+            self._follow(move, status, now)
 
     def withdraw(self, service: str) -> None:
         """Take in that the operator's order is gone."""
@@ -103,6 +103,10 @@
         move = self.by_service.get(status.service)
         if move is None or move.order.order_id != status.order_id:
             return False
+        self._follow(move, status, now)
+        return True
+
+    def _follow(self, move: Move, status: MoveStatus, now: float) -> None:
         before = move.share_permille
         move.status = status
         if move.share_permille != before:
@@ -118,7 +122,6 @@
             reason=status.reason,
             decided_by=status.decided_by,
         )
-        return True
 
     def is_forbidden(self, service: str, version: str) -> bool:
         """Tell whether a version may get no new calls."""
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,61 @@
+import unittest
+
+from bulrushflow.platform.settings import decode_settings
+from bulrushflow.platform.settings import seconds
+from bulrushflow.sidecar.settings import Endpoint
+
+FILE = """
+nodeName = "sidecar-a-1"
+ip = "10.1.0.8"
+zone = "a"
+region = "r"
+internalPortRange = [7620,7635]
+heartbeat = "1500ms"
+appAddr = "10.1.0.8:8301"
+service = "plots"
+somethingNew = { a = 1 }
+[listen]
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[limits]
+memoryMb = 300
+maxFds = 4100
+[bounds]
+drain = "2000ms"
+grace = "6s"
+retryBudgetSlack = 60
+canaryShare = 0.1
+[platform]
+address = "10.200.1.7:8309"
+"""
+
+
+class SettingsTests(unittest.TestCase):
+    def test_a_file_is_decoded_and_unknown_fields_are_ignored(self) -> None:
+        settings = decode_settings(FILE.encode()).unwrap()
+        self.assertEqual(settings.callers, Endpoint("10.1.0.8", 8304))
+        self.assertEqual(settings.target, Endpoint("10.1.0.8", 8301))
+        self.assertEqual((settings.bounds.drain_s, settings.bounds.grace_s), (2.0, 6.0))
+        self.assertEqual((settings.peer_port, settings.metrics_port), (7620, 7635))
+
+    def test_a_faulty_file_is_refused_with_the_field(self) -> None:
+        cases = {
+            "nodeName": FILE.replace('nodeName = "sidecar-a-1"', ""),
+            "no IP:PORT": FILE.replace("10.200.1.7:8309", "nowhere"),
+            "no time": FILE.replace('"6s"', '"6 minutes"'),
+            "$.limits.maxFds": FILE.replace("maxFds = 4100", 'maxFds = "many"'),
+            "settings": "not toml [",
+        }
+        for words, text in cases.items():
+            with self.subTest(words=words):
+                self.assertIn(words, decode_settings(text.encode()).unwrap_err())
+
+    def test_bytes_that_are_no_text_are_refused(self) -> None:
+        self.assertTrue(decode_settings(b"\xff\xfe").is_err())
+
+    def test_times_are_seconds(self) -> None:
+        self.assertEqual((seconds("1500ms"), seconds("2.5s")), (1.5, 2.5))
+        for text in ("5", "", "-1s", None, 3):
+            with self.assertRaises(ValueError):
+                seconds(text)
--- /dev/null
+++ b/tests/sidecar/samples.py
@@ -0,0 +1,113 @@
+"""Sample entries, calls and parts for tests of the sidecar."""
+
+import asyncio
+import typing as t
+
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.routing import Call
+from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.model import NodeEntry
+from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import StoreError
+from bulrushflow.sidecar.storage import StoreErrorKind
+from bulrushflow.sidecar.storage import StorePage
+from bulrushflow.sidecar.storage import StoreWrite
+
+NAMES = HeaderNames("X-Id", "X-Left", "X-Sign", "X-Expect", "X-Not-Run", "X-From", "X-Target")
+
+
+def target(
+    target_id: str = "t-1",
+    incarnation: int = 1,
+    sequence: int = 1,
+    service: str = "statements",
+    version: str = "v1",
+    state: TargetState = TargetState.READY,
+    slots: int = 2,
+) -> TargetEntry:
+    return TargetEntry(target_id, incarnation, sequence, service, version, slots, state, 0)
+
+
+def peer(number: int, version: str = "v1", data_centre: str = "a", slots: int = 10) -> Peer:
+    entry = target(f"t-{number}", version=version, slots=slots)
+    return Peer(NodeEntry(f"n-{number}", data_centre, f"10.0.0.{number}", 7000, entry))
+
+
+def call(
+    request_id: str = "r-1",
+    idempotent: bool = True,
+    version: str = "v1",
+    attempt: int = 0,
+    timeout_s: float = 5.0,
+) -> Call:
+    return Call(
+        request_id=request_id,
+        tenant="plots",
+        service="statements",
+        version=version,
+        route="r",
+        method="GET",
+        path="/a/b",
+        headers=(("Host", "h"),),
+        body=b"",
+        deadline=asyncio.get_running_loop().time() + timeout_s,
+        idempotent=idempotent,
+        attempt=attempt,
+    )
+
+
+class MemoryStore:
+    """A store in memory, whose reads can be made to miss their wake-up."""
+
+    def __init__(self) -> None:
+        self.records: list[KeyedRecord] = []
+        self.reads: list[tuple[int, float]] = []
+        self.deaf = False
+        self.fails = False
+        self.first = 0
+        self._appended = asyncio.Event()
+
+    def put(self, key: str, value: bytes) -> None:
+        self.records.append(KeyedRecord(key, value, len(self.records)))
+        if not self.deaf:
+            self._appended.set()
+            self._appended = asyncio.Event()
+
+    async def newest(self, topic: str) -> Result[StorePage, StoreError]:
+        if self.fails:
+            return Err(StoreError(StoreErrorKind.REFUSED, "down"))
+        newest = {record.key: record for record in self.records}
+        return Ok(StorePage(tuple(newest.values()), len(self.records)))
+
+    async def read(
+        self, topic: str, from_offset: int, wait_s: float
+    ) -> Result[StorePage, StoreError]:
+        self.reads.append((from_offset, wait_s))
+        if self.fails:
+            return Err(StoreError(StoreErrorKind.REFUSED, "down"))
+        if from_offset < self.first:
+            return Err(StoreError(StoreErrorKind.TRIMMED, "gone"))
+        if from_offset >= len(self.records) and wait_s:
+            await self._appended.wait()
+        return Ok(StorePage(tuple(self.records[from_offset:]), len(self.records)))
+
+    async def append(
+        self, topic: str, writes: t.Sequence[StoreWrite], as_of: int | None = None
+    ) -> Result[int, StoreError]:
+        if self.fails:
+            return Err(StoreError(StoreErrorKind.REFUSED, "down"))
+        if as_of is not None and as_of != len(self.records):
+            return Err(StoreError(StoreErrorKind.CONFLICT, "others appended"))
+        offset = len(self.records)
+        for write in writes:
+            self.put(write.key, write.value)
+        return Ok(offset)
+
+    async def close(self) -> None:
+        pass
--- /dev/null
+++ b/tests/sidecar/servers.py
@@ -0,0 +1,51 @@
+"""A small HTTP target for tests, whose behaviour each test sets."""
+
+import asyncio
+
+from aiohttp import web
+
+from bulrushflow.sidecar.settings import Endpoint
+
+
+class FakeTarget:
+    """Answers calls with their id and a signature; holds them while told to."""
+
+    def __init__(self) -> None:
+        self.arrived: list[str] = []
+        self.ended: list[str] = []
+        self.cancelled: list[str] = []
+        self.held = asyncio.Event()
+        self.held.set()
+        self.status = 200
+        self.not_run = False
+        self.signs = True
+        self.wrong_id = False
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> Endpoint:
+        server = web.Server(self._handle, handler_cancellation=True, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        return Endpoint(*self._runner.addresses[0][:2])
+
+    async def stop(self) -> None:
+        self.held.set()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        call_id = request.headers["X-Id"]
+        self.arrived.append(call_id)
+        try:
+            await self.held.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(call_id)
+            raise
+        self.ended.append(call_id)
+        headers = {"X-Id": "other" if self.wrong_id else call_id}
+        if self.signs:
+            headers["X-Sign"] = "s"
+        if self.not_run:
+            headers["X-Not-Run"] = "1"
+        return web.Response(status=self.status, headers=headers, body=b"body")
--- /dev/null
+++ b/tests/sidecar/test_balancer.py
@@ -0,0 +1,51 @@
+import random
+import unittest
+from collections import Counter
+
+from bulrushflow.sidecar.balancer import Balancer
+from bulrushflow.sidecar.directory import Peer
+from tests.sidecar.samples import peer
+
+
+class BalancerTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.balancer = Balancer("a", random.Random(5), lambda: 0)
+        self.near = [peer(1), peer(2)]
+        self.far = [peer(3, data_centre="b")]
+
+    def chosen(self, excluded: frozenset[str] = frozenset(), count: int = 200) -> Counter[str]:
+        found: Counter[str] = Counter()
+        for _ in range(count):
+            choice = self.balancer.choose([*self.near, *self.far], excluded, 10.0)
+            found[choice.entry.node_id if choice else ""] += 1
+        return found
+
+    def test_the_own_data_centre_is_preferred_while_it_has_room(self) -> None:
+        self.assertEqual(set(self.chosen()), {"n-1", "n-2"})
+
+    def test_a_full_data_centre_spills_over(self) -> None:
+        for near in self.near:
+            near.in_flight = 10
+        self.assertEqual(set(self.chosen()), {"n-3"})
+
+    def test_a_slow_target_gets_less(self) -> None:
+        self.near[0].latency_s, self.near[1].latency_s = 0.3, 0.1
+        found = self.chosen()
+        self.assertGreater(found["n-2"], found["n-1"])
+
+    def test_an_unavailable_and_an_excluded_target_get_nothing(self) -> None:
+        self.near[0].unavailable_until = 11.0
+        self.assertEqual(set(self.chosen(frozenset({"10.0.0.2"}))), {"n-3"})
+
+    def test_failing_targets_are_passed_over_but_never_all(self) -> None:
+        for _ in range(20):
+            self.near[0].answered(0.1, True, 10.0)
+        self.assertEqual(set(self.chosen()), {"n-2"})
+        everyone: list[Peer] = [*self.near, *self.far]
+        for one in everyone:
+            for _ in range(20):
+                one.answered(0.1, True, 10.0)
+        self.assertNotIn("", self.chosen())
+
+    def test_none_is_chosen_where_none_is_left(self) -> None:
+        self.assertIsNone(self.balancer.choose([], (), 0.0))
--- /dev/null
+++ b/tests/sidecar/test_exchange.py
@@ -0,0 +1,133 @@
+import asyncio
+import socket
+import struct
+import typing as t
+import unittest
+
+from bulrushflow.sidecar.exchange import ExchangeError
+from bulrushflow.sidecar.exchange import RawAnswer
+from bulrushflow.sidecar.exchange import TargetConnection
+from tests.waiting import until
+
+Script = t.Callable[[asyncio.StreamReader, asyncio.StreamWriter], t.Awaitable[None]]
+
+
+def answer(call_id: str, body: bytes, length: bool = True) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nX-Id: {call_id}\r\n"
+    if length:
+        head += f"Content-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+class ExchangeTests(unittest.IsolatedAsyncioTestCase):
+    async def connect(self, script: Script) -> TargetConnection:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await script(reader, writer)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(self._close, server)
+        address = server.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: TargetConnection("x-id", 1 << 20), *address
+        )
+        self.addCleanup(connection.close)
+        return connection
+
+    async def _close(self, server: asyncio.Server) -> None:
+        server.close()
+
+    async def call(self, connection: TargetConnection, call_id: str) -> RawAnswer:
+        headers = [("Host", "h"), ("X-Id", call_id)]
+        return await connection.exchange("GET", "/a", headers, b"", call_id)
+
+    async def test_two_calls_share_a_connection(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for call_id in ("1", "2"):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer(call_id, b"body"))
+
+        connection = await self.connect(script)
+        self.assertEqual((await self.call(connection, "1")).body, b"body")
+        self.assertTrue(connection.reusable)
+        self.assertEqual((await self.call(connection, "2")).status, 200)
+
+    async def test_a_late_answer_to_an_earlier_call_is_passed_over(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer("1", b"first"))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer("1", b"extra"))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+            writer.write(answer("2", b"second"))
+
+        connection = await self.connect(script)
+        await self.call(connection, "1")
+        self.assertEqual((await self.call(connection, "2")).body, b"second")
+
+    async def test_bytes_behind_an_answer_end_the_connection(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer("1", b"first") + answer("1", b"extra"))
+
+        connection = await self.connect(script)
+        self.assertEqual((await self.call(connection, "1")).body, b"first")
+        self.assertFalse(connection.reusable)
+
+    async def test_bytes_while_idle_end_the_connection(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer("1", b"first"))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(answer("1", b"extra"))
+
+        connection = await self.connect(script)
+        await self.call(connection, "1")
+        await until(lambda: not connection.reusable)
+
+    async def test_an_answer_without_length_ends_with_its_connection(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer("1", b"whole", length=False))
+            await writer.drain()
+            writer.close()
+
+        connection = await self.connect(script)
+        self.assertEqual((await self.call(connection, "1")).body, b"whole")
+
+    async def test_a_reset_is_no_end_of_an_answer_without_length(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer("1", b"part", length=False))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+        connection = await self.connect(script)
+        with self.assertRaises(ExchangeError):
+            await self.call(connection, "1")
+
+    async def test_what_is_no_answer_fails_the_call(self) -> None:
+        for data in (b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"):
+            with self.subTest(data=data):
+
+                async def script(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    data: bytes = data,
+                ) -> None:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(data)
+                    await writer.drain()
+                    writer.close()
+
+                connection = await self.connect(script)
+                with self.assertRaises(ExchangeError):
+                    await self.call(connection, "1")
+                self.assertFalse(connection.reusable)
--- /dev/null
+++ b/tests/sidecar/test_repeats.py
@@ -0,0 +1,40 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushflow.sidecar.repeats import RepeatLimit
+
+RATIO, SLACK, WINDOW_S = 0.2, 60.0, 10.0
+steps = st.lists(
+    st.tuples(st.floats(0, 0.3), st.integers(0, 3), st.booleans()), min_size=1, max_size=300
+)
+
+
+class RepeatLimitTests(unittest.TestCase):
+    @given(steps)
+    def test_any_window_keeps_the_services_bound(
+        self, calls: list[tuple[float, int, bool]]
+    ) -> None:
+        limits = [RepeatLimit(RATIO, SLACK, WINDOW_S) for _ in range(4)]
+        for limit in limits:
+            limit.sharers = len(limits)
+        now = 0.0
+        firsts: list[float] = []
+        repeats: list[float] = []
+        for pause_s, number, is_repeat in calls:
+            now += pause_s
+            if not is_repeat:
+                limits[number].first(now)
+                firsts.append(now)
+            elif limits[number].repeat(now):
+                repeats.append(now)
+            counted = [at for at in repeats if at > now - WINDOW_S]
+            # The bound's own reckoning takes the window before into account, too.
+            base = [at for at in firsts if at > now - 2 * WINDOW_S]
+            self.assertLessEqual(len(counted), RATIO * len(base) + SLACK)
+
+    def test_without_any_calls_a_part_of_the_slack_is_left(self) -> None:
+        limit = RepeatLimit(RATIO, SLACK, WINDOW_S)
+        limit.sharers = 3
+        self.assertEqual(sum(limit.repeat(0.0) for _ in range(100)), 10)
--- /dev/null
+++ b/tests/sidecar/test_replica.py
@@ -0,0 +1,83 @@
+import asyncio
+import random
+import typing as t
+import unittest
+from unittest import mock
+
+from bulrushflow.sidecar import replica as replica_module
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.replica import Replica
+from bulrushflow.sidecar.storage import KeyedRecord
+from tests.sidecar.samples import MemoryStore
+from tests.waiting import until
+
+
+class Kept:
+    def __init__(self) -> None:
+        self.by_key: dict[str, bytes] = {}
+        self.replaced = 0
+
+    def replace(self, records: t.Sequence[KeyedRecord]) -> None:
+        self.replaced += 1
+        self.by_key = {record.key: record.value for record in records}
+
+    def apply(self, record: KeyedRecord) -> None:
+        self.by_key[record.key] = record.value
+
+
+class ReplicaTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        for name in ("PAUSE_S", "BEHIND_S", "FIRST_BACKOFF_S", "MAX_BACKOFF_S"):
+            patch = mock.patch.object(replica_module, name, 0.001)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.store = MemoryStore()
+        self.kept = Kept()
+        self.replica = Replica(self.store, "x", self.kept, Decisions(), random.Random(1))
+
+    async def start(self) -> None:
+        await self.replica.start()
+        self.addAsyncCleanup(self.replica.stop)
+        await until(lambda: self.replica.loaded)
+
+    async def test_records_before_and_after_the_start_are_taken(self) -> None:
+        self.store.put("a", b"1")
+        await self.start()
+        self.store.put("a", b"2")
+        await until(lambda: self.kept.by_key == {"a": b"2"})
+
+    async def test_a_read_that_others_are_ahead_of_is_made_anew(self) -> None:
+        await self.start()
+        await until(lambda: bool(self.store.reads))
+        self.store.deaf = True
+        self.store.put("a", b"1")
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.kept.by_key, {})
+        self.replica.hint(1)
+        await until(lambda: self.kept.by_key == {"a": b"1"})
+
+    async def test_a_hint_at_what_is_held_already_changes_nothing(self) -> None:
+        self.store.put("a", b"1")
+        await self.start()
+        await until(lambda: bool(self.store.reads))
+        self.replica.hint(1)
+        await asyncio.sleep(0.01)
+        self.assertEqual(len(self.store.reads), 1)
+
+    async def test_trimmed_records_lead_to_the_whole_state(self) -> None:
+        await self.start()
+        await until(lambda: bool(self.store.reads))
+        self.store.first = 2
+        self.store.put("a", b"1")
+        self.store.put("b", b"2")
+        await until(lambda: self.kept.by_key == {"a": b"1", "b": b"2"})
+
+    async def test_an_outage_keeps_what_is_held_and_ends(self) -> None:
+        self.store.put("a", b"1")
+        await self.start()
+        self.store.fails = True
+        self.store.put("a", b"2")
+        await asyncio.sleep(0.01)
+        self.store.fails = False
+        await until(lambda: self.kept.by_key == {"a": b"2"})
+        self.assertTrue(self.replica.loaded)
