--- a/src/bulrushflow/logs.py
+++ b/src/bulrushflow/logs.py
@@ -62,7 +62,7 @@
 
 
 class BoundedWriter:
-    """Writes lines to a descriptor without ever waiting; what doesn't fit is dropped and counted."""
+    """Writes lines without waiting; what the descriptor does not take is dropped and counted."""
 
     __slots__ = ("_descriptor", "_dropped", "_waiting", "_waiting_bytes")
 
--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -2,9 +2,11 @@
 
 import typing as t
 
+from aiohttp import web
 from aioprometheus import Counter
 from aioprometheus import Gauge
 from aioprometheus import Histogram
+from aioprometheus import render
 from aioprometheus.collectors import Registry
 
 OTHER_TENANT = "other"
@@ -114,6 +116,11 @@
         """
         self.control_bytes.add({"direction": direction, "kind": kind}, count)
 
+    async def serve(self, request: web.Request) -> web.Response:
+        """Answer with the metrics in Prometheus's text format."""
+        body, headers = render(self.registry, request.headers.getall("accept", []))
+        return web.Response(body=body, headers=headers)
+
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
 
--- a/src/bulrushflow/operators/endpoint.py
+++ b/src/bulrushflow/operators/endpoint.py
@@ -6,7 +6,6 @@
 
 import msgspec
 from aiohttp import web
-from aioprometheus import render
 from result import Err
 from result import Ok
 from result import Result
@@ -168,8 +167,7 @@
     async def metrics(self, request: web.Request) -> web.Response:
         """Answer with the metrics in Prometheus's text format."""
         self._observe()
-        body, headers = render(self._metrics.registry, request.headers.getall("accept", []))
-        return web.Response(body=body, headers=headers)
+        return await self._metrics.serve(request)
 
     def _observe(self) -> None:
         counts = Counter(member.status for member in self._table.by_id.values())
--- a/src/bulrushflow/platform/command.py
+++ b/src/bulrushflow/platform/command.py
@@ -19,6 +19,10 @@
 
 EXIT_SETTINGS = 2
 GC_THRESHOLD = 20_000
+"""Objects made and kept between two collections of the youngest generation."""
+GC_GENERATIONS = 10
+SETTINGS_CHECK_S = 2.0
+"""Time between two looks at the settings file."""
 
 
 def main() -> None:
@@ -38,18 +42,42 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload)
+    loop.add_signal_handler(signal.SIGHUP, _reload, sidecar)
     await sidecar.start()
+    sidecar.timers.subscribe("settings", SETTINGS_CHECK_S, SettingsWatch(sidecar).check)
     gc.collect()
     gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 10, 10)
+    gc.set_threshold(GC_THRESHOLD, GC_GENERATIONS, GC_GENERATIONS)
     await stopping.wait()
     await sidecar.stop()
 
 
-def _reload() -> None:
+class SettingsWatch:
+    """Notices settings that changed without a signal."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self._sidecar = sidecar
+        self._seen = self._stamp()
+
+    async def check(self) -> None:
+        """Reload when the file is another one than before."""
+        stamp = self._stamp()
+        if stamp != self._seen:
+            self._seen = stamp
+            _reload(self._sidecar)
+
+    def _stamp(self) -> tuple[int, int] | None:
+        try:
+            found = settings_path().stat()
+        except OSError:
+            # Missing for a moment while it is replaced; the next check sees it.
+            return None
+        return found.st_mtime_ns, found.st_size
+
+
+def _reload(sidecar: Sidecar) -> None:
     match load_machine_settings(settings_path()):
         case Err(fault):
             logger.bind(reason=fault).warning("settings not reloaded")
-        case Ok(_):
-            logger.info("settings reloaded")
+        case Ok(settings):
+            sidecar.reload(settings)
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -4,6 +4,7 @@
 import random
 import typing as t
 from dataclasses import dataclass
+from dataclasses import fields
 
 from aiohttp import web
 from loguru import logger
@@ -12,9 +13,6 @@
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.routing import Call
-from bulrushflow.sidecar.announcements import AnnouncementPaths
-from bulrushflow.sidecar.announcements import announcement_application
-from bulrushflow.sidecar.announcements import readiness_application
 from bulrushflow.sidecar.balancer import Balancer
 from bulrushflow.sidecar.callers import CallerServer
 from bulrushflow.sidecar.decisions import Decisions
@@ -22,6 +20,10 @@
 from bulrushflow.sidecar.dispatcher import Dispatcher
 from bulrushflow.sidecar.driver import MoveDriver
 from bulrushflow.sidecar.driver import StatusEncoder
+from bulrushflow.sidecar.endpoints import AnnouncementPaths
+from bulrushflow.sidecar.endpoints import announcement_application
+from bulrushflow.sidecar.endpoints import metrics_application
+from bulrushflow.sidecar.endpoints import readiness_application
 from bulrushflow.sidecar.followers import MoveFollower
 from bulrushflow.sidecar.followers import NodeFollower
 from bulrushflow.sidecar.gate import Gate
@@ -121,8 +123,8 @@
         self._own_key = node_key(settings.address)
         self._stopping = False
         self._runners: list[web.AppRunner | web.ServerRunner] = []
-        self._timers = Timers(self._rng)
-        self._links = Links(settings.address, settings.peer_port, self._timers)
+        self.timers = Timers(self._rng)
+        self._links = Links(settings.address, settings.peer_port, self.timers)
         self._directory = Directory()
         self._moves = Moves(settings.node_id, self._clock.wall_ms(), self._decisions, self._rng)
         self._registration = Registration(store, adapter.topics.nodes, self._decisions, self._rng)
@@ -170,7 +172,7 @@
         self._statuses = Replica(store, topics.statuses, statuses, self._decisions, self._rng)
 
     async def on_start(self) -> None:
-        await self._timers.start()
+        await self.timers.start()
         await self._links.start()
         self._driver = MoveDriver(
             self._own_key,
@@ -183,7 +185,7 @@
             self._adapter.topics.statuses,
             self._statuses,
             t.cast(StatusEncoder, self._adapter.encode_status),
-            self._timers,
+            self.timers,
             self._clock,
             self._decisions,
             self._rng,
@@ -201,8 +203,10 @@
         await self._serve_application(application, self.settings.announcements)
         readiness = readiness_application(self._adapter.paths.readiness, self.is_ready)
         await self._serve_application(readiness, self.settings.readiness)
+        metrics = Endpoint(self.settings.address, self.settings.metrics_port)
+        await self._serve_application(metrics_application(self._metrics), metrics)
         await self._serve(web.ServerRunner(self._callers.server()), self.settings.callers)
-        self._timers.subscribe("gate", CHECK_S, self._check)
+        self.timers.subscribe("gate", CHECK_S, self._check)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
 
     async def on_stop(self) -> None:
@@ -217,13 +221,16 @@
         # The others are told as late as possible: until then the target is served.
         if not await self._links.drain(ends_at - loop.time()):
             logger.warning("calls of other nodes were still in flight")
-        while loop.time() < ends_at and (self._callers.in_flight or self._gate.in_flight):
+        while self._callers.in_flight or self._gate.in_flight:
+            if loop.time() >= ends_at:
+                logger.warning("calls were still in flight")
+                break
             await asyncio.sleep(POLL_S)
         for runner in reversed(self._runners):
             await runner.cleanup()
         for service in (self._orders, self._nodes, self._statuses, self._registration):
             await service.stop()
-        await self._timers.stop()
+        await self.timers.stop()
         await self._links.stop()
         self._gate.close()
         await self._store.close()
@@ -233,6 +240,19 @@
         """Tell whether callers should use this node."""
         return not self._stopping and bool(self.routing.version) and self._nodes.loaded
 
+    def reload(self, settings: SidecarSettings) -> None:
+        """Put other settings in force; addresses that are listened on stay until a restart."""
+        before = self.settings
+        if settings == before:
+            return
+        self.settings = settings
+        bounds = settings.bounds
+        self._repeats.configure(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+        changed = [
+            f.name for f in fields(settings) if getattr(settings, f.name) != getattr(before, f.name)
+        ]
+        logger.bind(changed=changed, service=settings.own_service).info("settings reloaded")
+
     def configure(self, routing: Routing) -> None:
         """See :meth:`OrderSink.configure`; an older configuration is never taken."""
         if routing.version <= self.routing.version:
--- a/src/bulrushflow/sidecar/announcements.py
+++ b/src/bulrushflow/sidecar/endpoints.py
@@ -1,4 +1,4 @@
-"""The HTTP listeners for the target's announcements and for the platform's readiness checks."""
+"""The HTTP listeners for the target's announcements, readiness checks and metrics."""
 
 import typing as t
 
@@ -7,6 +7,7 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.metrics import Metrics
 from bulrushflow.sidecar.decisions import Decisions
 from bulrushflow.sidecar.gate import Gate
 from bulrushflow.sidecar.model import TargetEntry
@@ -70,6 +71,13 @@
     return app
 
 
+def metrics_application(metrics: Metrics) -> web.Application:
+    """Return the application that serves the counters and histograms."""
+    app = web.Application()
+    app.router.add_get("/metrics", metrics.serve)
+    return app
+
+
 def readiness_application(path: str, is_ready: t.Callable[[], bool]) -> web.Application:
     """Return the application that tells whether this node takes calls."""
 
--- a/src/bulrushflow/sidecar/repeats.py
+++ b/src/bulrushflow/sidecar/repeats.py
@@ -21,15 +21,19 @@
     __slots__ = ("_firsts", "_ratio", "_repeats", "_slack", "_spans", "_window_s", "sharers")
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
-        self._ratio = ratio * RATIO_PART
-        self._slack = slack * SLACK_PART
-        self._window_s = window_s
+        self.configure(ratio, slack, window_s)
         self._spans: collections.deque[list[float]] = collections.deque()
         self._firsts = 0.0
         self._repeats = 0.0
         self.sharers = 1
         """Targets of the service that share the slack."""
 
+    def configure(self, ratio: float, slack: float, window_s: float) -> None:
+        """Put other bounds in force."""
+        self._ratio = ratio * RATIO_PART
+        self._slack = slack * SLACK_PART
+        self._window_s = window_s
+
     def first(self, now: float) -> None:
         """Count a call that was not sent to a target before."""
         self._span(now)[1] += 1
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,100 @@
+"""A stand-in for the platform's store: keyed topics over HTTP, in memory."""
+
+import asyncio
+import base64
+import struct
+
+from aiohttp import web
+
+from bulrushflow.sidecar.settings import Endpoint
+
+
+class StoreStandIn:
+    """Holds the records of each topic; loses, refuses or trims on command."""
+
+    def __init__(self) -> None:
+        self.records_by_topic: dict[str, list[tuple[str, bytes]]] = {}
+        self.first_by_topic: dict[str, int] = {}
+        self.status = 200
+        self.loses_answers = False
+        self.page = 500
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> Endpoint:
+        app = web.Application()
+        app.router.add_post("/-/log-append", self._append)
+        app.router.add_get("/-/log-read", self._read)
+        app.router.add_get("/-/log-newest", self._newest)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        return Endpoint(*self._runner.addresses[0][:2])
+
+    async def stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        self.records_by_topic.setdefault(topic, []).append((key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _append(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        if self.status != 200:
+            return web.Response(status=self.status)
+        topic = request.query["topic"]
+        records = self.records_by_topic.setdefault(topic, [])
+        offset = len(records)
+        if int(request.query.get("asOf", offset)) != offset:
+            return web.json_response({"end": offset}, status=412)
+        start = 0
+        while start < len(body):
+            (length,) = struct.unpack_from(">I", body, start)
+            record = body[start + 4 : start + 4 + length]
+            size = record[0]
+            self.put(topic, record[1 : 1 + size].decode(), record[1 + size :])
+            start += 4 + length
+        if self.loses_answers and request.transport is not None:
+            request.transport.abort()
+        return web.json_response({"offset": offset, "end": len(records)})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        if self.status != 200:
+            return web.Response(status=self.status)
+        topic = request.query["topic"]
+        start = int(request.query["from"])
+        first = self.first_by_topic.get(topic, 0)
+        if start < first:
+            return web.json_response({"first": first}, status=410)
+        try:
+            async with asyncio.timeout(int(request.query.get("waitMs", "0")) / 1000):
+                while len(self.records_by_topic.get(topic, ())) <= start:
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        records = self.records_by_topic.get(topic, [])
+        body = struct.pack(">QQ", len(records), first)
+        for key, value in records[start:]:
+            record = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(record)) + record
+        return web.Response(body=body)
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        if self.status != 200:
+            return web.Response(status=self.status)
+        records = self.records_by_topic.get(request.query["topic"], [])
+        newest = {key: (value, i) for i, (key, value) in enumerate(records)}
+        keys = sorted(k for k, (value, _) in newest.items() if value)
+        keys = [key for key in keys if key > request.query.get("after", "")]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key][0]).decode(),
+                "offset": newest[key][1],
+            }
+            for key in keys[: self.page]
+        ]
+        more = len(keys) > self.page
+        return web.json_response({"items": items, "more": more, "end": len(records)})
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,78 @@
+import asyncio
+import unittest
+
+from bulrushflow.platform.store import PlatformStore
+from bulrushflow.sidecar.storage import StoreErrorKind
+from bulrushflow.sidecar.storage import StoreWrite
+from tests.platform.standin import StoreStandIn
+
+
+class StoreTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stand_in = StoreStandIn()
+        self.store = PlatformStore(await self.stand_in.start())
+        self.addAsyncCleanup(self.stand_in.stop)
+        self.addAsyncCleanup(self.store.close)
+
+    async def test_records_are_appended_and_read_in_order(self) -> None:
+        writes = [StoreWrite("a", b"1"), StoreWrite("b", b"2")]
+        self.assertEqual((await self.store.append("t", writes)).unwrap(), 0)
+        page = (await self.store.read("t", 0, 0.0)).unwrap()
+        self.assertEqual(
+            [(r.key, r.value, r.offset) for r in page.records], [("a", b"1", 0), ("b", b"2", 1)]
+        )
+        self.assertEqual(page.next_offset, 2)
+
+    async def test_a_read_waits_for_the_next_record(self) -> None:
+        reading = asyncio.ensure_future(self.store.read("t", 0, 20.0))
+        await asyncio.sleep(0.02)
+        self.stand_in.put("t", "a", b"1")
+        self.assertEqual(len((await reading).unwrap().records), 1)
+
+    async def test_all_pages_of_the_newest_are_read_and_dropped_keys_left_out(self) -> None:
+        self.stand_in.page = 2
+        for key in ("a", "b", "c", "d", "e"):
+            self.stand_in.put("t", key, key.encode())
+        self.stand_in.put("t", "b", b"")
+        self.stand_in.put("t", "c", b"new")
+        page = (await self.store.newest("t")).unwrap()
+        self.assertEqual(
+            {r.key: r.value for r in page.records}, {"a": b"a", "c": b"new", "d": b"d", "e": b"e"}
+        )
+        self.assertEqual(page.next_offset, 7)
+
+    async def test_a_condition_that_does_not_hold_is_a_conflict(self) -> None:
+        self.stand_in.put("t", "a", b"1")
+        error = (await self.store.append("t", [StoreWrite("a", b"2")], as_of=0)).unwrap_err()
+        self.assertIs(error.kind, StoreErrorKind.CONFLICT)
+        self.assertTrue((await self.store.append("t", [StoreWrite("a", b"2")], as_of=1)).is_ok())
+
+    async def test_failures_say_whether_anything_may_have_been_done(self) -> None:
+        for status, kind in (
+            (503, StoreErrorKind.REFUSED),
+            (429, StoreErrorKind.REFUSED),
+            (500, StoreErrorKind.UNKNOWN),
+            (403, StoreErrorKind.UNKNOWN),
+        ):
+            self.stand_in.status = status
+            error = (await self.store.append("t", [StoreWrite("a", b"1")])).unwrap_err()
+            self.assertIs(error.kind, kind)
+            self.assertIs((await self.store.read("t", 0, 0.0)).unwrap_err().kind, kind)
+            self.assertIs((await self.store.newest("t")).unwrap_err().kind, kind)
+
+    async def test_a_lost_answer_is_uncertain_and_nothing_is_sent_again(self) -> None:
+        self.stand_in.loses_answers = True
+        error = (await self.store.append("t", [StoreWrite("a", b"1")])).unwrap_err()
+        self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
+        self.assertEqual(len(self.stand_in.records_by_topic["t"]), 1)
+
+    async def test_trimmed_offsets_are_told(self) -> None:
+        self.stand_in.put("t", "a", b"1")
+        self.stand_in.first_by_topic["t"] = 1
+        error = (await self.store.read("t", 0, 0.0)).unwrap_err()
+        self.assertIs(error.kind, StoreErrorKind.TRIMMED)
+
+    async def test_a_store_that_is_away_refuses(self) -> None:
+        await self.stand_in.stop()
+        error = (await self.store.newest("t")).unwrap_err()
+        self.assertIs(error.kind, StoreErrorKind.REFUSED)
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -6,9 +6,9 @@
 import unittest
 from unittest import mock
 
-from bulrushflow.wire import links as links_module
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
+from bulrushflow.wire import links as links_module
 from bulrushflow.wire import messages
 from tests.targets.servers import GUARD_S
 from tests.targets.servers import until
