Try idempotent calls elsewhere once an attempt takes too long, and tell others without waiting

Silent targets and nodes held idempotent calls until the route's timeout; now an attempt ends at three quarters of the route's target latency or three usual latencies, if another target is left, within the bound on repeats. Connections give up unacknowledged packets (user timeout). The move driver no longer waits for nodes that don't answer.

--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -174,7 +174,10 @@
         self, call: Call, failure: CallFailure, version: int, seconds: float
     ) -> web.Response:
         status = _STATUS_BY_OUTCOME[failure.outcome]
-        if failure.outcome is Outcome.UNKNOWN and seconds >= call.deadline:
+        if (
+            failure.outcome is Outcome.UNKNOWN
+            and asyncio.get_running_loop().time() >= call.deadline
+        ):
             status = 504
         self._decisions.failed(
             call,
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -59,6 +59,9 @@
 
     def unreachable(self, now: float) -> None:
         """Take in that the peer could not be reached, or has no target now."""
+        if now < self.unavailable_until:
+            # One of several calls that found it out together.
+            return
         self.unavailable_until = now + self.backoff_s
         self.backoff_s = min(MAX_BACKOFF_S, self.backoff_s * 2)
 
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -12,6 +12,7 @@
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import not_run
+from bulrushflow.routing import unknown
 from bulrushflow.sidecar.balancer import Balancer
 from bulrushflow.sidecar.decisions import Decisions
 from bulrushflow.sidecar.directory import Directory
@@ -27,6 +28,10 @@
 HELD_PART = 0.1
 """Part of the route's target latency for which a call waits for a target to show up."""
 WAIT_STEP_S = 0.02
+ATTEMPT_PART = 0.75
+"""Part of the route's target latency after which an idempotent call is tried elsewhere."""
+ATTEMPT_FACTOR = 3.0
+"""Times the target's usual latency that an attempt gets at least."""
 FULL_LOAD = 1.0
 
 VersionFilter = t.Callable[[str, t.Sequence[Peer]], t.Sequence[Peer]]
@@ -130,7 +135,8 @@
             version = target.version if target is not None else ""
             if progress.arrivals:
                 self._metrics.retries.inc({"service": call.service})
-            result = await self._attempt(peer, call.for_attempt(version, progress.arrivals))
+            attempt = call.for_attempt(version, progress.arrivals)
+            result = await self._attempt(peer, attempt, self._until(route, call, peer, progress))
             if progress.take(result, call.idempotent, route.max_attempts):
                 break
         return progress.result
@@ -139,23 +145,38 @@
         candidates = self._choose_version(service, self._directory.ready(service))
         return self._balancer.choose(candidates, tried, asyncio.get_running_loop().time())
 
-    async def _attempt(self, peer: Peer, call: Call) -> CallResult:
+    def _until(self, route: Route, call: Call, peer: Peer, progress: Progress) -> float:
+        """Return when an attempt is given up in favour of another target."""
+        if not call.idempotent or progress.runs + 1 >= route.max_attempts:
+            return call.deadline
+        if len(self._directory.ready(call.service)) < 2:
+            return call.deadline
+        patience_s = max(route.target_latency_s * ATTEMPT_PART, peer.latency_s * ATTEMPT_FACTOR)
+        until = asyncio.get_running_loop().time() + patience_s
+        # Without time for another attempt this one is left to finish.
+        return until if until + peer.latency_s < call.deadline else call.deadline
+
+    async def _attempt(self, peer: Peer, call: Call, until: float) -> CallResult:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         peer.in_flight += 1
         try:
-            if peer.entry.address == self._own_address:
-                result = await self._gate.run(call)
-                capacity = self._gate.capacity
-                load = self._gate.load / capacity if capacity else None
-                report = PeerReport(True, load)
-            else:
-                result, report = await self._peers.send(peer.entry.endpoint, call)
+            async with asyncio.timeout_at(until):
+                result, report = await self._send(peer, call)
+        except TimeoutError:
+            result, report = unknown("no answer in time"), PeerReport(True, FULL_LOAD)
         finally:
             peer.in_flight -= 1
         self._learn(peer, call, result, report, loop.time() - started_at)
         return result
 
+    async def _send(self, peer: Peer, call: Call) -> tuple[CallResult, PeerReport]:
+        if peer.entry.address != self._own_address:
+            return await self._peers.send(peer.entry.endpoint, call)
+        result = await self._gate.run(call)
+        capacity = self._gate.capacity
+        return result, PeerReport(True, self._gate.load / capacity if capacity else None)
+
     def _learn(
         self, peer: Peer, call: Call, result: CallResult, report: PeerReport, seconds: float
     ) -> None:
--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -24,7 +24,6 @@
 from bulrushflow.sidecar.records import encode_move
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.storage import Store
-from bulrushflow.sidecar.storage import StoreErrorKind
 from bulrushflow.sidecar.storage import StoreWrite
 from bulrushflow.timers import Clock
 from bulrushflow.timers import Timers
@@ -79,6 +78,7 @@
         self._decisions = decisions
         self._rng = rng
         self._due_since: dict[tuple[int, int], float] = {}
+        self._sending: set[asyncio.Task[None]] = set()
         self._unwritten: dict[str, MoveStatus] = {}
         links.handle("evidence_report", self._take_evidence)
         links.handle("state_notice", self._take_notice)
@@ -91,44 +91,45 @@
             return
         now = asyncio.get_running_loop().time()
         if move.phase is MovePhase.RUNNING:
-            await self._spread(move)
+            self._spread(move)
             reason = self._moves.judge(move, now)
             if reason is not None:
-                self._take_back(move, reason)
+                self.take_back(move, reason)
             else:
                 await self._pace(move, now)
         unwritten = self._unwritten.get(move.order.service)
         if unwritten is not None:
             await self._write(move, unwritten)
 
-    async def _spread(self, move: Move) -> None:
+    def _spread(self, move: Move) -> None:
         evidence = self._moves.own_evidence(move)
-        if not evidence.sequence:
-            return
-        message = codec.evidence_to_message(evidence)
-        await self._tell(move.order.service, evidence_report=message)
-
-    async def _tell(self, service: str | None, **body: t.Any) -> None:
-        sends = [
-            self._links.send(peer.entry.endpoint, **body)
-            for key, peer in self._directory.peers_by_key.items()
-            if key != self._own_key
-            and peer.entry.target is not None
-            and (service is None or peer.entry.target.service == service)
-        ]
-        await asyncio.gather(*sends)
+        if evidence.sequence:
+            message = codec.evidence_to_message(evidence)
+            self._tell(move.order.service, evidence_report=message)
+
+    def _tell(self, service: str | None, **body: t.Any) -> None:
+        """Send to every other node, or to those of one service; nothing waits for them."""
+        for key, peer in self._directory.peers_by_key.items():
+            target = peer.entry.target
+            if key == self._own_key or target is None:
+                continue
+            if service is None or target.service == service:
+                sending = asyncio.get_running_loop().create_task(
+                    self._links.send(peer.entry.endpoint, **body)
+                )
+                self._sending.add(sending)
+                sending.add_done_callback(self._sending.discard)
 
-    def _take_back(self, move: Move, reason: str) -> None:
+    def take_back(self, move: Move, reason: str) -> None:
+        """Take a faulty version back here and on every node that can be reached, then record it."""
         status = self._next(move, 0, MovePhase.TAKEN_BACK, reason)
         self._moves.take(status, asyncio.get_running_loop().time())
         self._unwritten[move.order.service] = status
         notice = messages.StateNotice(
             key=MOVE_KEY_PREFIX + move.order.service, value=encode_move(status)
         )
-        # No version may wait for the store, or for a node that doesn't answer.
-        self._notifying = asyncio.get_running_loop().create_task(
-            self._tell(None, state_notice=notice)
-        )
+        # No take-back may wait for the store, or for a node that doesn't answer.
+        self._tell(None, state_notice=notice)
 
     async def _pace(self, move: Move, now: float) -> None:
         step = self._due_step(move, now)
@@ -200,9 +201,6 @@
                     reason=error.message,
                     known_offset=self._status_replica.offset,
                 )
-                if error.kind is StoreErrorKind.UNKNOWN:
-                    # It may have been written; the replica will tell.
-                    await asyncio.sleep(0)
 
     def _rank(self) -> int:
         """Return how many nodes of the service come before this one as drivers."""
--- a/src/bulrushflow/sidecar/target_client.py
+++ b/src/bulrushflow/sidecar/target_client.py
@@ -1,6 +1,7 @@
 """Calls to the target beside this node, over a small pool of connections."""
 
 import asyncio
+import socket
 
 from bulrushflow.routing import Answer
 from bulrushflow.routing import Call
@@ -15,6 +16,8 @@
 from bulrushflow.sidecar.settings import Endpoint
 
 CONNECT_TIMEOUT_S = 0.5
+USER_TIMEOUT_MS = 1_000
+"""A connection whose packets the target doesn't acknowledge is given up after so long."""
 DEFAULT_REUSE_S = 4.0
 """Idle time after which a connection isn't used again, if the target told nothing."""
 REUSE_MARGIN_S = 1.0
@@ -134,7 +137,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_TIMEOUT_S)):
-                _, connection = await loop.create_connection(
+                transport, connection = await loop.create_connection(
                     lambda: TargetConnection(self._id_header, MAX_ANSWER_BYTES),
                     self._endpoint.address,
                     self._endpoint.port,
@@ -143,4 +146,6 @@
             self.unreachable = True
             return None
         self.unreachable = False
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         return connection
--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -1,6 +1,7 @@
 """The connections to other nodes: opened when needed, bounded, checked, replaced."""
 
 import asyncio
+import socket
 import typing as t
 
 from loguru import logger
@@ -17,6 +18,8 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_S = 0.2
 """After a failed attempt to connect, further ones to the same node fail at once for so long."""
+USER_TIMEOUT_MS = 1_500
+"""A connection whose packets the other node doesn't acknowledge is given up after so long."""
 CHECK_S = 0.5
 PAUSE_FACTOR = 3.0
 """A check that is late by so many periods shows that this node itself was paused."""
@@ -137,12 +140,14 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, link = await loop.create_connection(
+                transport, link = await loop.create_connection(
                     lambda: Link(self._handlers, self._forget), *endpoint
                 )
         except (OSError, TimeoutError) as exc:
             self._failed_until_by_endpoint[endpoint] = loop.time() + RECONNECT_S
             return Err(LinkError(False, f"no connection to {endpoint}: {exc!r}"))
+        raw = transport.get_extra_info("socket")
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         self._by_endpoint[endpoint] = link
         self._close_surplus()
         return Ok(link)
--- /dev/null
+++ b/tests/sidecar/test_driver.py
@@ -0,0 +1,148 @@
+import random
+import typing as t
+import unittest
+from dataclasses import replace
+
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Directory
+from bulrushflow.sidecar.driver import MoveDriver
+from bulrushflow.sidecar.followers import MoveFollower
+from bulrushflow.sidecar.model import MoveOrder
+from bulrushflow.sidecar.model import MovePhase
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.moves import Moves
+from bulrushflow.sidecar.records import decode_move
+from bulrushflow.sidecar.records import encode_move
+from bulrushflow.sidecar.replica import Replica
+from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import StoreWrite
+from bulrushflow.timers import SystemClock
+from tests.sidecar.samples import MemoryStore
+from tests.sidecar.samples import call
+from tests.sidecar.samples import peer
+from tests.waiting import until
+
+ORDER = MoveOrder("statements", "v2", 15.0, 7)
+STATUS = MoveStatus("statements", "v2", 7, 1, 100, MovePhase.RUNNING, 0, 15_000)
+
+
+class RecordedLinks:
+    """Links that only note what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[tuple[str, int], dict[str, t.Any]]] = []
+        self.handlers: dict[str, t.Any] = {}
+
+    def handle(self, request: str, handler: t.Any) -> None:
+        self.handlers[request] = handler
+
+    async def send(self, endpoint: tuple[str, int], **body: t.Any) -> None:
+        self.sent.append((endpoint, body))
+
+    def bodies(self, kind: str) -> list[t.Any]:
+        return [body[kind] for _, body in self.sent if kind in body]
+
+
+class NoTimers:
+    def subscribe(self, name: str, period_s: float, callback: t.Any) -> None:
+        pass
+
+
+def encode(status: MoveStatus) -> StoreWrite:
+    return StoreWrite(status.service, encode_move(status))
+
+
+def decode(record: KeyedRecord) -> MoveStatus | None:
+    return decode_move(record.value).unwrap()
+
+
+class Node:
+    """The move parts of one node on a store that several share."""
+
+    def __init__(self, number: int, store: MemoryStore) -> None:
+        decisions = Decisions()
+        rng = random.Random(number)
+        self.store = store
+        self.moves = Moves(f"n-{number}", 1, decisions, rng)
+        self.links = RecordedLinks()
+        directory = Directory()
+        for other in (1, 2):
+            directory.put(f"node/{other}", peer(other).entry)
+        directory.put("node/3", peer(3, "v2").entry)
+        follower = MoveFollower(decode, lambda status: self._take(status))
+        self.replica = Replica(store, "statuses", follower, decisions, rng)
+        self.driver = MoveDriver(
+            f"node/{number}",
+            f"n-{number}",
+            lambda: "statements",
+            self.moves,
+            directory,
+            t.cast(t.Any, self.links),
+            store,
+            "statuses",
+            self.replica,
+            encode,
+            t.cast(t.Any, NoTimers()),
+            SystemClock(),
+            decisions,
+            rng,
+        )
+
+    def _take(self, status: MoveStatus) -> None:
+        self.moves.take(status, 0.0)
+
+    async def read(self) -> None:
+        self.replica.offset = len(self.store.records)
+        for record in self.store.records:
+            self._take(decode_move(record.value).unwrap())
+
+    @property
+    def status(self) -> MoveStatus | None:
+        return self.moves.by_service["statements"].status
+
+
+class MoveDriverTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = MemoryStore()
+        self.first, self.second = Node(1, self.store), Node(2, self.store)
+        for node in (self.first, self.second):
+            await node.read()
+            node.moves.order(ORDER, 0.0)
+
+    async def test_the_first_node_writes_the_first_step_and_the_second_waits(self) -> None:
+        await self.second.driver.check()
+        self.assertEqual(self.store.records, [])
+        await self.first.driver.check()
+        assert self.first.status is not None
+        self.assertEqual((self.first.status.step, self.first.status.share_permille), (1, 0))
+
+    async def test_a_driver_that_missed_a_step_writes_nothing(self) -> None:
+        self.store.put("statements", encode_move(STATUS))
+        await self.first.driver.check()
+        self.assertEqual(len(self.store.records), 1)
+        self.assertIsNone(self.first.status)
+
+    async def test_a_faulty_version_is_taken_back_without_the_store(self) -> None:
+        await self.first.driver.check()
+        self.first.moves.take(replace(STATUS, step=2), 0.0)
+        move = self.first.moves.by_service["statements"]
+        self.store.fails = True
+        self.first.driver.take_back(move, "more errors than the old version")
+        self.assertTrue(self.first.moves.is_forbidden("statements", "v2"))
+        await self.first.driver.check()
+        await until(lambda: len(self.first.links.bodies("state_notice")) == 2)
+        notices = self.first.links.bodies("state_notice")
+        await self.second.links.handlers["state_notice"](notices[0])
+        self.assertTrue(self.second.moves.is_forbidden("statements", "v2"))
+        self.store.fails = False
+        await self.first.driver.check()
+        last = decode_move(self.store.records[-1].value).unwrap()
+        self.assertEqual(last.phase, MovePhase.TAKEN_BACK)
+
+    async def test_evidence_goes_to_the_nodes_of_the_service(self) -> None:
+        await self.first.driver.check()
+        self.first.moves.observe(call(version="v2"), True, 0.1, False)
+        await self.first.driver.check()
+        await until(lambda: len(self.first.links.bodies("evidence_report")) == 2)
+        report = self.first.links.bodies("evidence_report")[0]
+        await self.second.links.handlers["evidence_report"](report)
