--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -275,7 +275,7 @@
         self._decisions.belief("record unreadable", key=key, reason=reason)
 
     def _take_status(self, status: MoveStatus) -> None:
-        self._moves.take(status, asyncio.get_running_loop().time())
+        self._moves.take(status, asyncio.get_running_loop().time(), recorded=True)
 
     def _observe(self, call: Call, failed: bool, seconds: float) -> None:
         entry = self._gate.entry
--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -186,12 +186,16 @@
 
     async def _write(self, move: Move, status: MoveStatus) -> None:
         service = status.service
+        if self._moves.is_recorded(status):
+            self._unwritten.pop(service, None)
+            return
         match await self._store.append(
             self._status_topic, [self._encode(status)], self._status_replica.offset
         ):
             case Ok(_):
                 self._unwritten.pop(service, None)
-                self._moves.take(status, asyncio.get_running_loop().time())
+                now = asyncio.get_running_loop().time()
+                self._moves.take(status, now, recorded=True)
             case Err(error):
                 self._decisions.belief(
                     "move step not written",
--- a/src/bulrushflow/sidecar/moves.py
+++ b/src/bulrushflow/sidecar/moves.py
@@ -68,6 +68,7 @@
         self.by_service: dict[str, Move] = {}
         self._book = EvidenceBook(own_id, incarnation)
         self._statuses_by_service: dict[str, MoveStatus] = {}
+        self._recorded_by_service: dict[str, int] = {}
         self._decisions = decisions
         self._rng = rng
 
@@ -94,10 +95,23 @@
         """Take in that the operator's order is gone."""
         self.by_service.pop(service, None)
 
-    def take(self, status: MoveStatus, now: float) -> bool:
-        """Take in a status; ``False`` when it says nothing new."""
+    def is_recorded(self, status: MoveStatus) -> bool:
+        """Tell whether the store holds an end of the status's order already."""
+        return self._recorded_by_service.get(status.service) == status.order_id
+
+    def take(self, status: MoveStatus, now: float, recorded: bool = False) -> bool:
+        """Take in a status; ``False`` when it says nothing new.
+
+        :param recorded: whether the store holds it. Of two ends of one order the recorded one
+            counts, since operators act on it.
+        """
         known = self._statuses_by_service.get(status.service)
-        if known is not None and not _supersedes(status, known):
+        ends = recorded and status.phase is not MovePhase.RUNNING
+        ends = ends and not self.is_recorded(status)
+        if ends:
+            self._recorded_by_service[status.service] = status.order_id
+        supersedes = known is None or _supersedes(status, known)
+        if not supersedes and not (ends and known and known.order_id == status.order_id):
             return False
         self._statuses_by_service[status.service] = status
         move = self.by_service.get(status.service)
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -94,7 +94,7 @@
     async def read(self) -> None:
         self.replica.offset = len(self.store.records)
         for record in self.store.records:
-            self._take(decode_move(record.value).unwrap())
+            self.moves.take(decode_move(record.value).unwrap(), 0.0, recorded=True)
 
     @property
     def status(self) -> MoveStatus | None:
@@ -135,10 +135,20 @@
         await self.second.links.handlers["state_notice"](notices[0])
         self.assertTrue(self.second.moves.is_forbidden("statements", "v2"))
         self.store.fails = False
+        await self.first.read()
         await self.first.driver.check()
         last = decode_move(self.store.records[-1].value).unwrap()
         self.assertEqual(last.phase, MovePhase.TAKEN_BACK)
 
+    async def test_an_end_that_the_store_holds_counts_against_an_own_one(self) -> None:
+        self.store.put("statements", encode_move(replace(STATUS, step=3, phase=MovePhase.DONE)))
+        move = self.first.moves.by_service["statements"]
+        self.first.driver.take_back(move, "more errors than the old version")
+        await self.first.read()
+        await self.first.driver.check()
+        self.assertEqual(len(self.store.records), 1)
+        self.assertFalse(self.first.moves.is_forbidden("statements", "v2"))
+
     async def test_evidence_goes_to_the_nodes_of_the_service(self) -> None:
         await self.first.driver.check()
         self.first.moves.observe(call(version="v2"), True, 0.1, False)
