Send callers away before the end of a stop, and wait near rather than call far

New calls are now refused as not run from 2.8 s on, and clean-up no longer waits for idle connections.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -50,10 +50,12 @@
 
 MAX_ROUTE_LABELS = 64
 CHECK_S = 0.5
-CALLERS_NOTICE_S = 2.5
+CALLERS_NOTICE_S = 2.8
 """Callers notice within so long that a stopping node is not ready; calls go on until then."""
-STOP_MARGIN_S = 0.4
+STOP_MARGIN_S = 0.6
 """Time kept before the kill for closing what is left."""
+CLOSE_S = 0.1
+"""Time that a listener's connections get to write what is left."""
 POLL_S = 0.05
 
 
@@ -205,7 +207,10 @@
         await self._serve_application(readiness, self.settings.readiness)
         metrics = Endpoint(self.settings.address, self.settings.metrics_port)
         await self._serve_application(metrics_application(self._metrics), metrics)
-        await self._serve(web.ServerRunner(self._callers.server()), self.settings.callers)
+        await self._serve(
+            web.ServerRunner(self._callers.server(), shutdown_timeout=CLOSE_S),
+            self.settings.callers,
+        )
         self.timers.subscribe("gate", CHECK_S, self._check)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
 
@@ -218,6 +223,8 @@
         self._callers.stopping = True
         logger.bind(in_flight=self._callers.in_flight).info("stopping")
         await asyncio.sleep(CALLERS_NOTICE_S)
+        # Callers that have too few other nodes go on; they are sent away while there is time.
+        self._callers.closed = True
         # The others are told as late as possible: until then the target is served.
         if not await self._links.drain(ends_at - loop.time()):
             logger.warning("calls of other nodes were still in flight")
@@ -306,7 +313,7 @@
         self._repeats.sharers = max(1, len(self._directory.ready(service)))
 
     async def _serve_application(self, app: web.Application, endpoint: Endpoint) -> None:
-        await self._serve(web.AppRunner(app, access_log=None), endpoint)
+        await self._serve(web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S), endpoint)
 
     async def _serve(self, runner: web.AppRunner | web.ServerRunner, endpoint: Endpoint) -> None:
         await runner.setup()
--- a/src/bulrushflow/sidecar/balancer.py
+++ b/src/bulrushflow/sidecar/balancer.py
@@ -5,8 +5,9 @@
 
 from bulrushflow.sidecar.directory import Peer
 
-NEAR_LOAD = 0.85
-"""Load per slot below which a target in the own data centre is preferred."""
+NEAR_PART = 0.8
+"""Part of the useful time within which a near target has to answer to be preferred; calls between
+data centres cost more than some waiting."""
 COLD_FACTOR = 2.0
 """How much slower a target is taken to be while it warms up."""
 DEFAULT_LATENCY_S = 0.05
@@ -26,11 +27,16 @@
         self._wall_ms = wall_ms
 
     def choose(
-        self, candidates: t.Sequence[Peer], excluded: t.Collection[str], now: float
+        self,
+        candidates: t.Sequence[Peer],
+        excluded: t.Collection[str],
+        now: float,
+        useful_s: float,
     ) -> Peer | None:
         """Return a peer for one attempt; ``None`` when none is left.
 
         :param excluded: addresses of nodes that refused this call already.
+        :param useful_s: time in which an answer has its full worth.
         """
         left = [
             peer
@@ -45,12 +51,12 @@
         near = [
             peer
             for peer in sound
-            if peer.entry.data_centre == self._data_centre and peer.load(now) < NEAR_LOAD
+            if peer.entry.data_centre == self._data_centre
+            and self.expected_s(peer, now) <= useful_s * NEAR_PART
         ]
         pool = near or [peer for peer in sound if peer.load(now) < 1] or sound
-        if len(pool) > 2:
-            pool = self._rng.sample(pool, 2)
-        return min(pool, key=lambda peer: (self.expected_s(peer, now), self._rng.random()))
+        pool = self._rng.sample(pool, min(2, len(pool)))
+        return min(pool, key=lambda peer: self._cost_s(peer, now))
 
     def expected_s(self, peer: Peer, now: float) -> float:
         """Return the expected time to an answer, in seconds."""
@@ -58,4 +64,8 @@
         target = peer.entry.target
         if target is not None and target.warm_at_ms > self._wall_ms():
             latency_s *= COLD_FACTOR
-        return latency_s * (1 + peer.load(now))
+        return latency_s * max(1.0, peer.load(now))
+
+    def _cost_s(self, peer: Peer, now: float) -> float:
+        """Return what targets are compared by: free slots count even where nothing waits."""
+        return self.expected_s(peer, now) * (1 + peer.load(now))
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -70,6 +70,8 @@
         self.in_flight = 0
         self.stopping = False
         """Whether each answer asks the caller to use another connection."""
+        self.closed = False
+        """Whether no new call is taken, since it might not end in time."""
 
     def server(self) -> web.Server:
         """Return the HTTP server. A caller that disconnects cancels its call."""
@@ -84,6 +86,11 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self.closed:
+            request_id = request.headers.get(self._names.request_id, "")
+            refusal = self._refusal(request_id, 503, "this node stops")
+            refusal.force_close()
+            return refusal
         self.in_flight += 1
         try:
             response = await self._serve(request)
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -123,7 +123,7 @@
         progress = Progress(not_run(f"no target of {call.service} takes calls"))
         tried: set[str] = set()
         while loop.time() < call.deadline:
-            peer = self._choose(call.service, tried)
+            peer = self._choose(route, call, tried)
             if peer is None:
                 if progress.arrivals or loop.time() + WAIT_STEP_S > held_until:
                     break
@@ -141,9 +141,10 @@
                 break
         return progress.result
 
-    def _choose(self, service: str, tried: set[str]) -> Peer | None:
-        candidates = self._choose_version(service, self._directory.ready(service))
-        return self._balancer.choose(candidates, tried, asyncio.get_running_loop().time())
+    def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
+        candidates = self._choose_version(call.service, self._directory.ready(call.service))
+        now = asyncio.get_running_loop().time()
+        return self._balancer.choose(candidates, tried, now, route.target_latency_s)
 
     def _until(self, route: Route, call: Call, peer: Peer, progress: Progress) -> float:
         """Return when an attempt is given up in favour of another target."""
