Refuse at once what can't be answered while of use, and let much shorter calls go first

Ruled out: the directory and the store's outage (refusals came from a reachable gate with a full queue).

--- a/src/bulrushflow/routing/model.py
+++ b/src/bulrushflow/routing/model.py
@@ -44,6 +44,8 @@
     attempt: int = 0
     priority: int = 0
     """0 is the most important."""
+    useful_until: float = 0.0
+    """When the answer loses worth, on the same clock as the deadline."""
 
     def for_attempt(self, version: str, retries: int) -> "Call":
         """Return the call for a target version, after ``retries`` attempts of this node's own."""
@@ -64,6 +66,7 @@
             self.idempotent,
             self.attempt + retries,
             self.priority,
+            self.useful_until,
         )
 
 
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -158,6 +158,7 @@
             deadline=started_at + left_s,
             idempotent=route.idempotent,
             priority=route.priority,
+            useful_until=started_at + route.target_latency_s,
         )
 
     def _response(
--- a/src/bulrushflow/sidecar/gate.py
+++ b/src/bulrushflow/sidecar/gate.py
@@ -18,6 +18,7 @@
 from bulrushflow.sidecar.repeats import RepeatLimit
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.slots import Slots
+from bulrushflow.sidecar.slots import Wait
 from bulrushflow.sidecar.target_client import TargetClient
 
 SERVER_ERROR = 500
@@ -128,12 +129,12 @@
         """Run a call on the target, or refuse it with the certainty that it did not run."""
         refusal = self._refusal(call)
         if refusal is None:
-            refusal = await self._slots.acquire(call.priority, call.deadline)
+            refusal = await self._slots.acquire(_wait(call))
             if refusal is None:
                 refusal = self._refusal(call) or self._repeat_refusal(call)
                 if refusal is None:
                     return await self._send(call)
-                self._slots.release(None)
+                self._slots.release(call.route, None)
         self._decisions.refused(call, refusal, load=self.load, slots=self._slots.capacity)
         return not_run(refusal)
 
@@ -193,7 +194,7 @@
             result = await client.send(call)
             seconds = loop.time() - started_at
         finally:
-            self._slots.release(seconds if seconds and result.is_ok() else None)
+            self._slots.release(call.route, seconds if seconds and result.is_ok() else None)
         match result:
             case Ok(answer):
                 self._observer(call, answer.status >= SERVER_ERROR, seconds)
@@ -230,6 +231,10 @@
         self.endpoint = endpoint
 
 
+def _wait(call: Call) -> Wait:
+    return Wait(call.route, call.priority, call.useful_until, call.deadline)
+
+
 def _equal(held: TargetEntry, entry: TargetEntry) -> bool:
     """Tell whether the others know all of an entry already."""
     return (held.service, held.version, held.slots, held.state) == (
--- a/src/bulrushflow/sidecar/peers.py
+++ b/src/bulrushflow/sidecar/peers.py
@@ -42,11 +42,13 @@
 
     async def send(self, endpoint: tuple[str, int], call: Call) -> tuple[CallResult, PeerReport]:
         """Run a call through another node."""
-        left_s = call.deadline - asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        left_s = call.deadline - now
         if left_s <= 0:
             return refused("no time left"), PeerReport(True, 0.0)
         request = codec.call_to_message(call, left_s)
         request.read_offset = self._orders.offset
+        request.useful_ms = max(0, int((call.useful_until - now) * 1000))
         match await self._links.exchange(endpoint, left_s, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
--- a/src/bulrushflow/wire/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -139,6 +139,7 @@
         idempotent=message.idempotent,
         attempt=message.attempt or 0,
         priority=message.priority or 0,
+        useful_until=now + (message.useful_ms or 0) / 1000,
     )
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -97,6 +97,8 @@
   60: optional i32 priority
   // How far the sender has read the operator's records.
   61: optional i64 read_offset
+  // Time in which the answer has its full worth.
+  62: optional i32 useful_ms
 }
 
 struct CallAnswer {
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -59,6 +59,7 @@
         deadline=asyncio.get_running_loop().time() + timeout_s,
         idempotent=idempotent,
         attempt=attempt,
+        useful_until=asyncio.get_running_loop().time() + timeout_s,
     )
 
 
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/test_slots.py
@@ -2,48 +2,62 @@
 import unittest
 
 from bulrushflow.sidecar.slots import Slots
+from bulrushflow.sidecar.slots import Wait
 
 
 class SlotsTests(unittest.IsolatedAsyncioTestCase):
-    def deadline(self, seconds: float = 5.0) -> float:
-        return asyncio.get_running_loop().time() + seconds
+    def wait(self, priority: int = 0, route: str = "r", useful_s: float = 5.0) -> Wait:
+        now = asyncio.get_running_loop().time()
+        return Wait(route, priority, now + useful_s, now + 5.0)
 
-    async def test_the_more_important_call_is_next(self) -> None:
-        slots = Slots(1)
-        self.assertIsNone(await slots.acquire(0, self.deadline()))
-        order: list[int] = []
+    async def serve(self, slots: Slots, waits: list[Wait]) -> list[tuple[str, int]]:
+        """Return the order in which calls that wait get the only slot."""
+        order: list[tuple[str, int]] = []
 
-        async def wait(priority: int) -> None:
-            if await slots.acquire(priority, self.deadline()) is None:
-                order.append(priority)
-                slots.release(0.01)
+        async def run(wait: Wait) -> None:
+            if await slots.acquire(wait) is None:
+                order.append((wait.route, wait.priority))
+                slots.release(wait.route, None)
 
-        waits = [asyncio.ensure_future(wait(priority)) for priority in (2, 1, 0)]
+        tasks = [asyncio.ensure_future(run(wait)) for wait in waits]
         await asyncio.sleep(0)
-        slots.release(0.01)
-        await asyncio.gather(*waits)
-        self.assertEqual(order, [0, 1, 2])
+        slots.release("r", None)
+        await asyncio.gather(*tasks)
+        return order
+
+    async def test_the_more_important_call_is_next(self) -> None:
+        slots = Slots(1)
+        self.assertIsNone(await slots.acquire(self.wait()))
+        order = await self.serve(slots, [self.wait(2), self.wait(1), self.wait(0)])
+        self.assertEqual([priority for _, priority in order], [0, 1, 2])
 
-    async def test_a_queue_that_is_too_long_for_the_deadline_refuses_at_once(self) -> None:
+    async def test_calls_of_a_route_that_is_much_shorter_go_first(self) -> None:
         slots = Slots(1)
-        slots.service_s = 1.0
-        await slots.acquire(0, self.deadline())
-        self.assertIsNotNone(await slots.acquire(0, self.deadline(1.5)))
+        for route, seconds in (("long", 0.15), ("short", 0.05)):
+            await slots.acquire(self.wait())
+            slots.release(route, seconds)
+        await slots.acquire(self.wait())
+        order = await self.serve(slots, [self.wait(0, "long"), self.wait(1, "short")])
+        self.assertEqual(order, [("short", 1), ("long", 0)])
+
+    async def test_a_call_whose_answer_would_be_late_is_refused_at_once(self) -> None:
+        slots = Slots(1)
+        await slots.acquire(self.wait())
+        slots.release("r", 2.0)
+        await slots.acquire(self.wait())
+        self.assertIsNotNone(await slots.acquire(self.wait(useful_s=2.5)))
+        waiting = asyncio.ensure_future(slots.acquire(self.wait(useful_s=4.0)))
+        await asyncio.sleep(0)
+        self.assertEqual(slots.queued, 1)
+        slots.refuse_queued("end")
+        self.assertEqual(await waiting, "end")
 
     async def test_a_cancelled_wait_leaves_no_slot_behind(self) -> None:
         slots = Slots(1)
-        await slots.acquire(0, self.deadline())
-        waiting = asyncio.ensure_future(slots.acquire(0, self.deadline()))
+        await slots.acquire(self.wait())
+        waiting = asyncio.ensure_future(slots.acquire(self.wait()))
         await asyncio.sleep(0)
-        slots.release(None)
+        slots.release("r", None)
         waiting.cancel()
         await asyncio.gather(waiting, return_exceptions=True)
         self.assertEqual((slots.active, slots.queued), (0, 0))
-
-    async def test_a_whole_queue_can_be_refused(self) -> None:
-        slots = Slots(1)
-        await slots.acquire(0, self.deadline())
-        waiting = asyncio.ensure_future(slots.acquire(0, self.deadline()))
-        await asyncio.sleep(0)
-        slots.refuse_queued("gone")
-        self.assertEqual(await waiting, "gone")
