--- a/src/bulrushflow/logs.py
+++ b/src/bulrushflow/logs.py
@@ -74,6 +74,8 @@
 
     def write(self, line: bytes) -> None:
         """Queue a line and write what the descriptor takes now."""
+        if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
+            self._flush()
         if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
             self._dropped += 1
             return
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -167,7 +167,11 @@
         match result:
             case Ok(answer):
                 self._decisions.answered(
-                    call, answer.status, configuration=version, seconds=round(seconds, 3)
+                    call,
+                    answer.status,
+                    asyncio.get_running_loop().time() > call.useful_until,
+                    configuration=version,
+                    seconds=round(seconds, 3),
                 )
                 return self._passed_on(call, answer)
             case Err(failure):
@@ -192,7 +196,6 @@
             failure.outcome.name.lower(),
             status=status,
             reason=failure.reason,
-            service=call.service,
             configuration=version,
             seconds=round(seconds, 3),
         )
--- a/src/bulrushflow/sidecar/decisions.py
+++ b/src/bulrushflow/sidecar/decisions.py
@@ -10,6 +10,7 @@
 LINES_PER_S = 20.0
 """Lines of one kind a second; what is beyond is counted and told with the next line."""
 BURST_LINES = 40.0
+SERVER_ERROR = 500
 SUCCESS_EVERY = 100
 """One answered call in so many is told; failures are told up to the bound."""
 
@@ -49,35 +50,33 @@
 
     def refused(self, call: Call, reason: str, **inputs: t.Any) -> None:
         """Tell that a call was refused before it was sent to the target."""
-        self._write(
-            "call refused",
-            {
-                "request": call.request_id,
-                "route": call.route,
-                "service": call.service,
-                "attempt": call.attempt,
-                "outcome": "not run",
-                "reason": reason,
-                **inputs,
-            },
+        self._call(
+            "call refused", call, outcome="not run", reason=reason, attempt=call.attempt, **inputs
         )
 
+    def attempt_failed(self, call: Call, outcome: str, **inputs: t.Any) -> None:
+        """Tell that one attempt at a target failed; the call may go on."""
+        self._call("attempt failed", call, outcome=outcome, attempt=call.attempt, **inputs)
+
     def failed(self, call: Call, outcome: str, **inputs: t.Any) -> None:
-        """Tell that an attempt or a call failed."""
-        self._write(
-            "call failed",
-            {"request": call.request_id, "route": call.route, "outcome": outcome, **inputs},
-        )
+        """Tell that a call failed."""
+        self._call("call failed", call, outcome=outcome, **inputs)
 
-    def answered(self, call: Call, status: int, **inputs: t.Any) -> None:
-        """Tell of an answered call; most are left out."""
-        self._answered += 1
-        if self._answered % SUCCESS_EVERY:
+    def answered(self, call: Call, status: int, late: bool, **inputs: t.Any) -> None:
+        """Tell of an answered call; those in time and without an error are mostly left out."""
+        if late:
+            self._call("call answered late", call, status=status, **inputs)
             return
-        self._write(
-            "call answered",
-            {"request": call.request_id, "route": call.route, "status": status, **inputs},
-        )
+        if status >= SERVER_ERROR:
+            self._call("target answered with an error", call, status=status, **inputs)
+            return
+        self._answered += 1
+        if self._answered % SUCCESS_EVERY == 0:
+            self._call("call answered", call, status=status, **inputs)
+
+    def _call(self, event: str, call: Call, **fields: t.Any) -> None:
+        names = {"request": call.request_id, "route": call.route, "service": call.service}
+        self._write(event, names | fields)
 
     def _write(self, event: str, fields: dict[str, t.Any]) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -195,11 +195,11 @@
             peer.unreachable(now)
         elif failure.outcome is Outcome.NOT_RUN:
             peer.report(max(report.load, FULL_LOAD), now)
-        self._decisions.failed(
+        self._decisions.attempt_failed(
             call,
             failure.outcome.name.lower(),
             reason=failure.reason,
             node=peer.entry.node_id,
-            attempt=call.attempt,
+            load=report.load,
             seconds=round(seconds, 3),
         )
--- /dev/null
+++ b/tests/sidecar/test_decisions.py
@@ -0,0 +1,71 @@
+import json
+import os
+import typing as t
+import unittest
+
+from loguru import logger
+
+from bulrushflow.logs import MAX_WAITING_BYTES
+from bulrushflow.logs import BoundedWriter
+from bulrushflow.sidecar.decisions import BURST_LINES
+from bulrushflow.sidecar.decisions import SUCCESS_EVERY
+from bulrushflow.sidecar.decisions import Decisions
+from tests.sidecar.samples import call
+
+
+class DecisionsTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.lines: list[dict[str, t.Any]] = []
+        sink = logger.add(lambda message: self.take(message.record), format="{message}")
+        self.addCleanup(logger.remove, sink)
+
+    def take(self, record: t.Any) -> None:
+        self.lines.append({"message": record["message"], **record["extra"]})
+
+    async def test_a_refused_call_names_its_id_reason_and_inputs(self) -> None:
+        Decisions().refused(call("r-9", attempt=1), "no target", load=3, slots=4)
+        (line,) = self.lines
+        for name, value in {"request": "r-9", "reason": "no target", "load": 3}.items():
+            self.assertEqual(line[name], value)
+
+    async def test_lines_of_one_kind_are_bounded_and_the_rest_is_counted(self) -> None:
+        decisions = Decisions()
+        for _ in range(1000):
+            decisions.refused(call(), "no target")
+        self.assertLess(len(self.lines), BURST_LINES + 20)
+        decisions.belief("target left", target="t-1")
+        self.assertEqual(self.lines[-1]["message"], "target left")
+
+    async def test_most_answers_in_time_are_left_out_and_no_late_one(self) -> None:
+        decisions = Decisions()
+        for _ in range(SUCCESS_EVERY):
+            decisions.answered(call(), 200, False)
+        self.assertEqual(len(self.lines), 1)
+        decisions.answered(call("r-2"), 200, True)
+        self.assertEqual(self.lines[-1]["request"], "r-2")
+
+
+class BoundedWriterTests(unittest.TestCase):
+    def test_a_reader_that_stops_costs_lines_and_no_waiting(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, writer)
+        os.set_blocking(writer, False)
+        bounded = BoundedWriter(writer)
+        line = b"x" * 1023 + b"\n"
+        for _ in range(2 * MAX_WAITING_BYTES // len(line)):
+            bounded.write(line)
+        os.set_blocking(reader, False)
+        data = b""
+        for _ in range(100):
+            data += os.read(reader, 10 << 20)
+            bounded.write(line)
+        os.close(reader)
+        self.assertTrue(b"lines dropped" in data, "no line tells of the dropped ones")
+        note = next(text for text in data.split(b"\n") if b"lines dropped" in text)
+        self.assertGreater(json.loads(note)["count"], 0)
+
+    def test_a_closed_descriptor_is_ignored(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        BoundedWriter(writer).write(b"line\n")
+        os.close(writer)
