Look for unreachable nodes without a call

A call that met a dark node waited a second for its connection, every two seconds and node. Now a node that can't be reached gets no calls until a connection of its own could be opened, and a call waits 0.3 s for a connection at most.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -141,7 +141,9 @@
             self._decisions,
         )
         self._build_replicas(adapter, store)
-        self._peers = Peers(self._links, self._gate, self._orders)
+        self._peers = Peers(
+            self._links, self._gate, self._orders, self._directory.is_known, self._decisions
+        )
         self._dispatcher = Dispatcher(
             settings.address,
             self._directory,
@@ -238,6 +240,7 @@
         for service in (self._orders, self._nodes, self._statuses, self._registration):
             await service.stop()
         await self.timers.stop()
+        self._peers.close()
         await self._links.stop()
         self._gate.close()
         await self._store.close()
--- a/src/bulrushflow/sidecar/balancer.py
+++ b/src/bulrushflow/sidecar/balancer.py
@@ -41,7 +41,9 @@
         left = [
             peer
             for peer in candidates
-            if peer.unavailable_until <= now and peer.entry.address not in excluded
+            if not peer.lost
+            and peer.unavailable_until <= now
+            and peer.entry.address not in excluded
         ]
         if not left:
             return None
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -32,6 +32,8 @@
     reported_at: float = 0.0
     unavailable_until: float = 0.0
     ejected_until: float = 0.0
+    lost: bool = False
+    """Whether the node can't be reached."""
     backoff_s: float = field(default=FIRST_BACKOFF_S)
 
     def load(self, now: float) -> float:
@@ -57,8 +59,8 @@
             self.ejected_until = now + EJECT_S
             self.failures = EJECT_FAILURES / 2
 
-    def unreachable(self, now: float) -> None:
-        """Take in that the peer could not be reached, or has no target now."""
+    def without_target(self, now: float) -> None:
+        """Take in that the node has no target that takes calls now."""
         if now < self.unavailable_until:
             # One of several calls that found it out together.
             return
@@ -85,6 +87,10 @@
             self.peers_by_key[key] = Peer(entry)
         self._index()
 
+    def is_known(self, peer: Peer) -> bool:
+        """Tell whether a peer is still the one of its address."""
+        return any(known is peer for known in self.peers_by_key.values())
+
     def drop(self, key: str) -> None:
         """Forget a node."""
         if self.peers_by_key.pop(key, None) is not None:
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -191,8 +191,10 @@
                 pass
         if failure.outcome is Outcome.UNKNOWN or failure.arrived:
             peer.answered(seconds, True, now)
-        if not report.reached or report.load is None:
-            peer.unreachable(now)
+        if not report.reached:
+            self._peers.lose(peer)
+        elif report.load is None:
+            peer.without_target(now)
         elif failure.outcome is Outcome.NOT_RUN:
             peer.report(max(report.load, FULL_LOAD), now)
         self._decisions.attempt_failed(
--- a/src/bulrushflow/sidecar/peers.py
+++ b/src/bulrushflow/sidecar/peers.py
@@ -12,11 +12,18 @@
 from bulrushflow.routing import not_run
 from bulrushflow.routing import refused
 from bulrushflow.routing import unknown
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.gate import Gate
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.wire import codec
 from bulrushflow.wire.links import Links
 
+CALL_CONNECT_S = 0.3
+"""Longest wait of a call for a connection; another target is tried instead."""
+FIRST_RECHECK_S = 0.02
+MAX_RECHECK_S = 1.5
+
 
 @dataclass(frozen=True, slots=True)
 class PeerReport:
@@ -32,12 +39,23 @@
     """Sends calls to other nodes, and runs the calls that they send.
 
     :param orders: follows the operator's records; the nodes tell each other how far they are.
+    :param is_known: tells whether the directory still has a peer.
     """
 
-    def __init__(self, links: Links, gate: Gate, orders: Replica) -> None:
+    def __init__(
+        self,
+        links: Links,
+        gate: Gate,
+        orders: Replica,
+        is_known: t.Callable[[Peer], bool],
+        decisions: Decisions,
+    ) -> None:
         self._links = links
         self._gate = gate
         self._orders = orders
+        self._is_known = is_known
+        self._decisions = decisions
+        self._rechecks: set[asyncio.Task[None]] = set()
         links.handle("call_request", self._serve)
 
     async def send(self, endpoint: tuple[str, int], call: Call) -> tuple[CallResult, PeerReport]:
@@ -49,7 +67,7 @@
         request = codec.call_to_message(call, left_s)
         request.read_offset = self._orders.offset
         request.useful_ms = max(0, int((call.useful_until - now) * 1000))
-        match await self._links.exchange(endpoint, left_s, call_request=request):
+        match await self._links.exchange(endpoint, left_s, CALL_CONNECT_S, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
                 return result, PeerReport(False)
@@ -61,6 +79,39 @@
         load = answer.in_flight / answer.capacity if answer.capacity else None
         return codec.result_from_message(answer), PeerReport(True, load)
 
+    @property
+    def rechecking(self) -> int:
+        """Nodes that are looked for."""
+        return len(self._rechecks)
+
+    def lose(self, peer: Peer) -> None:
+        """Take a node for unreachable until a connection to it can be opened.
+
+        No call waits for the attempts.
+        """
+        if peer.lost:
+            return
+        peer.lost = True
+        self._decisions.belief("node unreachable", node=peer.entry.node_id)
+        task = asyncio.get_running_loop().create_task(self._recheck(peer))
+        self._rechecks.add(task)
+        task.add_done_callback(self._rechecks.discard)
+
+    def close(self) -> None:
+        """Stop looking for lost nodes."""
+        for task in self._rechecks:
+            task.cancel()
+
+    async def _recheck(self, peer: Peer) -> None:
+        wait_s = FIRST_RECHECK_S
+        while self._is_known(peer):
+            if await self._links.reach(peer.entry.endpoint):
+                peer.lost = False
+                self._decisions.belief("node reached", node=peer.entry.node_id)
+                return
+            await asyncio.sleep(wait_s)
+            wait_s = min(MAX_RECHECK_S, wait_s * 2)
+
     async def _serve(self, message: t.Any) -> dict[str, t.Any]:
         self._orders.hint(message.read_offset or 0)
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -86,14 +86,25 @@
             await asyncio.sleep(POLL_S)
         return True
 
+    async def reach(self, endpoint: Endpoint) -> bool:
+        """Open a connection where there is none; tell whether there is one now."""
+        return (await self._connect(endpoint, CONNECT_TIMEOUT_S)).is_ok()
+
     async def exchange(
-        self, endpoint: Endpoint, timeout_s: float, **body: t.Any
+        self,
+        endpoint: Endpoint,
+        timeout_s: float,
+        connect_s: float = CONNECT_TIMEOUT_S,
+        **body: t.Any,
     ) -> Result[t.Any, LinkError]:
-        """Ask another node over the connection to it, opening one when there is none."""
+        """Ask another node over the connection to it, opening one when there is none.
+
+        :param connect_s: longest wait for a connection.
+        """
         link = self._by_endpoint.get(endpoint)
         if link is None or not link.usable:
             started_at = asyncio.get_running_loop().time()
-            match await self._connect(endpoint, timeout_s):
+            match await self._connect(endpoint, min(timeout_s, connect_s)):
                 case Err(error):
                     return Err(error)
                 case Ok(link):
