Give targets that have not answered yet calls, and test the whole path in one process

Found by the new test of the whole path, which failed first: a target without an answer counted as taking 50 ms, so that next to a faster one it never got a call.

--- a/src/bulrushflow/platform/adapter.py
+++ b/src/bulrushflow/platform/adapter.py
@@ -8,8 +8,8 @@
 
 from bulrushflow.platform import documents
 from bulrushflow.platform.headers import HEADER_NAMES
-from bulrushflow.sidecar.application import OrderSink
-from bulrushflow.sidecar.application import Topics
+from bulrushflow.sidecar.adapter import OrderSink
+from bulrushflow.sidecar.adapter import Topics
 from bulrushflow.sidecar.endpoints import AnnouncementPaths
 from bulrushflow.sidecar.model import MoveStatus
 from bulrushflow.sidecar.model import TargetEntry
--- /dev/null
+++ b/src/bulrushflow/sidecar/adapter.py
@@ -0,0 +1,67 @@
+"""What the sidecar needs of a platform's adapter, and what it offers to it."""
+
+import typing as t
+from dataclasses import dataclass
+
+from result import Result
+
+from bulrushflow.sidecar.endpoints import AnnouncementPaths
+from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.model import MoveOrder
+from bulrushflow.sidecar.model import MoveStatus
+from bulrushflow.sidecar.model import Routing
+from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.replica import Follower
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import StoreWrite
+
+
+@dataclass(frozen=True, slots=True)
+class Topics:
+    """Where the store keeps what."""
+
+    orders: str
+    """The operator's configuration and orders; read only."""
+    statuses: str
+    """What became of the operator's orders."""
+    nodes: str
+    """The nodes' own entries."""
+
+
+class Adapter(t.Protocol):
+    """What differs between platforms."""
+
+    names: HeaderNames
+    topics: Topics
+    paths: AnnouncementPaths
+
+    def decode_announcement(
+        self, target_id: str, data: bytes
+    ) -> Result[tuple[TargetEntry, Endpoint], str]:
+        """Decode a target's word on itself."""
+
+    def encode_status(self, status: MoveStatus) -> StoreWrite:
+        """Return the store's record of a move's status."""
+
+    def decode_status(self, record: KeyedRecord) -> MoveStatus | None:
+        """Decode the store's record of a move's status."""
+
+    def order_follower(self, orders: "OrderSink") -> Follower:
+        """Return what decodes the operator's records."""
+
+
+class OrderSink(t.Protocol):
+    """What the operator's decoded records are handed to."""
+
+    def configure(self, routing: Routing) -> None:
+        """Put a configuration in force."""
+
+    def order_move(self, order: MoveOrder) -> None:
+        """Take in an order."""
+
+    def withdraw_move(self, service: str) -> None:
+        """Take in that an order is gone."""
+
+    def unreadable(self, key: str, reason: str) -> None:
+        """Tell of a record that can't be read."""
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -2,32 +2,27 @@
 
 import asyncio
 import random
-import typing as t
-from dataclasses import dataclass
 from dataclasses import fields
 
 from aiohttp import web
 from loguru import logger
 from mode import Service
-from result import Result
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.routing import Call
+from bulrushflow.sidecar.adapter import Adapter
 from bulrushflow.sidecar.balancer import Balancer
 from bulrushflow.sidecar.callers import CallerServer
 from bulrushflow.sidecar.decisions import Decisions
 from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.dispatcher import Dispatcher
 from bulrushflow.sidecar.driver import MoveDriver
-from bulrushflow.sidecar.driver import StatusEncoder
-from bulrushflow.sidecar.endpoints import AnnouncementPaths
 from bulrushflow.sidecar.endpoints import announcement_application
 from bulrushflow.sidecar.endpoints import metrics_application
 from bulrushflow.sidecar.endpoints import readiness_application
 from bulrushflow.sidecar.followers import MoveFollower
 from bulrushflow.sidecar.followers import NodeFollower
 from bulrushflow.sidecar.gate import Gate
-from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.model import MoveOrder
 from bulrushflow.sidecar.model import MoveStatus
 from bulrushflow.sidecar.model import NodeEntry
@@ -38,11 +33,9 @@
 from bulrushflow.sidecar.records import node_key
 from bulrushflow.sidecar.registration import Registration
 from bulrushflow.sidecar.repeats import RepeatLimit
-from bulrushflow.sidecar.replica import Follower
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.settings import SidecarSettings
-from bulrushflow.sidecar.storage import KeyedRecord
 from bulrushflow.sidecar.storage import Store
 from bulrushflow.timers import SystemClock
 from bulrushflow.timers import Timers
@@ -59,56 +52,6 @@
 POLL_S = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Topics:
-    """Where the store keeps what."""
-
-    orders: str
-    """The operator's configuration and orders; read only."""
-    statuses: str
-    """What became of the operator's orders."""
-    nodes: str
-    """The nodes' own entries."""
-
-
-class Adapter(t.Protocol):
-    """What differs between platforms."""
-
-    names: HeaderNames
-    topics: Topics
-    paths: AnnouncementPaths
-
-    def decode_announcement(
-        self, target_id: str, data: bytes
-    ) -> Result[tuple[TargetEntry, Endpoint], str]:
-        """Decode a target's word on itself."""
-
-    def encode_status(self, status: MoveStatus) -> t.Any:
-        """Return the store's record of a move's status."""
-
-    def decode_status(self, record: KeyedRecord) -> MoveStatus | None:
-        """Decode the store's record of a move's status."""
-
-    def order_follower(self, orders: "OrderSink") -> Follower:
-        """Return what decodes the operator's records."""
-
-
-class OrderSink(t.Protocol):
-    """What the operator's decoded records are handed to."""
-
-    def configure(self, routing: Routing) -> None:
-        """Put a configuration in force."""
-
-    def order_move(self, order: MoveOrder) -> None:
-        """Take in an order."""
-
-    def withdraw_move(self, service: str) -> None:
-        """Take in that an order is gone."""
-
-    def unreadable(self, key: str, reason: str) -> None:
-        """Tell of a record that can't be read."""
-
-
 class Sidecar(Service):
     """One sidecar: construct with checked settings, start, stop."""
 
@@ -127,7 +70,7 @@
         self._runners: list[web.AppRunner | web.ServerRunner] = []
         self.timers = Timers(self._rng)
         self._links = Links(settings.address, settings.peer_port, self.timers)
-        self._directory = Directory()
+        self.directory = Directory()
         self._moves = Moves(settings.node_id, self._clock.wall_ms(), self._decisions, self._rng)
         self._registration = Registration(store, adapter.topics.nodes, self._decisions, self._rng)
         bounds = settings.bounds
@@ -142,11 +85,11 @@
         )
         self._build_replicas(adapter, store)
         self._peers = Peers(
-            self._links, self._gate, self._orders, self._directory.is_known, self._decisions
+            self._links, self._gate, self._orders, self.directory.is_known, self._decisions
         )
         self._dispatcher = Dispatcher(
             settings.address,
-            self._directory,
+            self.directory,
             self._gate,
             self._peers,
             Balancer(settings.data_centre, self._rng, self._clock.wall_ms),
@@ -167,7 +110,7 @@
 
     def _build_replicas(self, adapter: Adapter, store: Store) -> None:
         topics = adapter.topics
-        nodes = NodeFollower(self._directory, self._own_key, self._found_own, self._decisions)
+        nodes = NodeFollower(self.directory, self._own_key, self._found_own, self._decisions)
         statuses = MoveFollower(adapter.decode_status, self._take_status)
         self._orders = Replica(
             store, topics.orders, adapter.order_follower(self), self._decisions, self._rng
@@ -183,12 +126,12 @@
             self.settings.node_id,
             lambda: self.settings.own_service,
             self._moves,
-            self._directory,
+            self.directory,
             self._links,
             self._store,
             self._adapter.topics.statuses,
             self._statuses,
-            t.cast(StatusEncoder, self._adapter.encode_status),
+            self._adapter.encode_status,
             self.timers,
             self._clock,
             self._decisions,
@@ -297,7 +240,7 @@
         own = NodeEntry(
             settings.node_id, settings.data_centre, settings.address, settings.peer_port, entry
         )
-        self._directory.put(self._own_key, own)
+        self.directory.put(self._own_key, own)
         self._registration.want(own)
 
     def _found_own(self, entry: NodeEntry | None) -> None:
@@ -313,7 +256,7 @@
     async def _check(self) -> None:
         self._gate.check()
         service = self.settings.own_service
-        self._repeats.sharers = max(1, len(self._directory.ready(service)))
+        self._repeats.sharers = max(1, len(self.directory.ready(service)))
 
     async def _serve_application(self, app: web.Application, endpoint: Endpoint) -> None:
         await self._serve(web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S), endpoint)
--- a/src/bulrushflow/sidecar/balancer.py
+++ b/src/bulrushflow/sidecar/balancer.py
@@ -11,7 +11,7 @@
 COLD_FACTOR = 2.0
 """How much slower a target is taken to be while it warms up."""
 DEFAULT_LATENCY_S = 0.05
-"""Taken for a target that has not answered yet; low, so that new targets get calls."""
+"""Taken for targets while none of them has answered yet."""
 MAX_EJECTED_PART = 0.5
 """Part of a service's targets that may be ejected at once, so that the rest isn't drowned."""
 
@@ -50,24 +50,27 @@
         sound = [peer for peer in left if peer.ejected_until <= now]
         if len(sound) < len(candidates) * MAX_EJECTED_PART:
             sound = left
+        # A target that has not answered yet counts as a fast one, so that it gets calls.
+        known = [peer.latency_s for peer in sound if peer.latency_s]
+        unknown_s = min(known, default=DEFAULT_LATENCY_S)
         near = [
             peer
             for peer in sound
             if peer.entry.data_centre == self._data_centre
-            and self.expected_s(peer, now) <= useful_s * NEAR_PART
+            and self._expected_s(peer, now, unknown_s) <= useful_s * NEAR_PART
         ]
         pool = near or [peer for peer in sound if peer.load(now) < 1] or sound
         pool = self._rng.sample(pool, min(2, len(pool)))
-        return min(pool, key=lambda peer: self._cost_s(peer, now))
+        return min(pool, key=lambda peer: self._cost_s(peer, now, unknown_s))
 
-    def expected_s(self, peer: Peer, now: float) -> float:
+    def _expected_s(self, peer: Peer, now: float, unknown_s: float) -> float:
         """Return the expected time to an answer, in seconds."""
-        latency_s = peer.latency_s or DEFAULT_LATENCY_S
+        latency_s = peer.latency_s or unknown_s
         target = peer.entry.target
         if target is not None and target.warm_at_ms > self._wall_ms():
             latency_s *= COLD_FACTOR
         return latency_s * max(1.0, peer.load(now))
 
-    def _cost_s(self, peer: Peer, now: float) -> float:
+    def _cost_s(self, peer: Peer, now: float, unknown_s: float) -> float:
         """Return what targets are compared by: free slots count even where nothing waits."""
-        return self.expected_s(peer, now) * (1 + peer.load(now))
+        return self._expected_s(peer, now, unknown_s) * (1 + peer.load(now))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -40,6 +40,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Return the newest value of each key."""
+        return dict(self.records_by_topic.get(topic, ()))
+
     async def _append(self, request: web.Request) -> web.Response:
         body = await request.read()
         if self.status != 200:
--- /dev/null
+++ b/tests/sidecar/test_application.py
@@ -0,0 +1,223 @@
+import asyncio
+import json
+import socket
+import unittest
+from unittest import mock
+
+import aiohttp
+
+from bulrushflow.platform.adapter import PlatformAdapter
+from bulrushflow.platform.store import PlatformStore
+from bulrushflow.sidecar import application
+from bulrushflow.sidecar.application import Sidecar
+from bulrushflow.sidecar.records import node_key
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.settings import SidecarSettings
+from tests.platform.standin import StoreStandIn
+from tests.sidecar.samples import NAMES
+from tests.sidecar.servers import FakeTarget
+from tests.waiting import until
+
+ADDRESSES = ("127.0.0.1", "127.0.0.2")
+
+
+class Adapter(PlatformAdapter):
+    names = NAMES
+
+
+def free_port(address: str) -> int:
+    with socket.socket() as probe:
+        probe.bind((address, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def configuration(version: int, service: str = "s1") -> bytes:
+    return json.dumps(
+        {
+            "version": version,
+            "listeners": [
+                {
+                    "host": "h",
+                    "ruleSet": [
+                        {
+                            "name": "r",
+                            "kind": "safe",
+                            "targetLatency": "5s",
+                            "match": {"pathPrefix": "/a/"},
+                            "action": {"service": service, "timeout": "9s", "maxAttempts": 2},
+                        }
+                    ],
+                }
+            ],
+            "clusters": [{"name": "s1"}, {"name": "s2"}],
+        }
+    ).encode()
+
+
+class Instance:
+    """One sidecar with its target, on a loopback address of its own."""
+
+    def __init__(self, address: str, store: Endpoint, target: Endpoint) -> None:
+        ports = [free_port(address) for _ in range(5)]
+        self.target_address = str(target)
+        self.settings = SidecarSettings(
+            node_id=f"n-{address}",
+            address=address,
+            data_centre="a",
+            peer_port=ports[0],
+            metrics_port=ports[1],
+            callers=Endpoint(address, ports[2]),
+            readiness=Endpoint(address, ports[3]),
+            announcements=Endpoint(address, ports[4]),
+            target=target,
+            own_service="s1",
+            announcement_period_s=1.5,
+            memory_bytes=300 << 20,
+            max_descriptors=4100,
+            store=store,
+            store_writes_per_s=400.0,
+        )
+        self.sidecar = self.new_sidecar()
+
+    def new_sidecar(self) -> Sidecar:
+        return Sidecar(self.settings, PlatformStore(self.settings.store), Adapter())
+
+    async def until_serving(self) -> None:
+        await until(lambda: len(self.sidecar.directory.ready("s1")) == 2)
+        await until(self.sidecar.is_ready)
+
+    async def until_version(self, version: int) -> None:
+        await until(lambda: self.sidecar.routing.version == version)
+
+
+class SidecarTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        patch = mock.patch.object(application, "CALLERS_NOTICE_S", 0.05)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.store = StoreStandIn()
+        endpoint = await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.http = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.http.close)
+        self.targets = [FakeTarget(), FakeTarget()]
+        self.instances = []
+        for address, target in zip(ADDRESSES, self.targets, strict=True):
+            found = await target.start()
+            self.addAsyncCleanup(target.stop)
+            instance = Instance(address, endpoint, found)
+            await instance.sidecar.start()
+            self.addAsyncCleanup(instance.sidecar.stop)
+            self.instances.append(instance)
+
+    async def announce(self, number: int, state: str = "ready", sequence: int = 1) -> int:
+        instance = self.instances[number]
+        said = {
+            "service": "s1",
+            "address": instance.target_address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "seq": sequence,
+            "born": 1,
+        }
+        url = f"http://{instance.settings.announcements}/-/instances/t-{number}"
+        async with self.http.put(url, json=said) as response:
+            return response.status
+
+    async def call(self, number: int, call_id: str, path: str = "/a/b") -> tuple[int, bytes]:
+        headers = {"Host": "h", "X-Id": call_id, "X-Left": "9000"}
+        url = f"http://{self.instances[number].settings.callers}{path}"
+        async with self.http.get(url, headers=headers) as response:
+            return response.status, await response.read()
+
+    async def is_ready(self, number: int) -> bool:
+        url = f"http://{self.instances[number].settings.readiness}/-/ready"
+        async with self.http.get(url) as response:
+            return response.status == 200
+
+    async def serve(self) -> None:
+        """Publish a configuration, announce both targets, and wait until all nodes know."""
+        self.store.put("keyed.op", "config", configuration(1))
+        for number in range(2):
+            await self.announce(number)
+        for instance in self.instances:
+            await instance.until_serving()
+
+    async def test_before_a_configuration_calls_are_refused_as_not_run(self) -> None:
+        self.assertFalse(await self.is_ready(0))
+        self.assertEqual((await self.call(0, "c-1"))[0], 503)
+
+    async def test_calls_are_served_by_both_targets(self) -> None:
+        await self.serve()
+        for i in range(40):
+            self.assertEqual(await self.call(i % 2, f"c-{i}"), (200, b"body"))
+        self.assertTrue(all(target.arrived for target in self.targets))
+        self.assertEqual((await self.call(0, "c-x", "/other/"))[0], 404)
+
+    async def test_a_leaving_target_gets_nothing_after_its_acknowledgement(self) -> None:
+        await self.serve()
+        self.assertEqual(await self.announce(1, "draining", 2), 200)
+        written = self.store.newest("keyed.nodes")[node_key(ADDRESSES[1])]
+        self.assertEqual(json.loads(written)["target"]["state"], "draining")
+        for i in range(20):
+            self.assertEqual((await self.call(i % 2, f"c-{i}"))[0], 200)
+        self.assertEqual(self.targets[1].arrived, [])
+
+    async def test_a_leave_is_acknowledged_while_the_store_is_away(self) -> None:
+        await self.serve()
+        self.store.status = 503
+        with mock.patch("bulrushflow.sidecar.endpoints.ACKNOWLEDGE_S", 0.01):
+            self.assertEqual(await self.announce(1, "draining", 2), 200)
+        for i in range(20):
+            self.assertEqual((await self.call(i % 2, f"c-{i}"))[0], 200)
+        self.assertEqual(self.targets[1].arrived, [])
+
+    async def test_an_older_configuration_is_not_taken(self) -> None:
+        await self.serve()
+        self.store.put("keyed.op", "config", configuration(5))
+        for instance in self.instances:
+            await instance.until_version(5)
+        self.store.put("keyed.op", "config", configuration(3, "s2"))
+        self.store.put("keyed.op", "config", b"cut short")
+        self.store.put("keyed.op", "config", configuration(6))
+        for instance in self.instances:
+            await instance.until_version(6)
+
+    async def test_a_restarted_node_takes_its_target_up_from_the_store(self) -> None:
+        await self.serve()
+        instance = self.instances[1]
+        await instance.sidecar.stop()
+        again = instance.new_sidecar()
+        await again.start()
+        self.addAsyncCleanup(again.stop)
+        await until(again.is_ready)
+
+        await until(lambda: len(again.directory.ready("s1")) == 2)
+        for i in range(20):
+            self.assertEqual((await self.call(1, f"c-{i}"))[0], 200)
+        self.assertTrue(self.targets[1].arrived)
+
+    async def test_a_stop_lets_a_call_in_flight_end(self) -> None:
+        await self.serve()
+        for target in self.targets:
+            target.held.clear()
+        calls = [asyncio.ensure_future(self.call(0, f"c-{i}")) for i in range(4)]
+        arrived = [target.arrived for target in self.targets]
+        await until(lambda: sum(map(len, arrived)) == 4)
+        stopping = asyncio.ensure_future(self.instances[0].sidecar.stop())
+        await asyncio.sleep(0.1)
+        for target in self.targets:
+            target.held.set()
+        self.assertEqual({status for status, _ in await asyncio.gather(*calls)}, {200})
+        await stopping
+
+    async def test_metrics_are_served(self) -> None:
+        await self.serve()
+        await self.call(0, "c-1")
+        settings = self.instances[0].settings
+        url = f"http://{settings.address}:{settings.metrics_port}/metrics"
+        async with self.http.get(url) as response:
+            self.assertIn("bulrushflow_call_seconds", await response.text())
--- a/tests/sidecar/test_balancer.py
+++ b/tests/sidecar/test_balancer.py
@@ -36,6 +36,11 @@
         found = self.chosen()
         self.assertGreater(found["n-2"], found["n-1"])
 
+    def test_a_target_that_has_not_answered_yet_gets_calls(self) -> None:
+        self.near[0].latency_s = 0.001
+        self.near[0].in_flight = 1
+        self.assertIn("n-2", self.chosen())
+
     def test_an_unavailable_and_an_excluded_target_get_nothing(self) -> None:
         self.near[0].unavailable_until = 11.0
         self.assertEqual(set(self.chosen(frozenset({"10.0.0.2"}))), {"n-3"})
