--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -92,14 +92,16 @@
         """
         if self._transport is None or not self.reusable:
             raise ExchangeError("connection closed before use")
-        self._request = h11.Request(
-            method=method, target=path.encode("utf-8", "surrogateescape"), headers=_encode(headers)
-        )
         self._request_id = call_id
         self._response = None
         self._body.clear()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
+            self._request = h11.Request(
+                method=method,
+                target=path.encode("utf-8", "surrogateescape"),
+                headers=_encode(headers),
+            )
             head = self._parser.send(self._request) or b""
             data = (self._parser.send(h11.Data(body)) or b"") if body else b""
             end = self._parser.send(h11.EndOfMessage()) or b""
--- a/src/bulrushflow/wire/messages.py
+++ b/src/bulrushflow/wire/messages.py
@@ -1,6 +1,5 @@
 """Thrift messages between nodes, and their binary encoding."""
 
-import enum
 import pathlib
 import struct
 import typing as t
@@ -22,15 +21,15 @@
 CHECKSUM_BYTES = _CHECKSUM.size
 
 
-class _Nesting(enum.Enum):
-    """Whether a field holds structs that are checked in turn."""
+class _Fields(t.NamedTuple):
+    """The fields of a kind of message that are checked after decoding."""
 
-    NONE = 0
-    STRUCT = 1
-    LIST = 2
+    required: tuple[str, ...]
+    nested: tuple[tuple[str, bool], ...]
+    """Fields that hold a struct, and whether they hold a list of them."""
 
 
-_fields_by_kind: dict[t.Any, tuple[tuple[str, bool, _Nesting], ...]] = {}
+_fields_by_kind: dict[t.Any, _Fields] = {}
 
 Target: t.Any = _module.Target
 Member: t.Any = _module.Member
@@ -93,35 +92,32 @@
 
 def _missing_field(message: t.Any) -> str | None:
     kind = type(message)
-    for name, is_required, nesting in _fields_of(kind):
-        value = getattr(message, name)
+    fields = _fields_by_kind.get(kind)
+    if fields is None:
+        fields = _fields_by_kind[kind] = _read_fields(kind)
+    values = message.__dict__
+    for name in fields.required:
+        if values[name] is None:
+            return f"{kind.__name__}.{name}"
+    for name, is_list in fields.nested:
+        value = values[name]
         if value is None:
-            if is_required:
-                return f"{kind.__name__}.{name}"
             continue
-        if nesting is _Nesting.NONE:
-            continue
-        for inner in value if nesting is _Nesting.LIST else (value,):
+        for inner in value if is_list else (value,):
             missing = _missing_field(inner)
             if missing:
                 return missing
     return None
 
 
-def _fields_of(kind: t.Any) -> tuple[tuple[str, bool, "_Nesting"], ...]:
-    fields = _fields_by_kind.get(kind)
-    if fields is None:
-        fields = _fields_by_kind[kind] = _read_fields(kind)
-    return fields
-
-
-def _read_fields(kind: t.Any) -> tuple[tuple[str, bool, "_Nesting"], ...]:
-    fields = []
+def _read_fields(kind: t.Any) -> "_Fields":
+    required = []
+    nested = []
     for spec in kind.thrift_spec.values():
-        nesting = _Nesting.NONE
+        if spec[-1]:
+            required.append(spec[1])
         if spec[0] == TType.STRUCT:
-            nesting = _Nesting.STRUCT
+            nested.append((spec[1], False))
         elif spec[0] == TType.LIST and isinstance(spec[2], tuple):
-            nesting = _Nesting.LIST
-        fields.append((spec[1], spec[-1], nesting))
-    return tuple(fields)
+            nested.append((spec[1], True))
+    return _Fields(tuple(required), tuple(nested))
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -113,6 +113,17 @@
         with self.assertRaises(ExchangeError):
             await self.call(connection, "1")
 
+    async def test_a_request_that_is_no_http_is_not_sent(self) -> None:
+        received = bytearray()
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            received.extend(await reader.read(100))
+
+        connection = await self.connect(script)
+        with self.assertRaises(ExchangeError):
+            await connection.exchange("GET", "/a", [("Host", "h"), ("X", "a\nb")], b"", "1")
+        self.assertEqual(received, b"")
+
     async def test_what_is_no_answer_fails_the_call(self) -> None:
         for data in (b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"):
             with self.subTest(data=data):
