--- a/src/bulrushflow/sidecar/decisions.py
+++ b/src/bulrushflow/sidecar/decisions.py
@@ -7,9 +7,9 @@
 
 from bulrushflow.routing import Call
 
-LINES_PER_S = 20.0
+LINES_PER_S = 5.0
 """Lines of one kind a second; what is beyond is counted and told with the next line."""
-BURST_LINES = 40.0
+BURST_LINES = 20.0
 SERVER_ERROR = 500
 SUCCESS_EVERY = 100
 """One answered call in so many is told; failures are told up to the bound."""
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -12,7 +12,6 @@
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import not_run
-from bulrushflow.routing import unknown
 from bulrushflow.sidecar.balancer import Balancer
 from bulrushflow.sidecar.decisions import Decisions
 from bulrushflow.sidecar.directory import Directory
@@ -23,15 +22,15 @@
 from bulrushflow.sidecar.peers import Peers
 
 SERVER_ERROR = 500
-MAX_REFUSALS = 6
+MAX_REFUSALS = 4
 """Attempts at targets that refuse a call before it is given up."""
 HELD_PART = 0.1
 """Part of the route's target latency for which a call waits for a target to show up."""
 WAIT_STEP_S = 0.02
-ATTEMPT_PART = 0.75
-"""Part of the route's target latency after which an idempotent call is tried elsewhere."""
-ATTEMPT_FACTOR = 3.0
-"""Times the target's usual latency that an attempt gets at least."""
+PATIENCE_PART = 0.75
+"""Part of the route's target latency after which an idempotent call is tried elsewhere too."""
+PATIENCE_FACTOR = 3.0
+"""Times the target's usual latency that an attempt gets alone at least."""
 FULL_LOAD = 1.0
 
 VersionFilter = t.Callable[[str, t.Sequence[Peer]], t.Sequence[Peer]]
@@ -50,6 +49,11 @@
         """How often the call may have run."""
         self.refusals = 0
 
+    @property
+    def answered(self) -> bool:
+        """Whether a target answered without an error of its own."""
+        return self.result.is_ok() and self.result.unwrap().status < SERVER_ERROR
+
     def take(self, result: CallResult, idempotent: bool, max_runs: int) -> bool:
         """Take in an attempt's outcome; tell whether it was the last."""
         match result:
@@ -131,44 +135,74 @@
                 await asyncio.sleep(WAIT_STEP_S)
                 continue
             tried.add(peer.entry.address)
-            target = peer.entry.target
-            version = target.version if target is not None else ""
-            if progress.arrivals:
-                self._metrics.retries.inc({"service": call.service})
-            attempt = call.for_attempt(version, progress.arrivals)
-            result = await self._attempt(peer, attempt, self._until(route, call, peer, progress))
-            if progress.take(result, call.idempotent, route.max_attempts):
+            if self._may_hedge(route, call, progress):
+                ended = await self._hedged(route, call, peer, progress, tried)
+            else:
+                result = await self._attempt(peer, call, progress.arrivals)
+                ended = progress.take(result, call.idempotent, route.max_attempts)
+            if ended:
                 break
         return progress.result
 
+    def _may_hedge(self, route: Route, call: Call, progress: Progress) -> bool:
+        """Tell whether a call may be at two targets at once."""
+        if not call.idempotent or progress.runs + 1 >= route.max_attempts:
+            return False
+        return len(self._directory.ready(call.service)) > 1
+
+    async def _hedged(
+        self, route: Route, call: Call, peer: Peer, progress: Progress, tried: set[str]
+    ) -> bool:
+        """Try a target, and another one beside it when the first takes long.
+
+        The first is not given up: the other may refuse, or take as long.
+
+        :return: whether the call ended.
+        """
+        loop = asyncio.get_running_loop()
+        patience_s = max(route.target_latency_s * PATIENCE_PART, peer.latency_s * PATIENCE_FACTOR)
+        running = {loop.create_task(self._attempt(peer, call, progress.arrivals))}
+        ended = False
+        try:
+            done, _ = await asyncio.wait(running, timeout=patience_s)
+            if not done:
+                other = self._choose(route, call, tried)
+                if other is not None:
+                    tried.add(other.entry.address)
+                    arrivals = progress.arrivals + 1
+                    running.add(loop.create_task(self._attempt(other, call, arrivals)))
+            while running and not progress.answered:
+                done, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    if progress.take(task.result(), call.idempotent, route.max_attempts):
+                        ended = True
+        finally:
+            for task in running:
+                task.cancel()
+        return ended
+
     def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
         candidates = self._choose_version(call.service, self._directory.ready(call.service))
         now = asyncio.get_running_loop().time()
         return self._balancer.choose(candidates, tried, now, route.target_latency_s)
 
-    def _until(self, route: Route, call: Call, peer: Peer, progress: Progress) -> float:
-        """Return when an attempt is given up in favour of another target."""
-        if not call.idempotent or progress.runs + 1 >= route.max_attempts:
-            return call.deadline
-        if len(self._directory.ready(call.service)) < 2:
-            return call.deadline
-        patience_s = max(route.target_latency_s * ATTEMPT_PART, peer.latency_s * ATTEMPT_FACTOR)
-        until = asyncio.get_running_loop().time() + patience_s
-        # Without time for another attempt this one is left to finish.
-        return until if until + peer.latency_s < call.deadline else call.deadline
-
-    async def _attempt(self, peer: Peer, call: Call, until: float) -> CallResult:
+    async def _attempt(self, peer: Peer, call: Call, arrivals: int) -> CallResult:
+        """Try one target.
+
+        :param arrivals: how often the call may have reached a target already.
+        """
         loop = asyncio.get_running_loop()
+        target = peer.entry.target
+        attempt = call.for_attempt(target.version if target is not None else "", arrivals)
+        if arrivals:
+            self._metrics.retries.inc({"service": call.service})
         started_at = loop.time()
         peer.in_flight += 1
         try:
-            async with asyncio.timeout_at(until):
-                result, report = await self._send(peer, call)
-        except TimeoutError:
-            result, report = unknown("no answer in time"), PeerReport(True, FULL_LOAD)
+            result, report = await self._send(peer, attempt)
         finally:
             peer.in_flight -= 1
-        self._learn(peer, call, result, report, loop.time() - started_at)
+        self._learn(peer, attempt, result, report, loop.time() - started_at)
         return result
 
     async def _send(self, peer: Peer, call: Call) -> tuple[CallResult, PeerReport]:
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -1,11 +1,27 @@
+import asyncio
+import random
 import unittest
+from unittest import mock
 
+from bulrushflow.metrics import Metrics
 from bulrushflow.routing import Answer
+from bulrushflow.routing import Call
+from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
+from bulrushflow.sidecar.balancer import Balancer
+from bulrushflow.sidecar.decisions import Decisions
+from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.dispatcher import MAX_REFUSALS
+from bulrushflow.sidecar.dispatcher import Dispatcher
 from bulrushflow.sidecar.dispatcher import Progress
+from bulrushflow.sidecar.model import Route
+from bulrushflow.sidecar.model import WeightedService
+from bulrushflow.sidecar.peers import PeerReport
+from tests.sidecar.samples import call
+from tests.sidecar.samples import peer
+from tests.waiting import until
 
 
 def answered(status: int) -> Answer:
@@ -51,3 +67,79 @@
         progress = self.progress()
         ends = [progress.take(not_run("full"), True, 2) for _ in range(MAX_REFUSALS)]
         self.assertEqual(ends, [False] * (MAX_REFUSALS - 1) + [True])
+
+
+class HedgingTests(unittest.IsolatedAsyncioTestCase):
+    """Calls at two targets, each held or failed by the test."""
+
+    async def asyncSetUp(self) -> None:
+        self.directory = Directory()
+        for number in (1, 2):
+            self.directory.put(f"node/{number}", peer(number).entry)
+        self.sent: list[tuple[str, int]] = []
+        self.answers: dict[str, asyncio.Future[CallResult]] = {}
+        self.cancelled: list[str] = []
+        peers = mock.Mock()
+        peers.send = self.send
+        rng = random.Random(2)
+        self.dispatcher = Dispatcher(
+            "10.0.0.9",
+            self.directory,
+            mock.Mock(),
+            peers,
+            Balancer("a", rng, lambda: 0),
+            lambda service, candidates: candidates,
+            Metrics(4),
+            Decisions(),
+            rng,
+        )
+
+    async def send(self, endpoint: tuple[str, int], sent: Call) -> tuple[CallResult, PeerReport]:
+        address = endpoint[0]
+        self.sent.append((address, sent.attempt))
+        self.answers[address] = asyncio.get_running_loop().create_future()
+        try:
+            return await self.answers[address], PeerReport(True, 0.0)
+        except asyncio.CancelledError:
+            self.cancelled.append(address)
+            raise
+
+    def route(self, idempotent: bool = True) -> Route:
+        service = (WeightedService("statements", 1.0),)
+        return Route("r", "h", "/", service, idempotent, 5.0, 0.04, 2, 0)
+
+    def start(self, idempotent: bool = True) -> "asyncio.Task[CallResult]":
+        running = self.dispatcher.dispatch(self.route(), call(idempotent=idempotent))
+        return asyncio.ensure_future(running)
+
+    async def test_a_slow_target_keeps_its_call_when_the_other_refuses(self) -> None:
+        running = self.start()
+        await until(lambda: len(self.sent) == 2)
+        first, second = (address for address, _ in self.sent)
+        self.answers[second].set_result(not_run("too many repeated calls"))
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.cancelled, [])
+        self.answers[first].set_result(answered(200).as_result())
+        self.assertEqual((await running).unwrap().status, 200)
+
+    async def test_the_first_answer_counts_and_the_other_call_is_cancelled(self) -> None:
+        running = self.start()
+        await until(lambda: len(self.sent) == 2)
+        first, second = (address for address, _ in self.sent)
+        self.answers[second].set_result(answered(200).as_result())
+        self.assertEqual((await running).unwrap().status, 200)
+        await until(lambda: self.cancelled == [first])
+
+    async def test_the_second_call_counts_as_a_repeat(self) -> None:
+        running = self.start()
+        await until(lambda: len(self.sent) == 2)
+        self.assertEqual([attempt for _, attempt in self.sent], [0, 1])
+        running.cancel()
+        await until(lambda: len(self.cancelled) == 2)
+
+    async def test_a_call_that_is_not_idempotent_is_at_one_target_only(self) -> None:
+        running = self.start(idempotent=False)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.sent), 1)
+        self.answers[self.sent[0][0]].set_result(answered(200).as_result())
+        self.assertEqual((await running).unwrap().status, 200)
