Free the slots that a call took, and hold a leave of an unknown target against its entry

Found by reading, each with a test that failed first. A target that was replaced while calls ran at the one before it freed slots of the new one ('a slot was released twice'), and its answers were lost. A leave that came before the node had read its target's entry (after a restart) was forgotten, so that the entry in the store was taken up and the target got calls.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -82,6 +82,7 @@
             self._announce_target,
             self._repeats,
             self._decisions,
+            self._clock,
         )
         self._build_replicas(adapter, store)
         self._peers = Peers(
--- a/src/bulrushflow/sidecar/gate.py
+++ b/src/bulrushflow/sidecar/gate.py
@@ -20,12 +20,11 @@
 from bulrushflow.sidecar.slots import Slots
 from bulrushflow.sidecar.slots import Wait
 from bulrushflow.sidecar.target_client import TargetClient
+from bulrushflow.timers import Clock
 
 SERVER_ERROR = 500
 MAX_DEPARTED = 64
 """Targets that left and whose late announcements are recognized."""
-SILENT_ANNOUNCEMENTS = 4
-"""Announcements missed in a row after which a target counts as gone."""
 
 Observer = t.Callable[[Call, bool, float], None]
 EntryCallback = t.Callable[[TargetEntry | None], None]
@@ -47,6 +46,7 @@
         on_change: EntryCallback,
         repeats: RepeatLimit,
         decisions: Decisions,
+        clock: Clock,
     ) -> None:
         self.entry: TargetEntry | None = None
         self.endpoint: Endpoint | None = None
@@ -57,11 +57,11 @@
         self._on_change = on_change
         self._repeats = repeats
         self._decisions = decisions
+        self._clock = clock
         self._slots = Slots(1)
         self._client: TargetClient | None = None
         self._departed: collections.OrderedDict[str, tuple[int, int]] = collections.OrderedDict()
         self._sends: set[asyncio.Task[CallResult]] = set()
-        self._heard_at = 0.0
 
     @property
     def load(self) -> int:
@@ -87,7 +87,6 @@
         if held is not None and entry.order <= held.order:
             # A word that was late, perhaps of a process that ended.
             return entry.order == held.order
-        self._heard_at = asyncio.get_running_loop().time()
         replaced = held is None or held.target_id != entry.target_id
         replaced = replaced or t.cast(TargetEntry, held).incarnation != entry.incarnation
         if replaced or endpoint != self.endpoint:
@@ -115,11 +114,10 @@
         """Take the word of a target that it leaves for good; it gets no new calls."""
         held = self.entry
         if held is None or held.target_id != target_id:
-            self._departed[target_id] = (0, 0)
+            # Its incarnation isn't known, but it began before now.
+            self._remember_departed(target_id, (self._clock.wall_ms(), 0))
             return
-        self._departed[target_id] = held.order
-        while len(self._departed) > MAX_DEPARTED:
-            self._departed.popitem(last=False)
+        self._remember_departed(target_id, held.order)
         self._decisions.belief("target left", target=target_id, service=held.service)
         self.entry = None
         self._slots.refuse_queued("the target left")
@@ -128,14 +126,15 @@
     async def run(self, call: Call) -> CallResult:
         """Run a call on the target, or refuse it with the certainty that it did not run."""
         refusal = self._refusal(call)
+        slots = self._slots
         if refusal is None:
-            refusal = await self._slots.acquire(_wait(call))
+            refusal = await slots.acquire(_wait(call))
             if refusal is None:
-                refusal = self._refusal(call) or self._repeat_refusal(call)
+                refusal = self._late_refusal(call, slots)
                 if refusal is None:
-                    return await self._send(call)
-                self._slots.release(call.route, None)
-        self._decisions.refused(call, refusal, load=self.load, slots=self._slots.capacity)
+                    return await self._send(call, slots)
+                slots.release(call.route, None)
+        self._decisions.refused(call, refusal, load=self.load, slots=slots.capacity)
         return not_run(refusal)
 
     def check(self) -> None:
@@ -166,6 +165,12 @@
             return f"version {call.version} was taken back"
         return None
 
+    def _late_refusal(self, call: Call, slots: Slots) -> str | None:
+        """Tell why a call that has its slot may not be sent."""
+        if slots is not self._slots:
+            return "the target was replaced"
+        return self._refusal(call) or self._repeat_refusal(call)
+
     def _repeat_refusal(self, call: Call) -> str | None:
         now = asyncio.get_running_loop().time()
         if not call.attempt:
@@ -173,8 +178,8 @@
             return None
         return None if self._repeats.repeat(now) else "too many repeated calls"
 
-    async def _send(self, call: Call) -> CallResult:
-        task = asyncio.get_running_loop().create_task(self._exchange(call))
+    async def _send(self, call: Call, slots: Slots) -> CallResult:
+        task = asyncio.get_running_loop().create_task(self._exchange(call, slots))
         self._sends.add(task)
         task.add_done_callback(self._sends.discard)
         try:
@@ -185,7 +190,7 @@
                 task.cancel()
             raise
 
-    async def _exchange(self, call: Call) -> CallResult:
+    async def _exchange(self, call: Call, slots: Slots) -> CallResult:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         client = t.cast(TargetClient, self._client)
@@ -194,7 +199,8 @@
             result = await client.send(call)
             seconds = loop.time() - started_at
         finally:
-            self._slots.release(call.route, seconds if seconds and result.is_ok() else None)
+            # These slots may be a replaced target's by now.
+            slots.release(call.route, seconds if seconds and result.is_ok() else None)
         match result:
             case Ok(answer):
                 self._observer(call, answer.status >= SERVER_ERROR, seconds)
@@ -217,11 +223,16 @@
     def _lose(self, reason: str) -> None:
         entry = t.cast(TargetEntry, self.entry)
         self._decisions.belief("target lost", target=entry.target_id, reason=reason)
-        self._departed[entry.target_id] = entry.order
+        self._remember_departed(entry.target_id, entry.order)
         self.entry = None
         self._slots.refuse_queued(reason)
         self._on_change(None)
 
+    def _remember_departed(self, target_id: str, order: tuple[int, int]) -> None:
+        self._departed[target_id] = order
+        while len(self._departed) > MAX_DEPARTED:
+            self._departed.popitem(last=False)
+
     def _replace(self, entry: TargetEntry, endpoint: Endpoint) -> None:
         self._slots.refuse_queued("the target was replaced")
         if self._client is not None:
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -22,6 +22,19 @@
 NAMES = HeaderNames("X-Id", "X-Left", "X-Sign", "X-Expect", "X-Not-Run", "X-From", "X-Target")
 
 
+class FixedClock:
+    """Clocks that stand still."""
+
+    def __init__(self, wall_ms: int) -> None:
+        self._wall_ms = wall_ms
+
+    def monotonic(self) -> float:
+        return 0.0
+
+    def wall_ms(self) -> int:
+        return self._wall_ms
+
+
 def target(
     target_id: str = "t-1",
     incarnation: int = 1,
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -10,6 +10,7 @@
 from bulrushflow.sidecar.repeats import RepeatLimit
 from bulrushflow.sidecar.settings import Endpoint
 from tests.sidecar.samples import NAMES
+from tests.sidecar.samples import FixedClock
 from tests.sidecar.samples import call
 from tests.sidecar.samples import target
 from tests.sidecar.servers import FakeTarget
@@ -31,6 +32,7 @@
             self.told.append,
             RepeatLimit(0.2, 20.0, 10.0),
             Decisions(),
+            FixedClock(1_000),
         )
         self.addCleanup(self.gate.close)
 
@@ -148,3 +150,32 @@
         self.announce(target())
         outcomes = [(await self.gate.run(call(f"r-{i}", attempt=1))).is_ok() for i in range(30)]
         self.assertEqual(sum(outcomes), 6)
+
+    async def test_a_call_at_a_target_that_is_replaced_meanwhile_ends_as_it_ended(self) -> None:
+        self.announce(target())
+        self.target.held.clear()
+        running = asyncio.ensure_future(self.gate.run(call()))
+        await until(lambda: bool(self.target.arrived))
+        self.announce(target("t-2", incarnation=2))
+        self.target.held.set()
+        self.assertEqual((await running).unwrap().status, 200)
+        self.assertEqual(self.gate.load, 0)
+        self.assertEqual((await self.gate.run(call("r-2"))).unwrap().status, 200)
+
+    async def test_a_call_that_waited_for_a_replaced_target_is_refused(self) -> None:
+        self.announce(target(slots=1))
+        self.target.held.clear()
+        running = asyncio.ensure_future(self.gate.run(call("r-1")))
+        await until(lambda: bool(self.target.arrived))
+        queued = asyncio.ensure_future(self.gate.run(call("r-2")))
+        await until(lambda: self.gate.load == 2)
+        self.announce(target("t-2", incarnation=2, slots=1))
+        self.assert_refused(await queued)
+        self.target.held.set()
+        await running
+
+    async def test_a_leave_of_a_target_that_is_not_known_yet_counts_against_its_entry(self) -> None:
+        self.gate.depart("t-1")
+        self.assertFalse(self.announce(target(incarnation=900, sequence=7)))
+        self.assert_refused(await self.gate.run(call()))
+        self.assertTrue(self.announce(target(incarnation=1_001)))
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -14,6 +14,7 @@
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
 from tests.sidecar.samples import NAMES
+from tests.sidecar.samples import FixedClock
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import call
 from tests.sidecar.samples import peer
@@ -37,6 +38,7 @@
             lambda entry: None,
             RepeatLimit(0.2, 60.0, 10.0),
             decisions,
+            FixedClock(1_000),
         )
         store = MemoryStore()
         follower = mock.Mock()
