--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -19,8 +19,6 @@
 DEFAULT_PATH = "/etc/bulrushflow/local.toml"
 _TIME = re.compile(r"^\s*([0-9]+(?:\.[0-9]+)?)\s*(ms|s)\s*$")
 
-MachineSettings = SidecarSettings
-
 
 def seconds(text: t.Any) -> float:
     """Decode a time such as ``1500ms`` or ``2.5s`` to seconds.
@@ -40,28 +38,15 @@
     inbound: str = ""  # offered for traffic between nodes; the peer port is used instead
 
 
-class _Limits(msgspec.Struct):
-    memoryMb: float = 300.0  # noqa: N815  memory above which the process is killed
-    maxFds: int = 4100  # noqa: N815  open files; some 200 are not for sockets
-
-
 class _Bounds(msgspec.Struct):
-    drain: str = "2s"
-    grace: str = "6s"
-    configApply: str = "2s"  # noqa: N815
-    rollback: str = "5s"
-    budgetWindow: str = "10s"  # noqa: N815
+    grace: str = "6s"  # between SIGTERM and SIGKILL
+    budgetWindow: str = "10s"  # noqa: N815  over which repeated calls are counted
     retryBudgetRatio: float = 0.2  # noqa: N815
     retryBudgetSlack: float = 60.0  # noqa: N815
-    canaryShare: float = 0.1  # noqa: N815
-    canarySlack: float = 50.0  # noqa: N815
-    addrReuse: str = "2s"  # noqa: N815
 
 
 class _Platform(msgspec.Struct):
     address: str  # the store
-    writesPerS: float = 400.0  # noqa: N815  of all nodes together
-    readsPerS: float = 2000.0  # noqa: N815  of all nodes together
 
 
 class _File(msgspec.Struct):
@@ -73,8 +58,6 @@
     platform: _Platform
     appAddr: str = ""  # noqa: N815  the target beside this node
     service: str = ""  # the service of that target
-    heartbeat: str = "1500ms"  # time between two announcements of a target
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -114,22 +97,12 @@
         announcements=_endpoint(file.listen.control),
         target=_endpoint(file.appAddr) if file.appAddr else None,
         own_service=file.service,
-        announcement_period_s=seconds(file.heartbeat),
-        memory_bytes=int(file.limits.memoryMb * (1 << 20)),
-        max_descriptors=file.limits.maxFds,
         store=_endpoint(file.platform.address),
-        store_writes_per_s=file.platform.writesPerS,
         bounds=Bounds(
-            drain_s=seconds(bounds.drain),
             grace_s=seconds(bounds.grace),
-            apply_s=seconds(bounds.configApply),
-            take_back_s=seconds(bounds.rollback),
             retry_window_s=seconds(bounds.budgetWindow),
             retry_ratio=bounds.retryBudgetRatio,
             retry_slack=bounds.retryBudgetSlack,
-            new_version_share=bounds.canaryShare,
-            new_version_slack=bounds.canarySlack,
-            address_reuse_s=seconds(bounds.addrReuse),
         ),
     )
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -157,7 +157,7 @@
             web.ServerRunner(self._callers.server(), shutdown_timeout=CLOSE_S),
             self.settings.callers,
         )
-        self.timers.subscribe("gate", CHECK_S, self._check)
+        self.timers.subscribe("repeats", CHECK_S, self._share_repeats)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
 
     async def on_stop(self) -> None:
@@ -254,8 +254,7 @@
         if entry is not None and entry.target is not None:
             self._gate.announce(entry.target, settings.target)
 
-    async def _check(self) -> None:
-        self._gate.check()
+    async def _share_repeats(self) -> None:
         service = self.settings.own_service
         self._repeats.sharers = max(1, len(self.directory.ready(service)))
 
--- a/src/bulrushflow/sidecar/gate.py
+++ b/src/bulrushflow/sidecar/gate.py
@@ -137,11 +137,6 @@
         self._decisions.refused(call, refusal, load=self.load, slots=slots.capacity)
         return not_run(refusal)
 
-    def check(self) -> None:
-        """Take a target for gone whose announcements stopped and that takes no connections."""
-        if self._client is not None and self._client.replaced and self.entry is not None:
-            self._lose("another target has the address")
-
     def close(self) -> None:
         """Close the connections."""
         if self._client is not None:
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -78,7 +78,6 @@
 
     READY = "ready"
     DRAINING = "draining"
-    GONE = "gone"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -18,23 +18,13 @@
 class Bounds:
     """What the operators promise their users, and so what the sidecar has to keep."""
 
-    drain_s: float = 2.0
-    """After a target said that it leaves, new calls to it end within so many seconds."""
     grace_s: float = 6.0
     """Seconds between the request to stop and the kill."""
-    apply_s: float = 2.0
-    """Seconds within which a configuration is in force."""
-    take_back_s: float = 5.0
-    """Seconds within which a faulty version gets no new calls."""
     retry_window_s: float = 10.0
     retry_ratio: float = 0.2
     """Repeated calls for each call of a service, over all nodes."""
     retry_slack: float = 60.0
     """Repeated calls of a service in one window beyond the ratio, over all nodes."""
-    new_version_share: float = 0.1
-    """Part of a service's calls that an unproved version may get until the deadline."""
-    new_version_slack: float = 50.0
-    address_reuse_s: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,9 +41,5 @@
     announcements: Endpoint
     target: Endpoint | None
     own_service: str
-    announcement_period_s: float
-    memory_bytes: int
-    max_descriptors: int
     store: Endpoint
-    store_writes_per_s: float
     bounds: Bounds = Bounds()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,7 +36,7 @@
         settings = decode_settings(FILE.encode()).unwrap()
         self.assertEqual(settings.callers, Endpoint("10.1.0.8", 8304))
         self.assertEqual(settings.target, Endpoint("10.1.0.8", 8301))
-        self.assertEqual((settings.bounds.drain_s, settings.bounds.grace_s), (2.0, 6.0))
+        self.assertEqual((settings.bounds.grace_s, settings.bounds.retry_slack), (6.0, 60.0))
         self.assertEqual((settings.peer_port, settings.metrics_port), (7620, 7635))
 
     def test_a_faulty_file_is_refused_with_the_field(self) -> None:
@@ -44,7 +44,9 @@
             "nodeName": FILE.replace('nodeName = "sidecar-a-1"', ""),
             "no IP:PORT": FILE.replace("10.200.1.7:8309", "nowhere"),
             "no time": FILE.replace('"6s"', '"6 minutes"'),
-            "$.limits.maxFds": FILE.replace("maxFds = 4100", 'maxFds = "many"'),
+            "$.bounds.retryBudgetSlack": FILE.replace(
+                "retryBudgetSlack = 60", 'retryBudgetSlack = "many"'
+            ),
             "settings": "not toml [",
         }
         for words, text in cases.items():
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -72,11 +72,7 @@
             announcements=Endpoint(address, ports[4]),
             target=target,
             own_service="s1",
-            announcement_period_s=1.5,
-            memory_bytes=300 << 20,
-            max_descriptors=4100,
             store=store,
-            store_writes_per_s=400.0,
         )
         self.sidecar = self.new_sidecar()
 
