--- a/benchmarks/membership_costs.py
+++ b/benchmarks/membership_costs.py
@@ -14,9 +14,9 @@
 from bulrushflow.membership import TargetState
 from bulrushflow.membership import chosen
 from bulrushflow.moves import SharedMoves
+from bulrushflow.nodes.composing import Composer
 from bulrushflow.wire import codec
 from bulrushflow.wire import messages
-from bulrushflow.nodes.composing import Composer
 
 DATA_CENTRES = 15
 REPEATS = 300
--- a/benchmarks/membership_participant.py
+++ b/benchmarks/membership_participant.py
@@ -21,14 +21,14 @@
 from bulrushflow.moves import SharedMoves
 from bulrushflow.nodes import Gossip
 from bulrushflow.nodes import Introductions
-from bulrushflow.wire import Links
 from bulrushflow.nodes.datagrams import DatagramTransport
 from bulrushflow.nodes.datagrams import Receive
 from bulrushflow.nodes.datagrams import open_udp
-from bulrushflow.wire.links import Endpoint
 from bulrushflow.recording import HttpLog
 from bulrushflow.settings import GossipSettings
 from bulrushflow.timers import Timers
+from bulrushflow.wire import Links
+from bulrushflow.wire.links import Endpoint
 
 PORT_TRIES = 20
 
