--- a/src/bulrushflow/platform/__init__.py
+++ b/src/bulrushflow/platform/__init__.py
@@ -1,6 +1,6 @@
 """The adapter to the users' platform: settings, store, documents and headers.
 
-Names of the platform's pages are decoded here, once, into the product's own types.
+Names of the platform are decoded here, once, into the product's own types.
 """
 
 from bulrushflow.platform.settings import load_machine_settings
--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -67,7 +67,7 @@
     async def newest(self, topic: str) -> Result[StorePage, StoreError]:
         """Return the newest record of each key, and where to read on from.
 
-        The pages are no snapshot, so reading goes on from the first page's end.
+        Taken together the pages are no snapshot, so reading goes on from the first page's end.
         """
         records: list[KeyedRecord] = []
         end: int | None = None
