Remove what the sidecar's parts no longer use

Found by reading the whole change: a slot, a parameter and its random numbers, a first value that was always replaced, a default written twice, two headers that no longer said what is there. Behaviour is unchanged.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -136,7 +136,6 @@
             self.timers,
             self._clock,
             self._decisions,
-            self._rng,
         )
         await self._registration.start()
         for replica in (self._orders, self._nodes, self._statuses):
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -2,7 +2,6 @@
 
 import typing as t
 from dataclasses import dataclass
-from dataclasses import field
 
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetState
@@ -34,7 +33,7 @@
     ejected_until: float = 0.0
     lost: bool = False
     """Whether the node can't be reached."""
-    backoff_s: float = field(default=FIRST_BACKOFF_S)
+    backoff_s: float = FIRST_BACKOFF_S
 
     def load(self, now: float) -> float:
         """Return calls per slot: this node's own, or what the peer reported not long ago."""
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -111,7 +111,6 @@
         key = f"{route.host}{route.prefix}"
         credit_by_service = self._split_credit_by_route.setdefault(key, {})
         total = 0.0
-        best = route.services[0].service
         for part in route.services:
             total += part.weight
             credit = credit_by_service.get(part.service, self._rng.uniform(0, part.weight))
--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import random
 import typing as t
 from dataclasses import replace
 
@@ -62,7 +61,6 @@
         timers: Timers,
         clock: Clock,
         decisions: Decisions,
-        rng: random.Random,
     ) -> None:
         self._own_key = own_key
         self._own_id = own_id
@@ -76,7 +74,6 @@
         self._encode = encode
         self._clock = clock
         self._decisions = decisions
-        self._rng = rng
         self._due_since: dict[tuple[int, int], float] = {}
         self._sending: set[asyncio.Task[None]] = set()
         self._unwritten: dict[str, MoveStatus] = {}
--- a/src/bulrushflow/sidecar/moves.py
+++ b/src/bulrushflow/sidecar/moves.py
@@ -26,7 +26,7 @@
 class Move:
     """One order, its status, and this node's judgement on it."""
 
-    __slots__ = ("controller", "judged_share", "order", "seen_at", "share_since", "status")
+    __slots__ = ("controller", "order", "seen_at", "share_since", "status")
 
     def __init__(self, order: MoveOrder, seen_at: float) -> None:
         self.order = order
@@ -57,10 +57,7 @@
 
 
 class Moves:
-    """The moves by service.
-
-    :param changed: told when a status that others have to know was decided here.
-    """
+    """The moves by service."""
 
     def __init__(
         self, own_id: str, incarnation: int, decisions: Decisions, rng: random.Random
--- a/src/bulrushflow/sidecar/records.py
+++ b/src/bulrushflow/sidecar/records.py
@@ -1,4 +1,4 @@
-"""The sidecar's own records in the store: one entry a node, as JSON."""
+"""The JSON of nodes' entries and of moves' statuses, and their keys."""
 
 import msgspec
 from result import Err
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -85,7 +85,6 @@
             t.cast(t.Any, NoTimers()),
             SystemClock(),
             decisions,
-            rng,
         )
 
     def _take(self, status: MoveStatus) -> None:
