Log why a lagging read is restarted, and when a replica has caught up

No decision changes.

The lag test checks the new lines and failed before ('records_behind' is missing).

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -52,6 +52,8 @@
         "registry",
         "retries",
         "sheds",
+        "store_connected",
+        "store_records_behind",
         "unrecorded",
     )
 
@@ -81,6 +83,16 @@
         self.unrecorded = Gauge(
             "bulrushflow_unrecorded", "Own records not on the log yet", registry=self.registry
         )
+        self.store_records_behind = Gauge(
+            "bulrushflow_store_records_behind",
+            "Records of a topic that other nodes have read and this node has not",
+            registry=self.registry,
+        )
+        self.store_connected = Gauge(
+            "bulrushflow_store_connected",
+            "1 if the latest read of a topic succeeded, else 0",
+            registry=self.registry,
+        )
         self.admission = Gauge(
             "bulrushflow_admission", "Calls at the target by state", registry=self.registry
         )
@@ -111,6 +123,11 @@
         self.admission.set({"state": "lingering"}, lingering)
         self.admission.set({"state": "capacity"}, capacity)
 
+    def observe_replica(self, topic: str, records_behind: int, connected: bool) -> None:
+        """Record how far the replica of a store topic lags, and whether it reaches the store."""
+        self.store_records_behind.set({"topic": topic}, records_behind)
+        self.store_connected.set({"topic": topic}, int(connected))
+
     def count_control_bytes(self, direction: str, kind: str, count: int) -> None:
         """Count bytes of control messages.
 
--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -99,9 +99,13 @@
             after = page.items[-1].key
 
     async def read(
-        self, topic: str, from_offset: int, wait_s: float
+        self,
+        topic: str,
+        from_offset: int,
+        wait_s: float,
+        on_response: t.Callable[[], None] | None = None,
     ) -> Result[StorePage, StoreError]:
-        """Return records from an offset on, waiting up to ``wait_s`` seconds for the first one."""
+        """See :meth:`Store.read`."""
         query = {
             "topic": topic,
             "part": "0",
@@ -109,7 +113,8 @@
             "waitMs": str(int(wait_s * 1000)),
             "maxKb": str(MAX_READ_KB),
         }
-        match await self._call("GET", "/-/log-read", query, wait_s + READ_MARGIN_S):
+        timeout_s = wait_s + READ_MARGIN_S
+        match await self._call("GET", "/-/log-read", query, timeout_s, on_response=on_response):
             case Err(error):
                 return Err(error)
             case Ok((200, body)):
@@ -155,7 +160,13 @@
             return Err(StoreError(StoreErrorKind.UNKNOWN, str(exc)))
 
     async def _call(
-        self, method: str, path: str, query: dict[str, str], timeout_s: float, body: bytes = b""
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+        body: bytes = b"",
+        on_response: t.Callable[[], None] | None = None,
     ) -> Result[tuple[int, bytes], StoreError]:
         session = self._session
         if session is None:
@@ -169,6 +180,8 @@
             async with session.request(
                 method, self._base + path, params=query, data=body or None, timeout=timeout
             ) as response:
+                if on_response is not None:
+                    on_response()
                 return Ok((response.status, await response.read()))
         except aiohttp.ClientConnectorError as exc:
             return Err(StoreError(StoreErrorKind.REFUSED, f"no connection: {exc}"))
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -46,6 +46,7 @@
 
 MAX_ROUTE_LABELS = 64
 RETRY_BUDGET_UPDATE_S = 0.5
+REPLICA_METRICS_S = 1.0
 READINESS_PROPAGATION_S = 2.8
 """Time within which callers see that a stopping node isn't ready; until then it serves calls."""
 SHUTDOWN_MARGIN_S = 0.6
@@ -120,6 +121,7 @@
         self._callers = CallerServer(
             adapter.header_names,
             lambda: self.routing,
+            self._operator_replica,
             lambda: self.settings.own_service,
             self._dispatcher,
             self._metrics,
@@ -138,6 +140,7 @@
         )
         self._node_replica = Replica(store, topics.nodes, nodes, self._decisions, self._rng)
         self._status_replica = Replica(store, topics.statuses, statuses, self._decisions, self._rng)
+        self._replicas = (self._operator_replica, self._node_replica, self._status_replica)
 
     async def on_start(self) -> None:
         await self.timers.start()
@@ -160,7 +163,7 @@
             self._decisions,
         )
         await self._registration.start()
-        for replica in (self._operator_replica, self._node_replica, self._status_replica):
+        for replica in self._replicas:
             await replica.start()
         application = announcement_application(
             self._adapter.paths,
@@ -179,6 +182,7 @@
             self.settings.callers,
         )
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
+        self.timers.subscribe("replica metrics", REPLICA_METRICS_S, self._observe_replicas)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
 
     async def on_stop(self) -> None:
@@ -211,12 +215,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
         for runner in reversed(self._runners):
             await runner.cleanup()
-        for service in (
-            self._operator_replica,
-            self._node_replica,
-            self._status_replica,
-            self._registration,
-        ):
+        for service in (*self._replicas, self._registration):
             await service.stop()
         await self.timers.stop()
         self._forwarder.close()
@@ -298,6 +297,10 @@
         service = self.settings.own_service
         self._retry_budget.target_count = max(1, len(self.directory.ready_peers(service)))
 
+    async def _observe_replicas(self) -> None:
+        for replica in self._replicas:
+            self._metrics.observe_replica(replica.topic, replica.records_behind, replica.connected)
+
     async def _serve_application(self, app: web.Application, endpoint: Endpoint) -> None:
         await self._serve(
             web.AppRunner(app, access_log=None, shutdown_timeout=CONNECTION_CLOSE_TIMEOUT_S),
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -23,6 +23,7 @@
 from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import Routing
+from bulrushflow.sidecar.replica import Replica
 
 KEEPALIVE_TIMEOUT_S = 75.0
 """Idle time after which a caller's connection is closed; callers close theirs earlier."""
@@ -44,6 +45,7 @@
     """Accepts HTTP requests as calls, dispatches them, and returns their outcomes as responses.
 
     :param routing: returns the configuration in force.
+    :param orders: replica of the operator's records, which the configuration is one of.
     :param own_service: returns the service of this instance.
     """
 
@@ -51,6 +53,7 @@
         self,
         header_names: HeaderNames,
         routing: t.Callable[[], Routing],
+        orders: Replica,
         own_service: t.Callable[[], str],
         dispatcher: Dispatcher,
         metrics: Metrics,
@@ -65,6 +68,7 @@
             header_names.expected_target.lower(),
         }
         self._routing = routing
+        self._orders = orders
         self._own_service = own_service
         self._dispatcher = dispatcher
         self._metrics = metrics
@@ -127,6 +131,8 @@
                 host=request.headers.get("Host"),
                 path=request.raw_path,
                 configuration=routing.version,
+                records_behind=self._orders.records_behind,
+                store_connected=self._orders.connected,
             )
             return self._error_response(request_id, 404, "no route")
         if not request_id:
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -63,28 +63,57 @@
         self._backoff_s = FIRST_BACKOFF_S
         self._poll_timeout_s = SHORT_POLL_S
         self._reading: asyncio.Task[t.Any] | None = None
-        self._peer_offset = 0
+        self._read_started_at = 0.0
+        self._response_begun = False
+        self._known_end = 0
+        self._behind_since: float | None = None
+        self._restarts = 0
         self.offset: int | None = None
         """Start offset of the next read; ``None`` while the whole state has to be loaded."""
         self.loaded = False
         """Whether the whole state was loaded at least once since the start."""
 
+    @property
+    def topic(self) -> str:
+        """Name of the replicated topic."""
+        return self._topic
+
+    @property
+    def connected(self) -> bool:
+        """Whether the latest call to the store succeeded."""
+        return bool(self._connected)
+
+    @property
+    def records_behind(self) -> int:
+        """Number of records that the topic is known to have and this replica has not read."""
+        return 0 if self.offset is None else max(0, self._known_end - self.offset)
+
     def note_peer_offset(self, offset: int) -> None:
         """Note that another node has read up to ``offset``.
 
         If this replica hasn't caught up after :data:`LAG_TOLERANCE_S`, its read is restarted.
         """
-        if self.offset is None or offset <= max(self.offset, self._peer_offset):
+        if self.offset is None or offset <= max(self.offset, self._known_end):
             return
-        self._peer_offset = offset
-        asyncio.get_running_loop().call_later(LAG_TOLERANCE_S, self._check_lag, offset)
+        self._known_end = offset
+        loop = asyncio.get_running_loop()
+        if self._behind_since is None:
+            self._behind_since = loop.time()
+        loop.call_later(LAG_TOLERANCE_S, self._check_lag, offset)
 
     def _check_lag(self, offset: int) -> None:
         if self.offset is None or self.offset >= offset or self._reading is None:
             return
+        now = asyncio.get_running_loop().time()
         self._decisions.event(
-            "read lags behind", topic=self._topic, offset=self.offset, others_have=offset
+            "read lags behind",
+            topic=self._topic,
+            offset=self.offset,
+            others_have=offset,
+            reading_for_s=round(now - self._read_started_at, 3),
+            response_begun=self._response_begun,
         )
+        self._restarts += 1
         self._poll_timeout_s = 0.0
         self._reading.cancel()
 
@@ -108,7 +137,7 @@
                     pass
             self._mark_connected(page.next_offset)
             self._handler.replace(page.records)
-            self.offset = page.next_offset
+            self._advance(page.next_offset)
             self.loaded = True
             return True
         result = await self._read(self.offset)
@@ -127,7 +156,7 @@
         self._mark_connected(page.next_offset)
         for record in page.records:
             self._handler.apply(record)
-        self.offset = page.next_offset
+        self._advance(page.next_offset)
         if page.records:
             self._poll_timeout_s = SHORT_POLL_S
             await asyncio.sleep(BATCH_PAUSE_S)
@@ -137,8 +166,13 @@
 
     async def _read(self, offset: int) -> Result[StorePage, StoreError] | None:
         """Wait for records; return ``None`` if the read was cancelled to be restarted."""
-        reading = asyncio.get_running_loop().create_task(
-            self._store.read(self._topic, offset, self._poll_timeout_s)
+        loop = asyncio.get_running_loop()
+        self._read_started_at = loop.time()
+        self._response_begun = False
+        reading = loop.create_task(
+            self._store.read(
+                self._topic, offset, self._poll_timeout_s, on_response=self._mark_response_begun
+            )
         )
         self._reading = reading
         try:
@@ -152,6 +186,23 @@
         finally:
             self._reading = None
 
+    def _mark_response_begun(self) -> None:
+        self._response_begun = True
+
+    def _advance(self, offset: int) -> None:
+        self.offset = offset
+        if self._behind_since is None or offset < self._known_end:
+            return
+        self._decisions.event(
+            "caught up",
+            topic=self._topic,
+            offset=offset,
+            seconds=round(asyncio.get_running_loop().time() - self._behind_since, 3),
+            restarted_reads=self._restarts,
+        )
+        self._behind_since = None
+        self._restarts = 0
+
     def _mark_disconnected(self, reason: str) -> None:
         if self._connected is not False:
             self._connected = False
--- a/src/bulrushflow/sidecar/storage.py
+++ b/src/bulrushflow/sidecar/storage.py
@@ -62,9 +62,16 @@
         """Return the latest record of each key, and the offset at which to read on."""
 
     async def read(
-        self, topic: str, from_offset: int, wait_s: float
+        self,
+        topic: str,
+        from_offset: int,
+        wait_s: float,
+        on_response: t.Callable[[], None] | None = None,
     ) -> Result[StorePage, StoreError]:
-        """Return records from an offset on, waiting up to ``wait_s`` seconds for the first one."""
+        """Return records from an offset on, waiting up to ``wait_s`` seconds for the first one.
+
+        :param on_response: called when the response begins to arrive.
+        """
 
     async def append(
         self, topic: str, writes: t.Sequence[StoreWrite], expected_end: int | None = None
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from bulrushflow.routing import Call
+from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.model import NodeEntry
@@ -76,6 +77,22 @@
     )
 
 
+class RecordingDecisions(DecisionLog):
+    """A decision log that also keeps its events, with their inputs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[tuple[str, dict[str, t.Any]]] = []
+
+    def event(self, event: str, **inputs: t.Any) -> None:
+        self.events.append((event, inputs))
+        super().event(event, **inputs)
+
+    def inputs(self, event: str) -> list[dict[str, t.Any]]:
+        """Return the inputs of each occurrence of an event."""
+        return [inputs for name, inputs in self.events if name == event]
+
+
 class MemoryStore:
     """An in-memory store that can be made unavailable, or not to wake pending reads.
 
@@ -104,7 +121,11 @@
         return Ok(StorePage(tuple(newest.values()), len(self.records)))
 
     async def read(
-        self, topic: str, from_offset: int, wait_s: float
+        self,
+        topic: str,
+        from_offset: int,
+        wait_s: float,
+        on_response: t.Callable[[], None] | None = None,
     ) -> Result[StorePage, StoreError]:
         self.reads.append((from_offset, wait_s))
         if self.unavailable:
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/test_replica.py
@@ -5,10 +5,10 @@
 from unittest import mock
 
 from bulrushflow.sidecar import replica as replica_module
-from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.storage import KeyedRecord
 from tests.sidecar.samples import MemoryStore
+from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import until
 
 
@@ -33,7 +33,8 @@
             self.addCleanup(patch.stop)
         self.store = MemoryStore()
         self.handler = RecordingHandler()
-        self.replica = Replica(self.store, "x", self.handler, DecisionLog(), random.Random(1))
+        self.decisions = RecordingDecisions()
+        self.replica = Replica(self.store, "x", self.handler, self.decisions, random.Random(1))
 
     async def start(self) -> None:
         await self.replica.start()
@@ -54,7 +55,14 @@
         await asyncio.sleep(0.01)
         self.assertEqual(self.handler.by_key, {})
         self.replica.note_peer_offset(1)
+        self.assertEqual(self.replica.records_behind, 1)
         await until(lambda: self.handler.by_key == {"a": b"1"})
+        [lag] = self.decisions.inputs("read lags behind")
+        self.assertEqual((lag["offset"], lag["others_have"]), (0, 1))
+        self.assertIs(lag["response_begun"], False)
+        [caught_up] = self.decisions.inputs("caught up")
+        self.assertEqual((caught_up["offset"], caught_up["restarted_reads"]), (1, 1))
+        self.assertEqual(self.replica.records_behind, 0)
 
     async def test_a_peer_offset_that_was_read_already_is_ignored(self) -> None:
         self.store.put("a", b"1")
