Add failing tests for reads of the store that never complete

The stand-in of the store can send responses in pieces, the one in memory can hold answers and transfers back and limits its pages.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import base64
+import json
 import struct
 
 from aiohttp import web
 
 from bulrushflow.sidecar.settings import Endpoint
 
+PIECE_PAUSE_S = 0.05
+
 
 class StoreStandIn:
     """Keeps the records of each topic, and fails, trims or loses responses as a test sets it."""
@@ -18,6 +21,8 @@
         self.status = 200
         self.loses_responses = False
         self.page_size = 500
+        self.piece_bytes = 0
+        """If positive, responses with records arrive in pieces of this size, a pause apart."""
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -64,7 +69,7 @@
             request.transport.abort()
         return web.json_response({"offset": offset, "end": len(records)})
 
-    async def _read(self, request: web.Request) -> web.Response:
+    async def _read(self, request: web.Request) -> web.StreamResponse:
         if self.status != 200:
             return web.Response(status=self.status)
         topic = request.query["topic"]
@@ -83,9 +88,9 @@
         for key, value in records[start:]:
             record = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(record)) + record
-        return web.Response(body=body)
+        return await self._send(request, body)
 
-    async def _newest(self, request: web.Request) -> web.Response:
+    async def _newest(self, request: web.Request) -> web.StreamResponse:
         if self.status != 200:
             return web.Response(status=self.status)
         records = self.records_by_topic.get(request.query["topic"], [])
@@ -101,4 +106,16 @@
             for key in keys[: self.page_size]
         ]
         more = len(keys) > self.page_size
-        return web.json_response({"items": items, "more": more, "end": len(records)})
+        document = {"items": items, "more": more, "end": len(records)}
+        return await self._send(request, json.dumps(document).encode())
+
+    async def _send(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        if not self.piece_bytes:
+            return web.Response(body=body)
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        for start in range(0, len(body), self.piece_bytes):
+            await response.write(body[start : start + self.piece_bytes])
+            await asyncio.sleep(PIECE_PAUSE_S)
+        return response
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
+from unittest import mock
 
+from bulrushflow.platform import store as store_module
 from bulrushflow.platform.store import PlatformStore
 from bulrushflow.sidecar.storage import StoreErrorKind
 from bulrushflow.sidecar.storage import StoreWrite
@@ -78,3 +80,16 @@
         await self.stand_in.stop()
         error = (await self.store.newest("t")).unwrap_err()
         self.assertIs(error.kind, StoreErrorKind.REFUSED)
+
+    async def test_a_response_that_keeps_arriving_is_not_given_up(self) -> None:
+        # Given up at a total time, it would begin anew and never end on a slow link.
+        self.stand_in.put("t", "a", b"x" * 40_000)
+        self.stand_in.piece_bytes = 1_000
+        with (
+            mock.patch.object(store_module, "CALL_TIMEOUT_S", 1.0),
+            mock.patch.object(store_module, "READ_MARGIN_S", 1.0),
+        ):
+            newest = await self.store.newest("t")
+            page = await self.store.read("t", 0, 0.0)
+        self.assertTrue(newest.is_ok(), newest)
+        self.assertTrue(page.is_ok(), page)
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -94,10 +94,11 @@
 
 
 class MemoryStore:
-    """An in-memory store that can be made unavailable, or not to wake pending reads.
+    """An in-memory store that can be made unavailable, slow, or not to wake pending reads.
 
     ``reads`` records the offset and wait time of each read. Offsets below ``first_offset`` count as
-    trimmed.
+    trimmed. Responses to reads don't begin while ``answers`` is cleared, and don't end while
+    ``transfers`` is.
     """
 
     def __init__(self) -> None:
@@ -106,6 +107,14 @@
         self.misses_wakeups = False
         self.unavailable = False
         self.first_offset = 0
+        self.answers = asyncio.Event()
+        self.answers.set()
+        self.transfers = asyncio.Event()
+        self.transfers.set()
+        self.responses_begun = 0
+        self.cancelled_reads = 0
+        self.max_page_records = 1_000
+        self.records_sent = 0
         self._appended = asyncio.Event()
 
     def put(self, key: str, value: bytes) -> None:
@@ -118,6 +127,7 @@
         if self.unavailable:
             return Err(StoreError(StoreErrorKind.REFUSED, "down"))
         newest = {record.key: record for record in self.records}
+        self.records_sent += len(newest)
         return Ok(StorePage(tuple(newest.values()), len(self.records)))
 
     async def read(
@@ -132,9 +142,20 @@
             return Err(StoreError(StoreErrorKind.REFUSED, "down"))
         if from_offset < self.first_offset:
             return Err(StoreError(StoreErrorKind.TRIMMED, "gone"))
-        if from_offset >= len(self.records) and wait_s:
-            await self._appended.wait()
-        return Ok(StorePage(tuple(self.records[from_offset:]), len(self.records)))
+        try:
+            await self.answers.wait()
+            if from_offset >= len(self.records) and wait_s:
+                await self._appended.wait()
+            self.responses_begun += 1
+            if on_response is not None:
+                on_response()
+            await self.transfers.wait()
+        except asyncio.CancelledError:
+            self.cancelled_reads += 1
+            raise
+        page = self.records[from_offset : from_offset + self.max_page_records]
+        self.records_sent += len(page)
+        return Ok(StorePage(tuple(page), from_offset + len(page)))
 
     async def append(
         self, topic: str, writes: t.Sequence[StoreWrite], expected_end: int | None = None
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/test_replica.py
@@ -89,3 +89,49 @@
         self.store.unavailable = False
         await until(lambda: self.handler.by_key == {"a": b"2"})
         self.assertTrue(self.replica.loaded)
+
+    async def test_a_read_whose_response_has_begun_is_not_restarted_by_newer_records(self) -> None:
+        # Each restart began the transfer anew, so that a slow link never completed one.
+        await self.start()
+        await until(lambda: bool(self.store.reads))
+        self.store.transfers.clear()
+        self.store.put("a", b"1")
+        await until(lambda: self.store.responses_begun == 1)
+        for offset in (2, 3, 4):
+            self.store.put("a", str(offset).encode())
+            self.replica.note_peer_offset(offset)
+            await asyncio.sleep(0.01)
+        cancelled = self.store.cancelled_reads
+        self.store.transfers.set()
+        await until(lambda: self.handler.by_key == {"a": b"4"})
+        self.assertEqual(cancelled, 0)
+
+    async def test_a_read_that_fetches_known_records_is_not_restarted_by_newer_ones(self) -> None:
+        # A slow store needs longer for each answer than the operator for the next record.
+        await self.start()
+        await until(lambda: bool(self.store.reads))
+        self.store.misses_wakeups = True
+        self.store.put("a", b"1")
+        self.store.answers.clear()
+        self.replica.note_peer_offset(1)
+        await until(lambda: self.store.cancelled_reads == 1)
+        for offset in (2, 3, 4):
+            self.store.put("a", str(offset).encode())
+            self.replica.note_peer_offset(offset)
+            await asyncio.sleep(0.01)
+        cancelled = self.store.cancelled_reads
+        self.store.answers.set()
+        await until(lambda: self.handler.by_key == {"a": b"4"})
+        self.assertEqual(cancelled, 1)
+
+    async def test_a_replica_that_is_far_behind_skips_the_replaced_records(self) -> None:
+        self.store.max_page_records = 2
+        await self.start()
+        self.store.unavailable = True
+        self.store.put("a", b"0")
+        await until(lambda: not self.replica.connected)
+        for value in range(20):
+            self.store.put("b", str(value).encode())
+        self.store.unavailable = False
+        await until(lambda: self.handler.by_key == {"a": b"0", "b": b"19"})
+        self.assertLessEqual(self.store.records_sent, 4)
