Let a read that fetches records finish while newer ones appear

Cause: a node that learned from another node's call that there are newer records restarted its read 0.3 s later, whether it waited for records or was receiving them. With configurations of some 170 KB on links of 5 Mbit/s a read takes longer than the operator takes to publish the next one, so each restart threw the transfer away and the node kept its old configuration until the series ended: 14 s for nodes that the store had turned away before, and the same for nodes that it had not.

Ruled out: a silent read that only its time-out ends (the links were full and the store answered), and a configuration that isn't applied (no 'record unreadable', and each 404 of the record's routes names an old configuration).

A class of livelock: work restarted from the beginning by an event that comes more often than the work takes. Now only a read that waits for records is restarted. A read that is started because records are known doesn't wait, has its own time-out, and is left to finish; so is a waiting read once its response has begun. The end that the store reports replaces what other nodes reported, so that a wrong report can't keep a node reading.

--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -83,7 +83,7 @@
                 case Ok((status, body)):
                     pass
             if status == 404:
-                return Ok(StorePage((), 0))
+                return Ok(StorePage((), 0, 0))
             if status != 200:
                 return Err(_status_error(status))
             try:
@@ -95,7 +95,7 @@
                 return Err(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
             end = page.end if end is None else end
             if not page.more or not page.items:
-                return Ok(StorePage(tuple(records), end))
+                return Ok(StorePage(tuple(records), end, end))
             after = page.items[-1].key
 
     async def read(
@@ -126,7 +126,7 @@
             case Ok((404, _)):
                 # The topic doesn't exist before its first record, so the wait happens here.
                 await asyncio.sleep(wait_s)
-                return Ok(StorePage((), from_offset))
+                return Ok(StorePage((), from_offset, from_offset))
             case Ok((status, _)):
                 return Err(_status_error(status))
 
@@ -220,6 +220,7 @@
                 f"response of {len(data)} bytes is shorter than its header",
             )
         )
+    end, _ = _ENDS.unpack_from(data)
     records: list[KeyedRecord] = []
     start = _ENDS.size
     offset = from_offset
@@ -232,7 +233,7 @@
         start += length
         records.append(_decode_record(body, offset))
         offset += 1
-    return Ok(StorePage(tuple(records), offset))
+    return Ok(StorePage(tuple(records), offset, max(end, offset)))
 
 
 def _decode_record(body: bytes, offset: int) -> KeyedRecord:
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -24,7 +24,7 @@
 BATCH_PAUSE_S = 0.5
 """Pause after records arrived, so that the next read returns several at once."""
 LAG_TOLERANCE_S = 0.3
-"""Time that a read may lag behind another node's offset before it is restarted."""
+"""Time that a waiting read may lag behind another node's offset before it is restarted."""
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
 
@@ -64,7 +64,7 @@
         self._poll_timeout_s = SHORT_POLL_S
         self._reading: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
-        self._response_begun = False
+        self._waiting = False
         self._known_end = 0
         self._behind_since: float | None = None
         self._restarts = 0
@@ -91,7 +91,9 @@
     def note_peer_offset(self, offset: int) -> None:
         """Note that another node has read up to ``offset``.
 
-        If this replica hasn't caught up after :data:`LAG_TOLERANCE_S`, its read is restarted.
+        If this replica hasn't caught up after :data:`LAG_TOLERANCE_S`, a read that still waits for
+        records is restarted. One that fetches records is left to finish: it would be restarted by
+        each new record, and never complete while these come faster than a response.
         """
         if self.offset is None or offset <= max(self.offset, self._known_end):
             return
@@ -102,7 +104,9 @@
         loop.call_later(LAG_TOLERANCE_S, self._check_lag, offset)
 
     def _check_lag(self, offset: int) -> None:
-        if self.offset is None or self.offset >= offset or self._reading is None:
+        if self.offset is None or self.offset >= offset:
+            return
+        if self._reading is None or not self._waiting:
             return
         now = asyncio.get_running_loop().time()
         self._decisions.event(
@@ -111,10 +115,8 @@
             offset=self.offset,
             others_have=offset,
             reading_for_s=round(now - self._read_started_at, 3),
-            response_begun=self._response_begun,
         )
         self._restarts += 1
-        self._poll_timeout_s = 0.0
         self._reading.cancel()
 
     async def run(self) -> None:
@@ -137,7 +139,7 @@
                     pass
             self._mark_connected(page.next_offset)
             self._handler.replace(page.records)
-            self._advance(page.next_offset)
+            self._advance(page)
             self.loaded = True
             return True
         result = await self._read(self.offset)
@@ -156,7 +158,7 @@
         self._mark_connected(page.next_offset)
         for record in page.records:
             self._handler.apply(record)
-        self._advance(page.next_offset)
+        self._advance(page)
         if page.records:
             self._poll_timeout_s = SHORT_POLL_S
             await asyncio.sleep(BATCH_PAUSE_S)
@@ -168,11 +170,10 @@
         """Wait for records; return ``None`` if the read was cancelled to be restarted."""
         loop = asyncio.get_running_loop()
         self._read_started_at = loop.time()
-        self._response_begun = False
+        wait_s = 0.0 if self.records_behind else self._poll_timeout_s
+        self._waiting = wait_s > 0
         reading = loop.create_task(
-            self._store.read(
-                self._topic, offset, self._poll_timeout_s, on_response=self._mark_response_begun
-            )
+            self._store.read(self._topic, offset, wait_s, on_response=self._end_wait)
         )
         self._reading = reading
         try:
@@ -186,17 +187,19 @@
         finally:
             self._reading = None
 
-    def _mark_response_begun(self) -> None:
-        self._response_begun = True
+    def _end_wait(self) -> None:
+        self._waiting = False
 
-    def _advance(self, offset: int) -> None:
-        self.offset = offset
-        if self._behind_since is None or offset < self._known_end:
+    def _advance(self, page: StorePage) -> None:
+        """Move on to the end of a page; the store's own end replaces what other nodes reported."""
+        self.offset = page.next_offset
+        self._known_end = page.end
+        if self._behind_since is None or self.records_behind:
             return
         self._decisions.event(
             "caught up",
             topic=self._topic,
-            offset=offset,
+            offset=self.offset,
             seconds=round(asyncio.get_running_loop().time() - self._behind_since, 3),
             restarted_reads=self._restarts,
         )
--- a/src/bulrushflow/sidecar/storage.py
+++ b/src/bulrushflow/sidecar/storage.py
@@ -49,10 +49,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StorePage:
-    """Records of one response, and the offset of the next read."""
+    """Records of one response, the offset of the next read, and the end of the topic by then."""
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    end: int
+    """Offset that the next record to be appended gets."""
 
 
 class Store(t.Protocol):
