Bound a store's response by the pause between its bytes, not in total

The time until a response begins keeps its bound; from then on 1.5 s without a byte end it, 20 s altogether for one that trickles, and 4 MB, so that bytes without end can't take the process's memory.

Two more guard the bounds: the first stand-in for them hung in its own stop, since a handler waited for ever; it is released there now.

--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -20,10 +20,17 @@
 from bulrushflow.sidecar.storage import StoreWrite
 
 CALL_TIMEOUT_S = 1.5
-"""Timeout of a request that doesn't wait for records."""
+"""Time until the response to a request that doesn't wait for records begins."""
 CONNECT_TIMEOUT_S = 1.0
 READ_MARGIN_S = 2.0
-"""Timeout of a long-polling read, beyond the time that it waits for records."""
+"""The same for a long-polling read, beyond the time that it waits for records."""
+IDLE_TIMEOUT_S = 1.5
+"""Time without a byte after which a response that has begun is given up. A response that keeps
+arriving is not: begun anew, it would take as long again on a slow link."""
+MAX_TRANSFER_S = 20.0
+"""Bound on the whole duration of a response, for one that trickles without end."""
+MAX_RESPONSE_BYTES = 4 << 20
+"""Bound on the size of a response; the store's own bound is 1 MB of records, in base64 at most."""
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
@@ -33,6 +40,7 @@
 """Size of a read's response: a record of the greatest size. What is left of a longer history is
 mostly replaced already, so a reader loads the newest records instead."""
 
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
 
@@ -177,20 +185,40 @@
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
-            async with session.request(
-                method, self._base + path, params=query, data=body or None, timeout=timeout
-            ) as response:
+            async with (
+                asyncio.timeout(timeout_s) as until_response,
+                session.request(
+                    method, self._base + path, params=query, data=body or None, timeout=_NO_TIMEOUT
+                ) as response,
+            ):
                 if on_response is not None:
                     on_response()
-                return Ok((response.status, await response.read()))
+                return Ok((response.status, await _read_body(response, until_response)))
         except aiohttp.ClientConnectorError as exc:
             return Err(StoreError(StoreErrorKind.REFUSED, f"no connection: {exc}"))
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             return Err(StoreError(StoreErrorKind.UNKNOWN, f"{type(exc).__name__}: {exc}"))
 
 
+async def _read_body(response: aiohttp.ClientResponse, timeout: asyncio.Timeout) -> bytes:
+    """Read a response, and move the timeout on with each part of it.
+
+    :raises aiohttp.ClientPayloadError: if the response exceeds :data:`MAX_RESPONSE_BYTES`.
+    """
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + MAX_TRANSFER_S
+    data = bytearray()
+    while True:
+        timeout.reschedule(min(give_up_at, loop.time() + IDLE_TIMEOUT_S))
+        chunk = await response.content.readany()
+        if not chunk:
+            return bytes(data)
+        data += chunk
+        if len(data) > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
+
+
 def _create_socket(address_info: t.Any) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family, kind, protocol)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -23,6 +23,9 @@
         self.page_size = 500
         self.piece_bytes = 0
         """If positive, responses with records arrive in pieces of this size, a pause apart."""
+        self.stalls = False
+        """Whether such responses stop after the first piece."""
+        self._stopping = asyncio.Event()
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -37,6 +40,7 @@
         return Endpoint(*self._runner.addresses[0][:2])
 
     async def stop(self) -> None:
+        self._stopping.set()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -116,6 +120,13 @@
         response.content_length = len(body)
         await response.prepare(request)
         for start in range(0, len(body), self.piece_bytes):
-            await response.write(body[start : start + self.piece_bytes])
+            try:
+                await response.write(body[start : start + self.piece_bytes])
+            except ConnectionResetError:
+                # The client gave the response up.
+                break
             await asyncio.sleep(PIECE_PAUSE_S)
+            if self.stalls:
+                await self._stopping.wait()
+                break
         return response
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -88,8 +88,25 @@
         with (
             mock.patch.object(store_module, "CALL_TIMEOUT_S", 1.0),
             mock.patch.object(store_module, "READ_MARGIN_S", 1.0),
+            mock.patch.object(store_module, "IDLE_TIMEOUT_S", 1.0),
         ):
             newest = await self.store.newest("t")
             page = await self.store.read("t", 0, 0.0)
         self.assertTrue(newest.is_ok(), newest)
         self.assertTrue(page.is_ok(), page)
+
+    async def test_a_response_that_stops_arriving_is_given_up(self) -> None:
+        self.stand_in.put("t", "a", b"x" * 4_000)
+        self.stand_in.piece_bytes = 1_000
+        self.stand_in.stalls = True
+        with mock.patch.object(store_module, "IDLE_TIMEOUT_S", 0.05):
+            error = (await self.store.read("t", 0, 0.0)).unwrap_err()
+        self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
+
+    async def test_a_response_without_end_is_given_up(self) -> None:
+        self.stand_in.put("t", "a", b"x" * 4_000)
+        self.stand_in.piece_bytes = 10
+        for name, bound in (("MAX_TRANSFER_S", 0.2), ("MAX_RESPONSE_BYTES", 100)):
+            with mock.patch.object(store_module, name, bound):
+                error = (await self.store.newest("t")).unwrap_err()
+            self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
