Answer 404 only while the configuration is known to be current

Catching up faster makes that time short, not zero: while the store turns a node away it can't catch up at all. 404 says that the route doesn't exist, which such a node can't know. A node counts as outdated while its latest call to the store failed, or while another node or the store has named a later record.

A path that never had a route gets 503 too in that time; its caller retries in vain a few times, which is the smaller harm. Waiting for the replica before answering was ruled out: what can't be served is rejected at once.

The test failed before (404 != 503).

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -228,6 +228,10 @@
         """Return whether callers should use this node."""
         return not self._stopping and bool(self.routing.version) and self._node_replica.loaded
 
+    def is_configuration_current(self) -> bool:
+        """Return whether the store responds and no newer configuration is known to exist."""
+        return self._operator_replica.is_current
+
     def reload(self, settings: SidecarSettings) -> None:
         """Apply changed settings; listening addresses change only on a restart."""
         before = self.settings
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -125,16 +125,7 @@
             return self._error_response(request_id, 503, "no configuration received yet")
         route = routing.match(request.headers.get("Host", "").lower(), request.raw_path)
         if route is None:
-            self._decisions.event(
-                "no route",
-                request=request_id,
-                host=request.headers.get("Host"),
-                path=request.raw_path,
-                configuration=routing.version,
-                records_behind=self._orders.records_behind,
-                store_connected=self._orders.connected,
-            )
-            return self._error_response(request_id, 404, "no route")
+            return self._missing_route_response(request, request_id, routing.version)
         if not request_id:
             return self._error_response(
                 request_id, 400, f"missing header {self._header_names.request_id}"
@@ -150,6 +141,27 @@
         self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
         return self._result_response(call, result, routing.version, seconds)
 
+    def _missing_route_response(
+        self, request: web.BaseRequest, request_id: str, version: int
+    ) -> web.Response:
+        """Return 404, which is final for callers, only if no newer configuration may be missing."""
+        current = self._orders.is_current
+        status = 404 if current else 503
+        self._decisions.event(
+            "no route",
+            request=request_id,
+            status=status,
+            host=request.headers.get("Host"),
+            path=request.raw_path,
+            configuration=version,
+            records_behind=self._orders.records_behind,
+            store_connected=self._orders.connected,
+        )
+        reason = f"no route in configuration {version}"
+        if not current:
+            reason += ", which may be outdated"
+        return self._error_response(request_id, status, reason)
+
     async def _dispatch(self, route: Route, call: Call) -> CallResult:
         try:
             return await self._dispatcher.dispatch(route, call)
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -95,6 +95,11 @@
         """Number of records that the topic is known to have and this replica has not read."""
         return 0 if self.offset is None else max(0, self._known_end - self.offset)
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the store responds and no record is known that this replica has not read."""
+        return self.connected and not self.records_behind
+
     def note_peer_offset(self, offset: int) -> None:
         """Note that another node has read up to ``offset``.
 
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -154,6 +154,17 @@
         self.assertTrue(all(target.received for target in self.targets))
         self.assertEqual((await self.call(0, "c-x", "/other/"))[0], 404)
 
+    async def test_a_node_that_misses_records_does_not_claim_that_a_route_is_missing(self) -> None:
+        # 404 is final for callers, although the records that this node misses may have the route.
+        await self.serve()
+        status, _ = await self.call(0, "c-1", "/other/")
+        self.assertEqual(status, 404)
+        self.store.status = 503
+        await until(lambda: not self.instances[0].sidecar.is_configuration_current())
+        status, _ = await self.call(0, "c-2", "/other/")
+        self.assertEqual(status, 503)
+        self.assertEqual((await self.call(0, "c-3"))[0], 200)
+
     async def test_a_draining_target_gets_no_calls_after_the_acknowledgement(self) -> None:
         await self.serve()
         self.assertEqual(await self.announce(1, "draining", 2), 200)
