Don't hand the wait for a connection to the other node as time left

Callers saw calls that ran on at another node after their deadline, by up to the wait for a connection (1 s between nodes of the log design, 0.3 s between sidecars), and targets got a timeout header longer than the time left; the sidecar's latency objective was late in the same way.

Cause: both forwarding modules took the time left before Links.exchange opened the connection. The message carries a duration that counts from its arrival, so the wait was added to the deadline. Now the connection is opened first (Links.connect) and the durations are taken after it. Links.exchange loses connect_timeout_s, which only the sidecar's forwarding passed. A call whose time ends during the wait is refused as 'no time left', as before the wait.

Ruled out: the codec, which rounds down from 1 ms on, and the handler, which starts in the iteration of the event loop after the one that read the request.

The flaky test test_calls_responses_and_loads_arrive_unchanged met this and a second thing. It asserted that the other node's deadline is before the caller's, which held only if connecting and delivery together took less than the margin of 20 ms. Two machines' clocks can't be compared, so the protocol can promise no more than 'the caller's deadline less the margin, plus the delivery time'; that a late call isn't run is due to the cancellation that the sender writes after it on the same connection.

--- a/src/bulrushflow/nodes/forwarding.py
+++ b/src/bulrushflow/nodes/forwarding.py
@@ -57,12 +57,23 @@
 
     async def send(self, member: Member, call: Call) -> tuple[CallResult, LoadReport | None]:
         """Run a call through another node; return the result, and the load that it reports."""
-        left_s = call.deadline - asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        left_s = call.deadline - loop.time()
         if left_s <= 0:
             return refused("no time left"), None
+        match await self._links.connect(member.endpoint, left_s):
+            case Err(error):
+                return not_run(error.reason), None
+            case Ok(link):
+                pass
+        # The other node counts the time from the message's arrival, so what was spent on the
+        # connection must be gone from it.
+        left_s = call.deadline - loop.time()
+        if left_s <= 0:
+            return refused("no time left after the connection was opened"), None
         margin_s = min(MAX_RESPONSE_MARGIN_S, left_s * RESPONSE_MARGIN_FRACTION)
         request = codec.call_to_message(call, left_s - margin_s)
-        match await self._links.exchange(member.endpoint, left_s, call_request=request):
+        match await link.exchange(left_s, call_request=request):
             case Err(error):
                 return (unknown if error.sent else not_run)(error.reason), None
             case Ok(frame) if frame.call_answer is not None:
--- a/src/bulrushflow/sidecar/forwarding.py
+++ b/src/bulrushflow/sidecar/forwarding.py
@@ -64,16 +64,25 @@
 
     async def send(self, endpoint: tuple[str, int], call: Call) -> tuple[CallResult, PeerReport]:
         """Run a call through the node at ``endpoint``."""
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        remaining_s = call.deadline - loop.time()
+        if remaining_s <= 0:
+            return refused(f"no time left: {remaining_s:.3f} s"), PeerReport(True, 0.0)
+        match await self._links.connect(endpoint, min(remaining_s, CONNECT_TIMEOUT_S)):
+            case Err(error):
+                return not_run(error.reason), PeerReport(False)
+            case Ok(link):
+                pass
+        # The other node counts the times from the message's arrival, so what was spent on the
+        # connection must be gone from them.
+        now = loop.time()
         remaining_s = call.deadline - now
         if remaining_s <= 0:
             return refused(f"no time left: {remaining_s:.3f} s"), PeerReport(True, 0.0)
         request = codec.call_to_message(call, remaining_s)
         request.read_offset = self._orders.offset
         request.useful_ms = max(0, int((call.late_after - now) * 1000))
-        match await self._links.exchange(
-            endpoint, remaining_s, CONNECT_TIMEOUT_S, call_request=request
-        ):
+        match await link.exchange(remaining_s, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
                 return result, PeerReport(False)
--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -93,38 +93,60 @@
             await asyncio.sleep(DRAIN_POLL_S)
         return True
 
+    async def connect(self, endpoint: Endpoint, timeout_s: float) -> Result[Link, LinkError]:
+        """Return the open connection to another node, or open one.
+
+        :param timeout_s: bound on the wait. The attempt goes on after it, for later callers.
+        """
+        link = self._outbound_by_endpoint.get(endpoint)
+        if link is not None and link.usable:
+            return Ok(link)
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._retry_at_by_endpoint.get(endpoint, 0.0):
+            return Err(
+                LinkError(
+                    False,
+                    f"no connection to {endpoint}: failed less than {RECONNECT_BACKOFF_S} s ago",
+                )
+            )
+        connecting = self._connecting_by_endpoint.get(endpoint)
+        if connecting is None:
+            connecting = loop.create_task(self._open(endpoint))
+            self._connecting_by_endpoint[endpoint] = connecting
+            connecting.add_done_callback(lambda _: self._connecting_by_endpoint.pop(endpoint, None))
+        try:
+            # Other callers share the attempt, so the end of one wait must not cancel it.
+            return await asyncio.wait_for(asyncio.shield(connecting), timeout_s)
+        except TimeoutError:
+            return Err(
+                LinkError(False, f"no connection to {endpoint} in time: waited {timeout_s:.3f} s")
+            )
+
     async def ensure_connected(self, endpoint: Endpoint) -> bool:
         """Open a connection unless one is open; return whether one is open now."""
-        return (await self._connect(endpoint, CONNECT_TIMEOUT_S)).is_ok()
+        return (await self.connect(endpoint, CONNECT_TIMEOUT_S)).is_ok()
 
     async def exchange(
-        self,
-        endpoint: Endpoint,
-        timeout_s: float,
-        connect_timeout_s: float = CONNECT_TIMEOUT_S,
-        **body: t.Any,
+        self, endpoint: Endpoint, timeout_s: float, **body: t.Any
     ) -> Result[t.Any, LinkError]:
         """Send a request to another node, over a new connection if none is open.
 
         :param timeout_s: bound on the whole exchange, the wait for a connection included.
-        :param connect_timeout_s: bound on the wait for a connection.
         :param body: the request, by its field in the frame.
         """
-        link = self._outbound_by_endpoint.get(endpoint)
-        if link is None or not link.usable:
-            started_at = asyncio.get_running_loop().time()
-            match await self._connect(endpoint, min(timeout_s, connect_timeout_s)):
-                case Err(error):
-                    return Err(error)
-                case Ok(link):
-                    timeout_s -= asyncio.get_running_loop().time() - started_at
+        started_at = asyncio.get_running_loop().time()
+        match await self.connect(endpoint, timeout_s):
+            case Err(error):
+                return Err(error)
+            case Ok(link):
+                timeout_s -= asyncio.get_running_loop().time() - started_at
         if timeout_s <= 0:
             return Err(LinkError(False, f"no time left: {timeout_s:.3f} s"))
         return await link.exchange(timeout_s, **body)
 
     async def send(self, endpoint: Endpoint, **body: t.Any) -> None:
         """Send a one-way message; it is dropped if no connection can be opened."""
-        match await self._connect(endpoint, CONNECT_TIMEOUT_S):
+        match await self.connect(endpoint, CONNECT_TIMEOUT_S):
             case Ok(link):
                 link.send(**body)
             case Err(_):
@@ -138,31 +160,6 @@
         self._accepted.add(link)
         return link
 
-    async def _connect(self, endpoint: Endpoint, timeout_s: float) -> Result[Link, LinkError]:
-        link = self._outbound_by_endpoint.get(endpoint)
-        if link is not None and link.usable:
-            return Ok(link)
-        loop = asyncio.get_running_loop()
-        if loop.time() < self._retry_at_by_endpoint.get(endpoint, 0.0):
-            return Err(
-                LinkError(
-                    False,
-                    f"no connection to {endpoint}: failed less than {RECONNECT_BACKOFF_S} s ago",
-                )
-            )
-        connecting = self._connecting_by_endpoint.get(endpoint)
-        if connecting is None:
-            connecting = loop.create_task(self._open(endpoint))
-            self._connecting_by_endpoint[endpoint] = connecting
-            connecting.add_done_callback(lambda _: self._connecting_by_endpoint.pop(endpoint, None))
-        try:
-            # Other callers share the attempt, so the end of one wait must not cancel it.
-            return await asyncio.wait_for(asyncio.shield(connecting), timeout_s)
-        except TimeoutError:
-            return Err(
-                LinkError(False, f"no connection to {endpoint} in time: waited {timeout_s:.3f} s")
-            )
-
     async def _open(self, endpoint: Endpoint) -> Result[Link, LinkError]:
         loop = asyncio.get_running_loop()
         try:
--- a/tests/nodes/test_forwarding.py
+++ b/tests/nodes/test_forwarding.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+import typing as t
 import unittest
+from unittest import mock
 
 from bulrushflow.membership import Member
 from bulrushflow.nodes import Forwarding
@@ -16,9 +18,24 @@
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
 from bulrushflow.wire import codec
+from bulrushflow.wire.link import Link
+from tests.clocks import stopped_loop_clock
+from tests.targets.servers import GUARD_S
 from tests.targets.servers import call
 from tests.targets.servers import until
 
+ROUNDING_S = 1e-9
+"""Tolerance for sums of binary fractions of seconds."""
+
+
+def count_frames(data: bytes) -> int:
+    """Return the number of complete frames in ``data``."""
+    count = 0
+    while len(data) >= 4 + int.from_bytes(data[:4], "big") > 4:
+        data = data[4 + int.from_bytes(data[:4], "big") :]
+        count += 1
+    return count
+
 
 class FakeRunner:
     """Stands in for admission control of the other node's target."""
@@ -69,8 +86,72 @@
         self.assertEqual((report.load, report.capacity), (3, 7))
         (received,) = self.runner.calls
         self.assertEqual(received.attempt, 2)
-        self.assertLess(received.deadline, sent.deadline)
-        self.assertGreater(received.deadline, sent.deadline - MAX_RESPONSE_MARGIN_S - 1.0)
+
+    def assert_received_in_time(self, sent: Call, delivery_s: float = 0.0) -> None:
+        """Check the other node's deadline: the caller's less the margin, plus the delivery time."""
+        (received,) = self.runner.calls
+        latest = sent.deadline - MAX_RESPONSE_MARGIN_S + delivery_s
+        self.assertLessEqual(received.deadline, latest + ROUNDING_S)
+        # Whole milliseconds are sent, rounded down.
+        self.assertGreater(received.deadline, latest - 0.001 - ROUNDING_S)
+
+    async def test_the_other_nodes_deadline_leaves_time_for_the_response(self) -> None:
+        with stopped_loop_clock():
+            sent = call()
+            await self.forwarding.send(self.member, sent)
+        self.assert_received_in_time(sent)
+
+    async def test_the_wait_for_a_connection_is_not_added_to_the_deadline(self) -> None:
+        loop = asyncio.get_running_loop()
+        create_connection = loop.create_connection
+        with stopped_loop_clock() as clock:
+
+            async def connect_slowly(*args: t.Any, **options: t.Any) -> t.Any:
+                clock.advance(0.5)
+                return await create_connection(*args, **options)
+
+            sent = call()
+            with mock.patch.object(loop, "create_connection", connect_slowly):
+                await self.forwarding.send(self.member, sent)
+        self.assert_received_in_time(sent)
+
+    async def test_a_slow_delivery_moves_the_deadline_by_no_more_than_its_duration(self) -> None:
+        # Clocks of two machines can't be compared, so the time left counts from the arrival.
+        deliver = Link.data_received
+        delivered: list[Link] = []
+        with stopped_loop_clock() as clock:
+
+            def deliver_slowly(link: Link, data: bytes) -> None:
+                if not delivered:
+                    clock.advance(0.5)
+                delivered.append(link)
+                deliver(link, data)
+
+            sent = call()
+            with mock.patch.object(Link, "data_received", deliver_slowly):
+                await self.forwarding.send(self.member, sent)
+        self.assert_received_in_time(sent, delivery_s=0.5)
+
+    async def test_a_call_delivered_after_its_senders_deadline_is_not_run(self) -> None:
+        deliver = Link.data_received
+        undelivered: dict[Link, bytes] = {}
+
+        def hold(link: Link, data: bytes) -> None:
+            undelivered[link] = undelivered.get(link, b"") + data
+
+        await self.forwarding.send(self.member, call())
+        with mock.patch.object(Link, "data_received", hold):
+            sending = asyncio.create_task(self.forwarding.send(self.member, call()))
+            await until(lambda: len(undelivered) == 1)
+            with stopped_loop_clock() as clock:
+                clock.advance(GUARD_S)
+                self.assertIs((await sending)[0].unwrap_err().outcome, Outcome.UNKNOWN)
+            # The sender's cancellation follows its request on the same connection.
+            await until(lambda: count_frames(*undelivered.values()) == 2)
+        for link, data in undelivered.items():
+            deliver(link, data)
+        await self.forwarding.send(self.member, call())
+        self.assertEqual(len(self.runner.calls), 2)
 
     async def test_failures_keep_their_outcome(self) -> None:
         for expected in (not_run("full"), answer_lost("large")):
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -1,8 +1,12 @@
+import asyncio
 import random
+import typing as t
 import unittest
 from dataclasses import replace
 from unittest import mock
 
+from bulrushflow.routing import Call
+from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.sidecar.admission_controller import AdmissionController
 from bulrushflow.sidecar.decisions import DecisionLog
@@ -13,6 +17,7 @@
 from bulrushflow.sidecar.retry_budget import TargetRetryBudget
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
+from tests.clocks import stopped_loop_clock
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import FixedClock
 from tests.sidecar.samples import MemoryStore
@@ -22,6 +27,9 @@
 from tests.sidecar.servers import FakeTarget
 from tests.waiting import until
 
+ROUNDING_S = 1e-9
+"""Tolerance for sums of binary fractions of seconds."""
+
 
 class Node:
     """One node's connections and admission controller on loopback."""
@@ -80,6 +88,37 @@
         self.assertEqual(result.unwrap().body, b"body")
         self.assertEqual((report.reached, report.load), (True, 0.0))
 
+    async def test_the_wait_for_a_connection_is_not_added_to_the_calls_times(self) -> None:
+        received: list[Call] = []
+        run = self.remote.admission.run
+
+        async def record_and_run(call: Call) -> CallResult:
+            received.append(call)
+            return await run(call)
+
+        loop = asyncio.get_running_loop()
+        create_connection = loop.create_connection
+        with stopped_loop_clock() as clock:
+
+            async def connect_slowly(*args: t.Any, **options: t.Any) -> t.Any:
+                clock.advance(0.2)
+                return await create_connection(*args, **options)
+
+            sent = call()
+            with (
+                mock.patch.object(self.remote.admission, "run", record_and_run),
+                mock.patch.object(loop, "create_connection", connect_slowly),
+            ):
+                result, _ = await self.local.forwarder.send(self.peer.entry.endpoint, sent)
+        self.assertTrue(result.is_ok(), result)
+        # Whole milliseconds are sent, rounded down.
+        for arrived, at_sender in (
+            (received[0].deadline, sent.deadline),
+            (received[0].late_after, sent.late_after),
+        ):
+            self.assertLessEqual(arrived, at_sender + ROUNDING_S)
+            self.assertGreater(arrived, at_sender - 0.001 - ROUNDING_S)
+
     async def test_a_node_without_a_target_reports_no_load(self) -> None:
         self.remote.admission.remove_target("t-1")
         result, report = await self.local.forwarder.send(self.peer.entry.endpoint, call())
