Refuse a call with less than a millisecond left instead of rounding it up

A call forwarded with less than 1 ms left got a whole millisecond at the other node, so it could start after its caller's deadline. Cause: the codec sent max(1, milliseconds). The senders now refuse it as 'no time left', and the codec rounds down only.

Ruled out: sending 0, which the other node refuses too, but only after a message.

Failed before: nodes: the call ran (UnwrapError on an Ok result); sidecar: AssertionError: <Outcome.NOT_RUN: 1> is not <Outcome.REFUSED: 3>

--- a/src/bulrushflow/nodes/forwarding.py
+++ b/src/bulrushflow/nodes/forwarding.py
@@ -69,10 +69,10 @@
         # The other node counts the time from the message's arrival, so what was spent on the
         # connection must be gone from it.
         left_s = call.deadline - loop.time()
-        if left_s <= 0:
-            return refused("no time left after the connection was opened"), None
-        margin_s = min(MAX_RESPONSE_MARGIN_S, left_s * RESPONSE_MARGIN_FRACTION)
-        request = codec.call_to_message(call, left_s - margin_s)
+        timeout_s = left_s - min(MAX_RESPONSE_MARGIN_S, left_s * RESPONSE_MARGIN_FRACTION)
+        if timeout_s < codec.MIN_TIMEOUT_S:
+            return refused(f"no time left for another node: {timeout_s:.4f} s"), None
+        request = codec.call_to_message(call, timeout_s)
         match await link.exchange(left_s, call_request=request):
             case Err(error):
                 return (unknown if error.sent else not_run)(error.reason), None
--- a/src/bulrushflow/sidecar/forwarding.py
+++ b/src/bulrushflow/sidecar/forwarding.py
@@ -77,8 +77,8 @@
         # connection must be gone from them.
         now = loop.time()
         remaining_s = call.deadline - now
-        if remaining_s <= 0:
-            return refused(f"no time left: {remaining_s:.3f} s"), PeerReport(True, 0.0)
+        if remaining_s < codec.MIN_TIMEOUT_S:
+            return refused(f"no time left: {remaining_s:.4f} s"), PeerReport(True, 0.0)
         request = codec.call_to_message(call, remaining_s)
         request.read_offset = self._orders.offset
         request.useful_ms = max(0, int((call.late_after - now) * 1000))
--- a/src/bulrushflow/wire/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -18,6 +18,9 @@
 from bulrushflow.routing import Response
 from bulrushflow.wire import messages
 
+MIN_TIMEOUT_S = 0.001
+"""Least time left with which a call is sent to another node."""
+
 _MEMBER_BYTES = 47
 """Encoded bytes of a member in thrift's binary protocol, apart from its texts (ASCII)."""
 _TARGET_BYTES = 32
@@ -106,7 +109,10 @@
 
 
 def call_to_message(call: Call, timeout_s: float) -> t.Any:
-    """Return the thrift message for a call that has ``timeout_s`` seconds left."""
+    """Return the thrift message for a call that has ``timeout_s`` seconds left.
+
+    Whole milliseconds are sent, rounded down, so ``timeout_s`` is at least ``MIN_TIMEOUT_S``.
+    """
     return messages.CallRequest(
         request_id=call.request_id,
         tenant=call.tenant,
@@ -117,7 +123,7 @@
         path=_text_to_message(call.path),
         headers=_headers_to_message(call.headers),
         body=call.body,
-        timeout_ms=max(1, int(timeout_s * 1000)),
+        timeout_ms=int(timeout_s * 1000),
         idempotent=call.idempotent,
         attempt=call.attempt,
         priority=call.priority,
--- a/tests/nodes/test_forwarding.py
+++ b/tests/nodes/test_forwarding.py
@@ -153,6 +153,12 @@
         await self.forwarding.send(self.member, call())
         self.assertEqual(len(self.runner.calls), 2)
 
+    async def test_less_than_a_millisecond_is_not_rounded_up(self) -> None:
+        with stopped_loop_clock():
+            result, _ = await self.forwarding.send(self.member, call(timeout_s=0.0011))
+        self.assertIs(result.unwrap_err().outcome, Outcome.REFUSED)
+        self.assertEqual(self.runner.calls, [])
+
     async def test_failures_keep_their_outcome(self) -> None:
         for expected in (not_run("full"), answer_lost("large")):
             with self.subTest(expected=expected):
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -119,6 +119,13 @@
             self.assertLessEqual(arrived, at_sender + ROUNDING_S)
             self.assertGreater(arrived, at_sender - 0.001 - ROUNDING_S)
 
+    async def test_less_than_a_millisecond_is_not_rounded_up(self) -> None:
+        with stopped_loop_clock():
+            sent = call(timeout_s=0.0009)
+            result, report = await self.local.forwarder.send(self.peer.entry.endpoint, sent)
+        self.assertIs(result.unwrap_err().outcome, Outcome.REFUSED)
+        self.assertTrue(report.reached)
+
     async def test_a_node_without_a_target_reports_no_load(self) -> None:
         self.remote.admission.remove_target("t-1")
         result, report = await self.local.forwarder.send(self.peer.entry.endpoint, call())
