Count a forwarded call without a latency objective as late at its deadline

Nobody saw it yet: nodes of the log design set no useful_ms and read no late_after, but the codec read an absent field as 0 ms, so every call of a sender without objectives would count as late on arrival and be queued behind all others. Now the deadline takes its place.

Ruled out: sending useful_ms from nodes of the log design, whose routes have no objective. read_offset stays absent there: it is an offset in the sidecar's store, and the log design learns of lagging reads by gossip.

Failed before: AssertionError: 1223.583985543 != 1233.561985543

--- a/src/bulrushflow/wire/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -133,8 +133,11 @@
 def call_from_message(message: t.Any, now: float) -> Call:
     """Return the call in a thrift message.
 
+    Senders without latency objectives don't set one; the call is then late only at its deadline.
+
     :param now: seconds on this node's clock, to which the message's durations are added.
     """
+    useful_ms = message.timeout_ms if message.useful_ms is None else message.useful_ms
     return Call(
         request_id=message.request_id,
         tenant=message.tenant,
@@ -149,7 +152,7 @@
         idempotent=message.idempotent,
         attempt=message.attempt or 0,
         priority=message.priority or 0,
-        late_after=now + (message.useful_ms or 0) / 1000,
+        late_after=now + useful_ms / 1000,
     )
 
 
--- a/tests/nodes/test_forwarding.py
+++ b/tests/nodes/test_forwarding.py
@@ -153,6 +153,13 @@
         await self.forwarding.send(self.member, call())
         self.assertEqual(len(self.runner.calls), 2)
 
+    async def test_without_a_latency_objective_a_response_is_late_only_after_the_deadline(
+        self,
+    ) -> None:
+        await self.forwarding.send(self.member, call())
+        (received,) = self.runner.calls
+        self.assertEqual(received.late_after, received.deadline)
+
     async def test_less_than_a_millisecond_is_not_rounded_up(self) -> None:
         with stopped_loop_clock():
             result, _ = await self.forwarding.send(self.member, call(timeout_s=0.0011))
