Answer 408 only for a body that did not arrive

A TimeoutError that escaped the dispatch would have been answered 408 with x-outcome not-run, although the call may have run; no path that raises one was found. Cause: one try block around the body and the call. The body is now read in a method of its own, which alone turns a timeout into 408. aiohttp answers an exception of the dispatch with 504 or 500, without an outcome.

Failed before, for TimeoutError: AssertionError: Tuples differ: (408, 'not-run') != (504, None)

--- a/src/bulrushflow/callers/server.py
+++ b/src/bulrushflow/callers/server.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from result import Err
 from result import Ok
+from result import Result
 
 from bulrushflow.bodies import expected_bytes
 from bulrushflow.bodies import read_body
@@ -161,21 +162,27 @@
                 close=True,
             )
         try:
-            async with asyncio.timeout_at(started_at + route.timeout_ms / 1000):
-                read = await read_body(request, max_bytes)
-            match read:
-                case Err(reason):
-                    return refusal_response(413, reason, close=True)
+            match await self._read_body(request, route, started_at):
+                case Err(response):
+                    return response
                 case Ok(body):
                     call = _build_call(request, route, body, started_at)
                     return await self._run(configuration, call, started_at)
-        except TimeoutError:
-            return refusal_response(
-                408, f"the body did not arrive in time (within {route.timeout_ms} ms)", close=True
-            )
         finally:
             self._byte_budget.release(reserved)
 
+    async def _read_body(
+        self, request: web.BaseRequest, route: Route, started_at: float
+    ) -> Result[bytes, web.Response]:
+        """Return the body, or the response to a request whose body is refused."""
+        try:
+            async with asyncio.timeout_at(started_at + route.timeout_ms / 1000):
+                read = await read_body(request, self._settings.max_body_bytes)
+        except TimeoutError:
+            reason = f"the body did not arrive in time (within {route.timeout_ms} ms)"
+            return Err(refusal_response(408, reason, close=True))
+        return read.map_err(lambda reason: refusal_response(413, reason, close=True))
+
     async def _run(
         self, configuration: Configuration, call: Call, started_at: float
     ) -> web.Response:
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -44,6 +44,7 @@
         self.calls: list[Call] = []
         self.cancelled = 0
         self.result: CallResult | None = None
+        self.exception: Exception | None = None
         self.may_end = asyncio.Event()
         self.may_end.set()
 
@@ -55,6 +56,8 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if self.exception is not None:
+            raise self.exception
         return self.result or Response(200, (), call.body).as_result()
 
 
@@ -137,6 +140,14 @@
         await until(lambda: self.byte_budget.used_bytes == 0)
         self.assertEqual(self.dispatcher.calls, [])
 
+    async def test_an_exception_of_the_dispatch_is_never_reported_as_not_run(self) -> None:
+        # aiohttp chooses these statuses for exceptions of a handler.
+        for exception, status in ((TimeoutError(), 504), (RuntimeError(), 500)):
+            with self.subTest(exception=exception):
+                self.dispatcher.exception = exception
+                self.assertEqual((await self.post(data=b"body"))[:2], (status, None))
+                await until(lambda: self.byte_budget.used_bytes == 0)
+
     async def test_connection_of_a_caller_that_does_not_read_is_closed(self) -> None:
         large = Response(200, (), bytes(64 << 20)).as_result()
         self.dispatcher.result = large
