Wait for the calls at a replaced target when a node drains

A node that stopped right after its target was replaced ended its drain while the former target still ran calls; closing the controller cancelled their session's retirement and the callers' outcome was lost. Cause: drain waited for the current session only. It waits for the retiring ones too, within the same bound.

Ruled out: wait_for over all of them, which would cancel the retirements at the time limit and leave their connections open.

Failed before: AssertionError: True is not false (drain returned True with a call in flight)

--- a/src/bulrushflow/targets/admission_controller.py
+++ b/src/bulrushflow/targets/admission_controller.py
@@ -118,17 +118,20 @@
         return await self._send(session, call)
 
     async def drain(self, timeout_s: float) -> bool:
-        """Refuse new and queued calls and wait for those in flight; return whether all ended."""
+        """Refuse new and queued calls and wait for those in flight; return whether all ended.
+
+        Those at a target that was replaced before are waited for too.
+        """
         self._draining = True
         self._notify_target_change()
         if self._session is None:
             return True
         self._session.slots.refuse_queued("this node is draining and takes no new calls")
-        try:
-            await asyncio.wait_for(self._session.wait_idle(), timeout_s)
-        except TimeoutError:
-            return False
-        return True
+        idle = asyncio.get_running_loop().create_task(self._session.wait_idle())
+        # Not wait_for, which would cancel the retirements, and with them close no connections.
+        _, pending = await asyncio.wait({idle, *self._retiring}, timeout=timeout_s)
+        idle.cancel()
+        return not pending
 
     async def close(self) -> None:
         """Close the connections to the target."""
--- a/tests/targets/test_admission_controller.py
+++ b/tests/targets/test_admission_controller.py
@@ -153,6 +153,18 @@
         assert target is not None
         self.assertIs(target.state, TargetState.DRAINING)
 
+    async def test_drain_waits_for_calls_at_a_replaced_target(self) -> None:
+        first = asyncio.create_task(self.outcome(call("1")))
+        await until(lambda: self.started == ["1"])
+        async with http_server(self.handle) as port:
+            await self.controller.handle_announcement(announcement(port, version="v2"))
+            self.assertFalse(await self.controller.drain(0.01))
+            drain = asyncio.create_task(self.controller.drain(GUARD_S))
+            await asyncio.sleep(0)
+            self.may_end.set()
+            self.assertEqual(await first, Outcome.ANSWERED)
+            self.assertTrue(await drain)
+
     async def test_unreachable_target_is_gone_until_its_next_announcement(self) -> None:
         async with http_server(self.handle) as port:
             pass
