--- a/src/bulrushflow/bodies.py
+++ b/src/bulrushflow/bodies.py
@@ -6,6 +6,7 @@
 from result import Ok
 from result import Result
 
+MALFORMED_BODY = "the body can't be read: its HTTP encoding is malformed"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -34,5 +35,10 @@
             if len(chunks) > max_bytes:
                 return Err(f"the body is too large: at most {max_bytes} bytes are accepted")
     except HttpProcessingError:
-        return Err("the body can't be read: its HTTP encoding is malformed")
+        return Err(MALFORMED_BODY)
     return Ok(bytes(chunks))
+
+
+def refusal_status(reason: str) -> int:
+    """Return the HTTP status for an error of :func:`read_body`."""
+    return 400 if reason == MALFORMED_BODY else 413
--- a/src/bulrushflow/callers/server.py
+++ b/src/bulrushflow/callers/server.py
@@ -12,6 +12,7 @@
 
 from bulrushflow.bodies import expected_bytes
 from bulrushflow.bodies import read_body
+from bulrushflow.bodies import refusal_status
 from bulrushflow.callers.dispatcher import Dispatcher
 from bulrushflow.callers.responses import refusal_response
 from bulrushflow.callers.responses import to_http_response
@@ -181,7 +182,9 @@
         except TimeoutError:
             reason = f"the body did not arrive in time (within {route.timeout_ms} ms)"
             return Err(refusal_response(408, reason, close=True))
-        return read.map_err(lambda reason: refusal_response(413, reason, close=True))
+        return read.map_err(
+            lambda reason: refusal_response(refusal_status(reason), reason, close=True)
+        )
 
     async def _run(
         self, configuration: Configuration, call: Call, started_at: float
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 from aiohttp import web
+from aiohttp import web_protocol
+from aiohttp.http_parser import HttpRequestParserPy
 
 from bulrushflow.callers import CallerServer
 from bulrushflow.callers import server as server_module
@@ -125,6 +127,20 @@
                 self.assertEqual(len(self.dispatcher.calls), status == 200)
                 await until(lambda: self.byte_budget.used_bytes == 0)
 
+    async def test_a_malformed_body_is_refused_as_such(self) -> None:
+        # Only aiohttp's Python parser reports a malformed chunk to the reader of the body.
+        with mock.patch.object(web_protocol, "HttpRequestParser", HttpRequestParserPy):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.runner.addresses[0][1])
+            writer.write(b"POST /payments HTTP/1.1\r\nhost: a\r\n")
+            writer.write(b"transfer-encoding: chunked\r\n\r\n")
+            await until(lambda: self.byte_budget.used_bytes == MAX_BODY_BYTES)
+            writer.write(b"not a chunk size\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 400 ", head.splitlines()[0])
+        self.assertIn(b"x-outcome: not-run", head.lower())
+        writer.close()
+        self.assertEqual(self.dispatcher.calls, [])
+
     async def test_body_beyond_the_byte_budget_is_refused(self) -> None:
         self.byte_budget.reserve(MAX_BODY_BYTES * 2 - 1)
         self.assertEqual((await self.post(data=b"12"))[:2], (503, "not-run"))
