Don't count an overtaken evidence report as a fresh one

A driver could raise the traffic share on evidence it took for fresh: a report that was held up, for example on an old connection, and arrived after a newer one, or one of a process that was replaced since, renewed its node's last-report time although it says nothing about now. Cause: the time was set before the report's age was looked at. Now a report counts if the node's newest one isn't newer, by incarnation and sequence. Counts of an earlier process are added up as before.

Ruled out: ignoring equal sequences too. A node without new calls repeats its report with the same sequence on purpose (UNCHANGED_REPORT_PERIOD_S), which is how the driver knows that it lives.

Failed before, for sequence and incarnation: AssertionError: 2.0 != 1.0

--- a/src/bulrushflow/rollouts/evidence.py
+++ b/src/bulrushflow/rollouts/evidence.py
@@ -15,6 +15,8 @@
 VersionRoute = tuple[str, str]
 Source = tuple[str, int]
 """Node id, and incarnation of the node's process."""
+Revision = tuple[int, int]
+"""Incarnation and sequence of a node's report."""
 
 
 def empty_buckets() -> list[int]:
@@ -92,11 +94,11 @@
     Counts from before a node left or restarted remain in the totals.
     """
 
-    __slots__ = ("_last_report_at", "_own_source", "by_rollout")
+    __slots__ = ("_last_reports", "_own_source", "by_rollout")
 
     def __init__(self, own_id: str, incarnation: int = 0) -> None:
         self._own_source: Source = (own_id, incarnation)
-        self._last_report_at: dict[tuple[int, str], float] = {}
+        self._last_reports: dict[tuple[int, str], tuple[Revision, float]] = {}
         self.by_rollout: dict[int, dict[Source, Evidence]] = {}
 
     def local(self, rollout_id: int) -> Evidence:
@@ -116,16 +118,19 @@
         """
         if evidence.source == self._own_source:
             return
-        key = (evidence.rollout_id, evidence.node_id)
-        self._last_report_at[key] = max(now_s, self._last_report_at.get(key, now_s))
+        self._record_report(evidence, now_s)
         by_source = self.by_rollout.setdefault(evidence.rollout_id, {})
         current = by_source.get(evidence.source)
         if current is None or current.sequence < evidence.sequence:
             by_source[evidence.source] = evidence
 
     def last_report_at(self, rollout_id: int, node_id: str) -> float | None:
-        """Return when a node last reported, on this node's monotonic clock; ``None`` if never."""
-        return self._last_report_at.get((rollout_id, node_id))
+        """Return when a node last reported, on this node's monotonic clock; ``None`` if never.
+
+        Reports that arrive after a newer one of the node don't count.
+        """
+        last = self._last_reports.get((rollout_id, node_id))
+        return None if last is None else last[1]
 
     def totals(self, rollout_id: int) -> dict[VersionRoute, RouteCounts]:
         """Return the counts summed over all nodes."""
@@ -140,6 +145,14 @@
         for rollout_id in list(self.by_rollout):
             if rollout_id not in rollout_ids:
                 del self.by_rollout[rollout_id]
-        for key in list(self._last_report_at):
+        for key in list(self._last_reports):
             if key[0] not in rollout_ids:
-                del self._last_report_at[key]
+                del self._last_reports[key]
+
+    def _record_report(self, evidence: Evidence, now_s: float) -> None:
+        key = (evidence.rollout_id, evidence.node_id)
+        revision = (evidence.incarnation, evidence.sequence)
+        newest, reported_at = self._last_reports.get(key, (revision, now_s))
+        # An equal one counts: a node without new calls repeats its report.
+        if revision >= newest:
+            self._last_reports[key] = (revision, max(now_s, reported_at))
--- a/tests/rollouts/test_evidence.py
+++ b/tests/rollouts/test_evidence.py
@@ -24,6 +24,21 @@
             book.merge(evidence("n2", calls), 1.0)
         self.assertEqual(book.totals(7)["v2", "/dues"].calls, 9)
 
+    def test_only_a_report_that_is_not_older_renews_the_last_report(self) -> None:
+        book = EvidenceStore("n1", 1)
+        book.merge(evidence("n2", 9, incarnation=2), 1.0)
+        for name, older in (
+            ("sequence", evidence("n2", 5, incarnation=2)),
+            ("incarnation", evidence("n2", 12, incarnation=1)),
+        ):
+            with self.subTest(name):
+                book.merge(older, 2.0)
+                self.assertEqual(book.last_report_at(7, "n2"), 1.0)
+        # A node without new calls repeats its report to show that it is alive.
+        book.merge(evidence("n2", 9, incarnation=2), 3.0)
+        self.assertEqual(book.last_report_at(7, "n2"), 3.0)
+        self.assertEqual(book.totals(7)["v2", "/dues"].calls, 21)
+
     def test_a_restarted_node_adds_to_its_earlier_counts(self) -> None:
         book = EvidenceStore("n1", 1)
         book.merge(evidence("n2", 9, incarnation=1), 1.0)
