Keep only the evidence on current orders in a sidecar

Nobody saw wrong decisions: totals are read by the order's id. But reports on withdrawn and replaced orders, or on ids that no order has, stayed in memory until the next order of any service. Cause: merge_evidence took any order's evidence, and remove_order dropped none. Both now go by the current orders.

Evidence that arrives before its order was kept so far and is dropped now. It is cumulative and sent at each check, so only that of a process which ends in between is lost; an order's id is the offset of its record, so it never returns after a removal and finds its counts gone.

Failed before: 'Items in the first set but not the second: 8' (removed order), '... 7' (unknown order)

--- a/src/bulrushflow/sidecar/rollouts.py
+++ b/src/bulrushflow/sidecar/rollouts.py
@@ -90,7 +90,7 @@
             return
         rollout = Rollout(order, now, self._limits)
         self.by_service[order.service] = rollout
-        self._evidence.retain([m.order.order_id for m in self.by_service.values()])
+        self._evidence.retain(self._order_ids())
         self._decisions.event(
             "move ordered",
             service=order.service,
@@ -103,8 +103,12 @@
             self._set_status(rollout, status, now)
 
     def remove_order(self, service: str) -> None:
-        """Remove the order that the operator withdrew."""
+        """Remove the order that the operator withdrew, and the evidence on it."""
         self.by_service.pop(service, None)
+        self._evidence.retain(self._order_ids())
+
+    def _order_ids(self) -> set[int]:
+        return {rollout.order.order_id for rollout in self.by_service.values()}
 
     def is_recorded(self, status: RolloutStatus) -> bool:
         """Return whether the store already has a final status of the same order."""
@@ -185,8 +189,13 @@
         return self._evidence.local(rollout.order.order_id)
 
     def merge_evidence(self, evidence: Evidence, now: float) -> None:
-        """Merge the evidence from another node's target."""
-        self._evidence.merge(evidence, now)
+        """Merge the evidence from another node's target, if it is on a current order.
+
+        Counts are cumulative and sent at each check, so those that arrive before their order
+        arrive again after it.
+        """
+        if evidence.rollout_id in self._order_ids():
+            self._evidence.merge(evidence, now)
 
     def update_analysis(self, rollout: Rollout, now: float) -> str | None:
         """Analyse all evidence; return the reason for a rollback, ``None`` if there is none."""
--- a/tests/sidecar/test_rollouts.py
+++ b/tests/sidecar/test_rollouts.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 
+from bulrushflow.rollouts import Evidence
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import RolloutOrder
@@ -73,6 +74,32 @@
         self.rollouts.apply_order(ORDER, 2.0)
         self.assertEqual(self.rollouts.by_service["statements"].order.to_version, "v3")
 
+    def evidence(self, order_id: int) -> Evidence:
+        evidence = Evidence(order_id, "n-2", incarnation=1)
+        evidence.observe("v2", "r", True, 0.1)
+        return evidence
+
+    def stored_orders(self) -> set[int]:
+        return set(self.rollouts._evidence.by_rollout)
+
+    async def test_only_evidence_on_a_known_order_is_stored(self) -> None:
+        self.rollouts.merge_evidence(self.evidence(7), 0.0)
+        self.assertEqual(self.stored_orders(), set())
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.merge_evidence(self.evidence(7), 0.0)
+        self.assertEqual(self.stored_orders(), {7})
+        self.rollouts.apply_order(replace(ORDER, order_id=9), 1.0)
+        self.rollouts.merge_evidence(self.evidence(7), 1.0)
+        self.assertEqual(self.stored_orders(), set())
+
+    async def test_a_removed_orders_evidence_is_dropped(self) -> None:
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_order(replace(ORDER, service="plots", order_id=8), 0.0)
+        for order_id in (7, 8):
+            self.rollouts.merge_evidence(self.evidence(order_id), 0.0)
+        self.rollouts.remove_order("plots")
+        self.assertEqual(self.stored_orders(), {7})
+
 
 class ExposureTests(unittest.IsolatedAsyncioTestCase):
     """Counts the calls that a faulty version receives, on a simulated clock."""
