Remove three attributes that were set and never read

Gossip.highest_seen_offset, Gossip.bytes_received and RolloutDriver._store: no use in src, tests, benchmarks, scripts or docs by a search by hand, since mypy sees attributes of services as Any. Gossip.bytes_sent stays, a test reads it.

--- a/src/bulrushflow/nodes/gossip.py
+++ b/src/bulrushflow/nodes/gossip.py
@@ -68,9 +68,7 @@
     ) -> None:
         super().__init__()
         self.table = table
-        self.highest_seen_offset = -1
         self.bytes_sent = 0
-        self.bytes_received = 0
         self._shared_rollouts = shared_rollouts
         self._links = links
         self._timers = timers
@@ -158,7 +156,6 @@
             self._prober.send_ping(member)
 
     def _receive(self, data: bytes, sender: Endpoint) -> None:
-        self.bytes_received += len(data)
         self._received_at = self._timers.now()
         match messages.decode(messages.Datagram, data):
             case Err(reason):
@@ -235,7 +232,6 @@
         for message in gossip.moves or ():
             if self._shared_rollouts.merge(codec.rollout_from_message(message)):
                 self._disseminate_soon()
-        self.highest_seen_offset = max(self.highest_seen_offset, gossip.offset)
         if sender is not None and gossip.offset > self._applied_offset():
             self._on_peer_ahead(sender, gossip.offset)
 
--- a/src/bulrushflow/nodes/rollout_driver.py
+++ b/src/bulrushflow/nodes/rollout_driver.py
@@ -95,7 +95,6 @@
     ) -> None:
         self.evidence_store = EvidenceStore(table.own_id, table.own.incarnation)
         self.reporter = EvidenceReporter(self.evidence_store, table.own_id, links, count_bytes)
-        self._store = store
         self._table = table
         self._shared_rollouts = shared_rollouts
         self._gossip = gossip
