Remove a guard for records that can't be absent

Puller guarded message.records against None in one of two places. The field is required, and decoding a frame without it fails ('field Records.records is missing', run; 'tests/wire' covers the check), so the sum of sizes without the guard is no fault and the guard never did anything.

--- a/src/bulrushflow/nodes/pulling.py
+++ b/src/bulrushflow/nodes/pulling.py
@@ -128,7 +128,7 @@
             before = self._store.current.offset
             if message.snapshot:
                 self._store.restore_packed(message.snapshot)
-            self._apply([codec.record_from_message(r) for r in message.records or ()])
+            self._apply([codec.record_from_message(r) for r in message.records])
             current_offset = self._store.current.offset
             # Nodes of earlier releases do not send their version.
             offset = current_offset if message.offset is None else message.offset
