--- a/src/bulrushflow/configuration/fold.py
+++ b/src/bulrushflow/configuration/fold.py
@@ -133,7 +133,7 @@
         # All releases reject a level that is not the next; only the next one stops this release.
         return Err(f"level {record.level} is above the supported schema {supported}")
     digest = "" if isinstance(record, Snapshot) else record_digest(record)
-    match _apply(configuration, log_record, upgrade(record)):
+    match _apply(configuration, log_record, upgrade(record), supported):
         case Err(reason):
             return Ok(_rejected(configuration, log_record, header, reason, digest))
         case Ok(changed):
@@ -188,7 +188,7 @@
 
 
 def _apply(
-    configuration: Configuration, log_record: LogRecord, record: CurrentRecord
+    configuration: Configuration, log_record: LogRecord, record: CurrentRecord, supported: int
 ) -> Result[Configuration, str]:
     offset = log_record.offset
     at_ms = log_record.appended_at_ms
@@ -204,15 +204,15 @@
         return rollout_rules.step(configuration, offset, at_ms, record)
     if isinstance(record, FinishRollout):
         return rollout_rules.finish(configuration, offset, at_ms, record)
-    return _mark_snapshot(configuration, log_record, record)
+    return _mark_snapshot(configuration, log_record, record, supported)
 
 
 def _mark_snapshot(
-    configuration: Configuration, log_record: LogRecord, record: Snapshot
+    configuration: Configuration, log_record: LogRecord, record: Snapshot, supported: int
 ) -> Result[Configuration, str]:
     if record.state_offset >= log_record.offset:
         return Err(f"snapshot of version {record.state_offset}, which is not before its record")
-    match open_snapshot(record):
+    match open_snapshot(record, supported):
         case Err(reason):
             return Err(reason)
         case Ok(_):
--- a/src/bulrushflow/configuration/snapshots.py
+++ b/src/bulrushflow/configuration/snapshots.py
@@ -45,8 +45,13 @@
     )
 
 
-def open_snapshot(record: Snapshot) -> Result[Configuration, str]:
-    """Return the configuration in a snapshot, verified against its digest, offset and schema."""
+def open_snapshot(
+    record: Snapshot, supported: int = SUPPORTED_SCHEMA
+) -> Result[Configuration, str]:
+    """Return the configuration in a snapshot, verified against its digest, offset and schema.
+
+    :param supported: highest schema level that is understood.
+    """
     match unpack(record.state):
         case Err(reason):
             return Err(f"corrupt snapshot of version {record.state_offset}: {reason}")
@@ -54,7 +59,7 @@
             pass
     if digest_of_encoded(data) != record.digest:
         return Err(f"corrupt snapshot of version {record.state_offset}: the digest differs")
-    match decode_configuration(data, SUPPORTED_SCHEMA):
+    match decode_configuration(data, supported):
         case Err(reason):
             return Err(f"unusable snapshot of version {record.state_offset}: {reason}")
         case Ok(configuration):
--- a/tests/configuration/test_snapshots.py
+++ b/tests/configuration/test_snapshots.py
@@ -66,6 +66,20 @@
                 self.assertEqual(folded.configuration.newest_snapshot.record_offset, -1)
                 self.assertEqual(folded.configuration.offset, 1)
 
+    def test_a_state_above_the_supported_schema_is_not_opened(self) -> None:
+        newer = msgspec.structs.replace(self.state, schema_level=2)
+        snapshot = msgspec.structs.replace(make_snapshot(newer), schema=1)
+        log = log_records([FIRST, encode_record(snapshot)])
+        for supported, reason in (
+            (1, "unusable snapshot of version 0: schema level 2 is above the supported level 1"),
+            (2, "corrupt snapshot: it holds version 0"),
+        ):
+            with self.subTest(supported=supported):
+                self.assertEqual(open_snapshot(snapshot, supported).unwrap_err(), reason)
+                folded = fold_records(EMPTY_CONFIGURATION, log, supported).configuration
+                verdict = folded.verdicts_by_publish_id[snapshot.publish_id]
+                self.assertEqual((verdict.accepted, verdict.reason), (False, reason))
+
     def test_a_snapshot_that_differs_from_the_own_state_raises_an_invariant_error(self) -> None:
         store = ConfigurationStore()
         store.apply(log_records([FIRST]))
