Share the token bucket of pulls and of member pages

PullServer and PageBudget each had one. TokenBucket has the replenishing; what differs stays with them: a page is refused if it doesn't fit, a pull only once the tokens are used up, and may leave a debt. No behaviour changes. The test of refused pulls patched the rate's constant and set the tokens to zero; it now consumes the burst and sets the bucket's rate, with the same assertions.

--- a/src/bulrushflow/nodes/exchange.py
+++ b/src/bulrushflow/nodes/exchange.py
@@ -10,6 +10,7 @@
 from bulrushflow.membership import Member
 from bulrushflow.membership import MemberTable
 from bulrushflow.nodes.composing import MessageComposer
+from bulrushflow.nodes.token_bucket import TokenBucket
 from bulrushflow.wire import codec
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Endpoint
@@ -29,23 +30,18 @@
 
 
 class PageBudget:
-    """Token bucket for the bytes of pages that this node serves."""
+    """Budget for the bytes of pages that this node serves."""
 
-    __slots__ = ("_available", "_refilled_at")
+    __slots__ = ("_bucket",)
 
     def __init__(self) -> None:
-        self._available = float(BURST_BYTES)
-        self._refilled_at: float | None = None
+        self._bucket = TokenBucket(REFILL_BYTES_PER_S, BURST_BYTES)
 
     def try_consume(self, count: int, now: float) -> bool:
         """Consume the bytes of one page; return ``False`` if too few are available."""
-        if self._refilled_at is not None:
-            replenished = (now - self._refilled_at) * REFILL_BYTES_PER_S
-            self._available = min(BURST_BYTES, self._available + replenished)
-        self._refilled_at = now
-        if self._available < count:
+        if self._bucket.replenish(now) < count:
             return False
-        self._available -= count
+        self._bucket.consume(count)
         return True
 
 
--- a/src/bulrushflow/nodes/pulling.py
+++ b/src/bulrushflow/nodes/pulling.py
@@ -14,6 +14,7 @@
 from bulrushflow.configuration import LogRecord
 from bulrushflow.membership import Member
 from bulrushflow.membership import MemberTable
+from bulrushflow.nodes.token_bucket import TokenBucket
 from bulrushflow.wire import codec
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Endpoint
@@ -202,8 +203,7 @@
         self._is_fresh = is_fresh
         self._reads_log = reads_log
         self._was_fresh = was_fresh
-        self._tokens = float(SERVED_BURST_BYTES)
-        self._refilled_at = now()
+        self._bucket = TokenBucket(SERVED_BYTES_PER_S, SERVED_BURST_BYTES)
 
     async def serve(self, request: t.Any) -> dict[str, t.Any]:
         """Return a page of records, or a snapshot if the first ones are no longer retained."""
@@ -213,8 +213,7 @@
             "reads_log": self._reads_log(),
             "was_fresh": self._was_fresh(),
         }
-        self._refill()
-        if self._tokens <= 0:
+        if self._bucket.replenish(self._now()) <= 0:
             self.refused_pulls += 1
             return {"records": messages.Records(records=[], busy=True, **own)}
         records = self._store.records_from(request.from_offset)
@@ -226,12 +225,6 @@
         encoded = [codec.record_to_message(record) for record in records]
         return {"records": messages.Records(records=encoded, **own)}
 
-    def _refill(self) -> None:
-        now = self._now()
-        replenished = (now - self._refilled_at) * SERVED_BYTES_PER_S
-        self._tokens = min(SERVED_BURST_BYTES, self._tokens + replenished)
-        self._refilled_at = now
-
     def _consume(self, size: int) -> None:
         self._on_sent(size)
-        self._tokens -= max(MIN_COST_BYTES, size)
+        self._bucket.consume(max(MIN_COST_BYTES, size))
--- a/tests/nodes/test_dissemination.py
+++ b/tests/nodes/test_dissemination.py
@@ -6,6 +6,8 @@
 from bulrushflow.configuration import EnableSchema
 from bulrushflow.configuration import encode_record
 from bulrushflow.configuration import make_snapshot
+from bulrushflow.nodes.pulling import SERVED_BURST_BYTES
+from bulrushflow.nodes.pulling import SERVED_BYTES_PER_S
 from bulrushflow.nodes.pulling import PullServer
 from tests.nodes.dissemination_fleet import DisseminationTestCase
 from tests.recording.fakes import MemoryLog
@@ -164,12 +166,14 @@
         nodes = await self.add_all("celje-a", "celje-a")
         await until(lambda: self.all_at_version(2))
         servers: list[PullServer] = [n.dissemination._server for n in nodes]
-        with mock.patch("bulrushflow.nodes.pulling.SERVED_BYTES_PER_S", 0):
-            for server in servers:
-                server._tokens = 0.0
-            behind = await self.add_non_reader("celje-a")
-            await until(lambda: sum(server.refused_pulls for server in servers) > 1)
-            self.assertEqual(behind.store.current.offset, -1)
+        for server in servers:
+            server._bucket.consume(SERVED_BURST_BYTES)
+            server._bucket.tokens_per_s = 0.0
+        behind = await self.add_non_reader("celje-a")
+        await until(lambda: sum(server.refused_pulls for server in servers) > 1)
+        self.assertEqual(behind.store.current.offset, -1)
+        for server in servers:
+            server._bucket.tokens_per_s = SERVED_BYTES_PER_S
         await until(lambda: self.all_at_version(2) and self.all_caught_up())
 
     async def test_concurrent_announcements_cause_one_pull(self) -> None:
