Share the detection of pauses by the time between two checks

Timers, the links' keep-alive and the freshness of evidence each had a copy. PauseDetector holds it; clocks and thresholds stay with the three (0.5 s, 1.5 s, 1.5 s). One difference: a gap of exactly the threshold counts as a pause in all three, formerly in Timers only. Not merged into Timers.paused_since: its threshold is a third of theirs, and a busy node's short pauses would keep renewing the keep-alive.

--- a/src/bulrushflow/nodes/evidence_freshness.py
+++ b/src/bulrushflow/nodes/evidence_freshness.py
@@ -3,11 +3,12 @@
 from bulrushflow.configuration import Rollout
 from bulrushflow.membership import MemberTable
 from bulrushflow.rollouts import EvidenceStore
+from bulrushflow.timers import PauseDetector
 
 MAX_EVIDENCE_AGE_S = 4.0
 """Age up to which a node's last report is fresh, on this node's monotonic clock."""
 PAUSE_THRESHOLD_S = 1.5
-"""Gap between two checks beyond which the process counts as paused."""
+"""Time between two checks from which on the process counts as paused."""
 SETTLE_S = 0.5
 """Time after a pause in which received reports may be old, since they were queued."""
 
@@ -18,19 +19,18 @@
     Reports from before a pause of this process count as stale.
     """
 
-    __slots__ = ("_checked_at", "_evidence_store", "_table", "_trusted_after")
+    __slots__ = ("_evidence_store", "_pause_detector", "_table", "_trusted_after")
 
     def __init__(self, evidence_store: EvidenceStore, table: MemberTable) -> None:
         self._evidence_store = evidence_store
         self._table = table
-        self._checked_at: float | None = None
+        self._pause_detector = PauseDetector(PAUSE_THRESHOLD_S)
         self._trusted_after = float("-inf")
 
     def detect_pause(self, now_s: float) -> None:
         """Detect a pause of the process; called with every tick of the rollout driver."""
-        if self._checked_at is not None and now_s - self._checked_at > PAUSE_THRESHOLD_S:
+        if self._pause_detector.check(now_s) is not None:
             self._trusted_after = now_s + SETTLE_S
-        self._checked_at = now_s
 
     def describe_missing(self, rollout: Rollout, now_s: float) -> str:
         """Return whose fresh report is missing to raise the traffic share, or an empty text.
--- a/src/bulrushflow/timers.py
+++ b/src/bulrushflow/timers.py
@@ -42,6 +42,29 @@
         return time.time_ns() // 1_000_000
 
 
+class PauseDetector:
+    """Detects pauses of the process, such as by SIGSTOP, by the time between two checks.
+
+    :param threshold_s: time between two checks from which on the process counts as paused.
+    """
+
+    __slots__ = ("_checked_at", "_threshold_s")
+
+    def __init__(self, threshold_s: float) -> None:
+        self._threshold_s = threshold_s
+        self._checked_at: float | None = None
+
+    def check(self, now: float) -> float | None:
+        """Return the seconds since the last check if the process was paused, else ``None``.
+
+        :param now: seconds of a clock that runs on while the process is paused.
+        """
+        checked_at, self._checked_at = self._checked_at, now
+        if checked_at is None or now - checked_at < self._threshold_s:
+            return None
+        return now - checked_at
+
+
 class Subscription:
     """A subscription to a periodic callback."""
 
@@ -70,7 +93,7 @@
         self._monotonic = monotonic
         self._tasks: set[asyncio.Task[None]] = set()
         self._pause_callbacks: list[PauseCallback] = []
-        self._last_beat_at: float | None = None
+        self._pause_detector = PauseDetector(PAUSE_THRESHOLD_S)
         self._pause_ended_at = float("-inf")
 
     def subscribe(
@@ -102,13 +125,13 @@
         code that is about to decide by elapsed time calls this first.
         """
         now = self._monotonic()
-        last_beat_at, self._last_beat_at = self._last_beat_at, now
-        if last_beat_at is None or now - last_beat_at < PAUSE_THRESHOLD_S:
+        paused_s = self._pause_detector.check(now)
+        if paused_s is None:
             return
         self._pause_ended_at = now
-        logger.warning("the process stood still for {:.1f} s", now - last_beat_at)
+        logger.warning("the process stood still for {:.1f} s", paused_s)
         for callback in self._pause_callbacks:
-            callback(now - last_beat_at)
+            callback(paused_s)
 
     def paused_since(self, instant: float) -> bool:
         """Return whether a pause ended at or after ``instant``, in seconds of :meth:`now`."""
@@ -116,7 +139,7 @@
         return self._pause_ended_at >= instant
 
     async def on_start(self) -> None:
-        self._last_beat_at = self._monotonic()
+        self._pause_detector.check(self._monotonic())
         self.subscribe("heartbeat", HEARTBEAT_S, self._beat, jitter=0.0)
 
     async def on_stop(self) -> None:
--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -13,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.timers import PauseDetector
 from bulrushflow.timers import Timers
 from bulrushflow.wire.link import Handler
 from bulrushflow.wire.link import Link
@@ -24,8 +25,8 @@
 USER_TIMEOUT_MS = 1_500
 """TCP_USER_TIMEOUT: unacknowledged data older than this makes the system close the connection."""
 CHECK_PERIOD_S = 0.5
-PAUSE_THRESHOLD_PERIODS = 3.0
-"""Check periods between two checks above which this node counts as paused."""
+PAUSE_THRESHOLD_S = 1.5
+"""Time between two checks, three of their periods, from which on this node counts as paused."""
 MAX_LINKS = 64
 """Bound on outbound connections; beyond it the one unused for longest is closed."""
 IDLE_TIMEOUT_S = 30.0
@@ -49,7 +50,7 @@
         self._outbound_by_endpoint: dict[Endpoint, Link] = {}
         self._connecting_by_endpoint: dict[Endpoint, asyncio.Task[Result[Link, LinkError]]] = {}
         self._retry_at_by_endpoint: dict[Endpoint, float] = {}
-        self._checked_at = 0.0
+        self._pause_detector = PauseDetector(PAUSE_THRESHOLD_S)
 
     def handle(self, request: str, handler: Handler) -> None:
         """Register the handler of one kind of request.
@@ -63,7 +64,7 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._accept, self._address, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
-        self._checked_at = loop.time()
+        self._pause_detector.check(loop.time())
         self._timers.subscribe("link-silence", CHECK_PERIOD_S, self._check)
 
     async def on_stop(self) -> None:
@@ -193,12 +194,11 @@
 
     async def _check(self) -> None:
         now = asyncio.get_running_loop().time()
-        paused = now - self._checked_at > CHECK_PERIOD_S * PAUSE_THRESHOLD_PERIODS
-        self._checked_at = now
+        paused = self._pause_detector.check(now) is not None
         if paused:
             logger.info(
                 "this node was paused for over {} s; restarting the keep-alive of {} connections",
-                CHECK_PERIOD_S * PAUSE_THRESHOLD_PERIODS,
+                PAUSE_THRESHOLD_S,
                 len(self._all_links()),
             )
         for link in self._all_links():
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -8,6 +8,7 @@
 
 from bulrushflow.timers import HEARTBEAT_S
 from bulrushflow.timers import PAUSE_THRESHOLD_S
+from bulrushflow.timers import PauseDetector
 from bulrushflow.timers import Timers
 
 
@@ -21,6 +22,13 @@
         return self.now
 
 
+class PauseDetectorTests(unittest.TestCase):
+    def test_a_gap_from_the_threshold_on_is_a_pause(self) -> None:
+        detector = PauseDetector(1.5)
+        gaps = [detector.check(now) for now in (10.0, 11.25, 12.75, 13.0, 17.0)]
+        self.assertEqual(gaps, [None, None, 1.5, None, 4.0])
+
+
 class PauseTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.clock = ManualClock()
