--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -13,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.timers import PauseDetector
 from bulrushflow.timers import Timers
 from bulrushflow.wire.link import Handler
 from bulrushflow.wire.link import Link
@@ -24,8 +25,8 @@
 USER_TIMEOUT_MS = 1_500
 """TCP_USER_TIMEOUT: unacknowledged data older than this makes the system close the connection."""
 CHECK_PERIOD_S = 0.5
-PAUSE_THRESHOLD_PERIODS = 3.0
-"""Check periods between two checks above which this node counts as paused."""
+PAUSE_THRESHOLD_S = 1.5
+"""Time between two checks, three of their periods, from which on this node counts as paused."""
 MAX_LINKS = 64
 """Bound on outbound connections; beyond it the one unused for longest is closed."""
 IDLE_TIMEOUT_S = 30.0
@@ -49,7 +50,7 @@
         self._outbound_by_endpoint: dict[Endpoint, Link] = {}
         self._connecting_by_endpoint: dict[Endpoint, asyncio.Task[Result[Link, LinkError]]] = {}
         self._retry_at_by_endpoint: dict[Endpoint, float] = {}
-        self._checked_at = 0.0
+        self._pause_detector = PauseDetector(PAUSE_THRESHOLD_S)
 
     def handle(self, request: str, handler: Handler) -> None:
         """Register the handler of one kind of request.
@@ -63,7 +64,7 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._accept, self._address, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
-        self._checked_at = loop.time()
+        self._pause_detector.check(loop.time())
         self._timers.subscribe("link-silence", CHECK_PERIOD_S, self._check)
 
     async def on_stop(self) -> None:
@@ -93,38 +94,60 @@
             await asyncio.sleep(DRAIN_POLL_S)
         return True
 
+    async def connect(self, endpoint: Endpoint, timeout_s: float) -> Result[Link, LinkError]:
+        """Return the open connection to another node, or open one.
+
+        :param timeout_s: bound on the wait. The attempt goes on after it, for later callers.
+        """
+        link = self._outbound_by_endpoint.get(endpoint)
+        if link is not None and link.usable:
+            return Ok(link)
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._retry_at_by_endpoint.get(endpoint, 0.0):
+            return Err(
+                LinkError(
+                    False,
+                    f"no connection to {endpoint}: failed less than {RECONNECT_BACKOFF_S} s ago",
+                )
+            )
+        connecting = self._connecting_by_endpoint.get(endpoint)
+        if connecting is None:
+            connecting = loop.create_task(self._open(endpoint))
+            self._connecting_by_endpoint[endpoint] = connecting
+            connecting.add_done_callback(lambda _: self._connecting_by_endpoint.pop(endpoint, None))
+        try:
+            # Other callers share the attempt, so the end of one wait must not cancel it.
+            return await asyncio.wait_for(asyncio.shield(connecting), timeout_s)
+        except TimeoutError:
+            return Err(
+                LinkError(False, f"no connection to {endpoint} in time: waited {timeout_s:.3f} s")
+            )
+
     async def ensure_connected(self, endpoint: Endpoint) -> bool:
         """Open a connection unless one is open; return whether one is open now."""
-        return (await self._connect(endpoint, CONNECT_TIMEOUT_S)).is_ok()
+        return (await self.connect(endpoint, CONNECT_TIMEOUT_S)).is_ok()
 
     async def exchange(
-        self,
-        endpoint: Endpoint,
-        timeout_s: float,
-        connect_timeout_s: float = CONNECT_TIMEOUT_S,
-        **body: t.Any,
+        self, endpoint: Endpoint, timeout_s: float, **body: t.Any
     ) -> Result[t.Any, LinkError]:
         """Send a request to another node, over a new connection if none is open.
 
         :param timeout_s: bound on the whole exchange, the wait for a connection included.
-        :param connect_timeout_s: bound on the wait for a connection.
         :param body: the request, by its field in the frame.
         """
-        link = self._outbound_by_endpoint.get(endpoint)
-        if link is None or not link.usable:
-            started_at = asyncio.get_running_loop().time()
-            match await self._connect(endpoint, min(timeout_s, connect_timeout_s)):
-                case Err(error):
-                    return Err(error)
-                case Ok(link):
-                    timeout_s -= asyncio.get_running_loop().time() - started_at
+        started_at = asyncio.get_running_loop().time()
+        match await self.connect(endpoint, timeout_s):
+            case Err(error):
+                return Err(error)
+            case Ok(link):
+                timeout_s -= asyncio.get_running_loop().time() - started_at
         if timeout_s <= 0:
             return Err(LinkError(False, f"no time left: {timeout_s:.3f} s"))
         return await link.exchange(timeout_s, **body)
 
     async def send(self, endpoint: Endpoint, **body: t.Any) -> None:
         """Send a one-way message; it is dropped if no connection can be opened."""
-        match await self._connect(endpoint, CONNECT_TIMEOUT_S):
+        match await self.connect(endpoint, CONNECT_TIMEOUT_S):
             case Ok(link):
                 link.send(**body)
             case Err(_):
@@ -138,31 +161,6 @@
         self._accepted.add(link)
         return link
 
-    async def _connect(self, endpoint: Endpoint, timeout_s: float) -> Result[Link, LinkError]:
-        link = self._outbound_by_endpoint.get(endpoint)
-        if link is not None and link.usable:
-            return Ok(link)
-        loop = asyncio.get_running_loop()
-        if loop.time() < self._retry_at_by_endpoint.get(endpoint, 0.0):
-            return Err(
-                LinkError(
-                    False,
-                    f"no connection to {endpoint}: failed less than {RECONNECT_BACKOFF_S} s ago",
-                )
-            )
-        connecting = self._connecting_by_endpoint.get(endpoint)
-        if connecting is None:
-            connecting = loop.create_task(self._open(endpoint))
-            self._connecting_by_endpoint[endpoint] = connecting
-            connecting.add_done_callback(lambda _: self._connecting_by_endpoint.pop(endpoint, None))
-        try:
-            # Other callers share the attempt, so the end of one wait must not cancel it.
-            return await asyncio.wait_for(asyncio.shield(connecting), timeout_s)
-        except TimeoutError:
-            return Err(
-                LinkError(False, f"no connection to {endpoint} in time: waited {timeout_s:.3f} s")
-            )
-
     async def _open(self, endpoint: Endpoint) -> Result[Link, LinkError]:
         loop = asyncio.get_running_loop()
         try:
@@ -196,12 +194,11 @@
 
     async def _check(self) -> None:
         now = asyncio.get_running_loop().time()
-        paused = now - self._checked_at > CHECK_PERIOD_S * PAUSE_THRESHOLD_PERIODS
-        self._checked_at = now
+        paused = self._pause_detector.check(now) is not None
         if paused:
             logger.info(
                 "this node was paused for over {} s; restarting the keep-alive of {} connections",
-                CHECK_PERIOD_S * PAUSE_THRESHOLD_PERIODS,
+                PAUSE_THRESHOLD_S,
                 len(self._all_links()),
             )
         for link in self._all_links():
