Withdraw the rollout orders that are missing on a reload

Seen (read in the code): an order that the operator deletes while a node reloads the topic, after the store trimmed its offset, stays in force at that node.

Cause: `OperatorRecordHandler.replace` only applied the records that are there. The empty record of the deletion is not among the newest ones, so the node never gets it.

The handler now keeps the services whose orders it passed on, and withdraws those whose key is missing on a reload. A key whose record can't be decoded is there, so its order stays. A missing configuration stays in force: a node never goes back from one, and the store may drop the record.

Before: test_an_order_that_is_missing_on_a_reload_is_withdrawn AssertionError: {'s1': 'v2', 's2': 'v7'} != {'s2': 'v7'}

--- a/src/bulrushflow/platform/adapter.py
+++ b/src/bulrushflow/platform/adapter.py
@@ -23,13 +23,22 @@
     """Decodes the operator's records and passes them on.
 
     A record that can't be decoded is reported, and the configuration or order in force stays.
+    A configuration without a record stays in force too, since a node never goes back from one. An
+    order without a record is withdrawn: the store retains the newest record of each key, so the
+    operator has deleted it.
     """
 
     def __init__(self, orders: OrderSink) -> None:
         self._orders = orders
+        self._ordered_services: set[str] = set()
+        """Services whose order was passed on and not withdrawn since."""
 
     def replace(self, records: t.Sequence[KeyedRecord]) -> None:
         """See :meth:`RecordHandler.replace`."""
+        keys = {record.key for record in records}
+        for service in sorted(self._ordered_services):
+            if documents.ROLLOUT_KEY_PREFIX + service not in keys:
+                self._withdraw_rollout(service)
         for record in records:
             self.apply(record)
 
@@ -49,14 +58,19 @@
 
     def _apply_rollout_order(self, record: KeyedRecord) -> None:
         if not record.value:
-            self._orders.withdraw_rollout(record.key.removeprefix(documents.ROLLOUT_KEY_PREFIX))
+            self._withdraw_rollout(record.key.removeprefix(documents.ROLLOUT_KEY_PREFIX))
             return
         match documents.decode_rollout_order(record.key, record.value, record.offset):
             case Ok(order):
+                self._ordered_services.add(order.service)
                 self._orders.order_rollout(order)
             case Err(reason):
                 self._orders.report_unreadable(record.key, reason)
 
+    def _withdraw_rollout(self, service: str) -> None:
+        self._ordered_services.discard(service)
+        self._orders.withdraw_rollout(service)
+
 
 class PlatformAdapter:
     """Implements :class:`Adapter` for this platform."""
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,70 @@
+import json
+import unittest
+
+from bulrushflow.platform.adapter import OperatorRecordHandler
+from bulrushflow.sidecar.model import RolloutOrder
+from bulrushflow.sidecar.model import Routing
+from bulrushflow.sidecar.storage import KeyedRecord
+
+
+class RecordingSink:
+    """Keeps what a handler passes on, as a node does."""
+
+    def __init__(self) -> None:
+        self.configurations: list[int] = []
+        self.version_by_service: dict[str, str] = {}
+        self.unreadable: list[str] = []
+
+    def apply_configuration(self, routing: Routing) -> None:
+        self.configurations.append(routing.version)
+
+    def order_rollout(self, order: RolloutOrder) -> None:
+        self.version_by_service[order.service] = order.to_version
+
+    def withdraw_rollout(self, service: str) -> None:
+        self.version_by_service.pop(service, None)
+
+    def report_unreadable(self, key: str, reason: str) -> None:
+        self.unreadable.append(key)
+
+
+def configuration(version: int, offset: int) -> KeyedRecord:
+    document = {"version": version, "listeners": [], "clusters": []}
+    return KeyedRecord("config", json.dumps(document).encode(), offset)
+
+
+def order(service: str, version: str, offset: int) -> KeyedRecord:
+    document = {"service": service, "targetVersion": version, "duration": "15s"}
+    return KeyedRecord(f"rollout/{service}", json.dumps(document).encode(), offset)
+
+
+class OperatorRecordHandlerTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sink = RecordingSink()
+        self.handler = OperatorRecordHandler(self.sink)
+        self.handler.replace([configuration(4, 0), order("s1", "v2", 1)])
+        self.handler.apply(order("s2", "v7", 2))
+
+    def test_an_order_that_is_missing_on_a_reload_is_withdrawn(self) -> None:
+        self.handler.replace([configuration(4, 0), order("s2", "v7", 2)])
+        self.assertEqual(self.sink.version_by_service, {"s2": "v7"})
+        self.handler.replace([configuration(4, 0)])
+        self.assertEqual(self.sink.version_by_service, {})
+
+    def test_an_order_given_again_after_its_withdrawal_is_passed_on(self) -> None:
+        self.handler.replace([configuration(4, 0)])
+        self.handler.replace([configuration(4, 0), order("s1", "v3", 5)])
+        self.assertEqual(self.sink.version_by_service, {"s1": "v3"})
+
+    def test_an_order_that_cannot_be_read_on_a_reload_stays(self) -> None:
+        self.handler.replace([KeyedRecord("rollout/s1", b"cut short", 3), order("s2", "v7", 2)])
+        self.assertEqual(self.sink.version_by_service, {"s1": "v2", "s2": "v7"})
+        self.assertEqual(self.sink.unreadable, ["rollout/s1"])
+
+    def test_an_order_with_an_empty_record_is_withdrawn(self) -> None:
+        self.handler.apply(KeyedRecord("rollout/s1", b"", 3))
+        self.assertEqual(self.sink.version_by_service, {"s2": "v7"})
+
+    def test_a_configuration_that_is_missing_on_a_reload_is_not_replaced(self) -> None:
+        self.handler.replace([order("s1", "v2", 1), order("s2", "v7", 2)])
+        self.assertEqual(self.sink.configurations, [4])
