--- a/src/bulrushflow/sidecar/record_handlers.py
+++ b/src/bulrushflow/sidecar/record_handlers.py
@@ -78,6 +78,10 @@
 class RolloutStatusHandler:
     """Decodes rollout statuses and passes them on.
 
+    A status without a record, or with an empty one, is kept: a version that was rolled back must
+    get no calls again because its record is gone. Only a status of the same or a later order
+    replaces it.
+
     :param decode: decodes a record, whose key format depends on the platform.
     :param on_status: called with each decoded status.
     """
