Test the number of dropped lines in the decision log

No test read `left_out`. The loop's time is fixed in this one, so the number is exact. With the reset of the count removed it fails: AssertionError: Lists differ: [... 7, 7] != [... 7, None]

--- a/tests/sidecar/test_decisions.py
+++ b/tests/sidecar/test_decisions.py
@@ -1,7 +1,9 @@
+import asyncio
 import json
 import os
 import typing as t
 import unittest
+from unittest import mock
 
 from loguru import logger
 
@@ -9,6 +11,7 @@
 from bulrushflow.logs import BoundedWriter
 from bulrushflow.routing import Response
 from bulrushflow.sidecar.decisions import BURST_LINES
+from bulrushflow.sidecar.decisions import LINES_PER_S
 from bulrushflow.sidecar.decisions import SUCCESS_SAMPLE_INTERVAL
 from bulrushflow.sidecar.decisions import DecisionLog
 from tests.sidecar.samples import call
@@ -37,6 +40,18 @@
         decisions.event("target left", target="t-1")
         self.assertEqual(self.lines[-1]["message"], "target left")
 
+    async def test_the_next_line_has_the_number_of_lines_dropped_before_it(self) -> None:
+        decisions = DecisionLog()
+        dropped = 7
+        with mock.patch.object(asyncio.get_running_loop(), "time", return_value=100.0) as time:
+            for _ in range(int(BURST_LINES) + dropped):
+                decisions.event("node entry")
+            for _ in range(2):
+                time.return_value += 1.5 / LINES_PER_S
+                decisions.event("node entry")
+        counts = [line.get("left_out") for line in self.lines]
+        self.assertEqual(counts, [None] * int(BURST_LINES) + [dropped, None])
+
     async def test_successful_calls_are_sampled_and_late_ones_are_not(self) -> None:
         decisions = DecisionLog()
         for _ in range(SUCCESS_SAMPLE_INTERVAL):
