Assert that a received evidence report counts in the analysis

test_evidence_goes_to_the_nodes_of_the_service passed a report to the second node and asserted nothing about it. It now checks the totals of that node's next analysis. With the merge removed from `_on_evidence_report` it fails: AssertionError: {} != {('v2', 'r'): (1, 1)}

--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from bulrushflow.rollouts import ExposureLimits
+from bulrushflow.rollouts import RolloutController
 from bulrushflow.rollouts import StepDecision
 from bulrushflow.sidecar import driver as driver_module
 from bulrushflow.sidecar.decisions import DecisionLog
@@ -210,3 +211,9 @@
         await until(lambda: len(self.first.links.bodies("evidence_report")) == 2)
         report = self.first.links.bodies("evidence_report")[0]
         await self.second.links.handlers["evidence_report"](report)
+        with mock.patch.object(RolloutController, "update_analysis", autospec=True) as analysis:
+            await self.second.driver.check()
+        totals = analysis.call_args.args[1]
+        self.assertEqual(
+            {key: (c.calls, c.errors) for key, c in totals.items()}, {("v2", "r"): (1, 1)}
+        )
