Let the system choose the ports of the sidecar's tests

Seen: one collision of two tests. `free_port` bound a port, released it and returned its number, so that another process could bind it first.

The tests now set port 0. For that the sidecar keeps the endpoints that its servers are bound to, and publishes the port that its links listen on instead of the one in the settings; with ports set both are the same.

Without the change of the sidecar all nine tests fail: AttributeError: 'Sidecar' object has no attribute 'bound_by_setting' With it test_application passed three times in a row.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -74,6 +74,9 @@
         self._own_node_key = node_key(settings.address)
         self._stopping = False
         self._runners: list[web.AppRunner | web.ServerRunner] = []
+        self.bound_by_setting: dict[str, Endpoint] = {}
+        """Endpoints of the servers that were started; a port of 0 in the settings lets the system
+        choose one."""
         self.timers = Timers(self._rng)
         self._links = Links(settings.address, settings.peer_port, self.timers)
         self.directory = Directory()
@@ -169,12 +172,13 @@
             self._registration,
             self._decisions,
         )
-        await self._serve_application(application, self.settings.announcements)
+        await self._serve_application("announcements", application, self.settings.announcements)
         readiness = readiness_application(self._adapter.paths.readiness, self.is_ready)
-        await self._serve_application(readiness, self.settings.readiness)
+        await self._serve_application("readiness", readiness, self.settings.readiness)
         metrics = Endpoint(self.settings.address, self.settings.metrics_port)
-        await self._serve_application(metrics_application(self._metrics), metrics)
+        await self._serve_application("metrics", metrics_application(self._metrics), metrics)
         await self._serve(
+            "callers",
             web.ServerRunner(self._callers.server(), shutdown_timeout=CONNECTION_CLOSE_TIMEOUT_S),
             self.settings.callers,
         )
@@ -275,7 +279,7 @@
     def _publish_target(self, entry: TargetEntry | None) -> None:
         settings = self.settings
         own = NodeEntry(
-            settings.node_id, settings.data_centre, settings.address, settings.peer_port, entry
+            settings.node_id, settings.data_centre, settings.address, self._links.port, entry
         )
         self.directory.update(self._own_node_key, own)
         self._registration.publish(own)
@@ -298,17 +302,23 @@
         service = self.settings.own_service
         self._retry_budget.target_count = max(1, len(self.directory.ready_peers(service)))
 
-    async def _serve_application(self, app: web.Application, endpoint: Endpoint) -> None:
+    async def _serve_application(
+        self, setting: str, app: web.Application, endpoint: Endpoint
+    ) -> None:
         await self._serve(
+            setting,
             web.AppRunner(app, access_log=None, shutdown_timeout=CONNECTION_CLOSE_TIMEOUT_S),
             endpoint,
         )
 
-    async def _serve(self, runner: web.AppRunner | web.ServerRunner, endpoint: Endpoint) -> None:
+    async def _serve(
+        self, setting: str, runner: web.AppRunner | web.ServerRunner, endpoint: Endpoint
+    ) -> None:
         await runner.setup()
         self._runners.append(runner)
         site = web.TCPSite(runner, endpoint.address, endpoint.port, backlog=1024)
         await site.start()
+        self.bound_by_setting[setting] = Endpoint(*runner.addresses[0][:2])
 
 
 def _exposure_limits(bounds: Bounds) -> ExposureLimits:
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -1,6 +1,5 @@
 import asyncio
 import json
-import socket
 import unittest
 from unittest import mock
 
@@ -26,13 +25,6 @@
     header_names = NAMES
 
 
-def free_port(address: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def configuration(version: int, service: str = "s1") -> bytes:
     return json.dumps(
         {
@@ -57,20 +49,19 @@
 
 
 class Instance:
-    """A sidecar with its target, on its own loopback address."""
+    """A sidecar with its target, on its own loopback address and ports picked by the system."""
 
     def __init__(self, address: str, store: Endpoint, target: Endpoint) -> None:
-        ports = [free_port(address) for _ in range(5)]
         self.target_address = str(target)
         self.settings = SidecarSettings(
             node_id=f"n-{address}",
             address=address,
             data_centre="a",
-            peer_port=ports[0],
-            metrics_port=ports[1],
-            callers=Endpoint(address, ports[2]),
-            readiness=Endpoint(address, ports[3]),
-            announcements=Endpoint(address, ports[4]),
+            peer_port=0,
+            metrics_port=0,
+            callers=Endpoint(address, 0),
+            readiness=Endpoint(address, 0),
+            announcements=Endpoint(address, 0),
             target=target,
             own_service="s1",
             store=store,
@@ -80,6 +71,10 @@
     def new_sidecar(self) -> Sidecar:
         return Sidecar(self.settings, PlatformStore(self.settings.store), Adapter())
 
+    def url(self, setting: str, path: str) -> str:
+        """Return the URL of a path at one of the sidecar's servers."""
+        return f"http://{self.sidecar.bound_by_setting[setting]}{path}"
+
     async def until_serving(self) -> None:
         await until(lambda: len(self.sidecar.directory.ready_peers("s1")) == 2)
         await until(self.sidecar.is_ready)
@@ -120,18 +115,18 @@
             "seq": sequence,
             "born": 1,
         }
-        url = f"http://{instance.settings.announcements}/-/instances/t-{number}"
+        url = instance.url("announcements", f"/-/instances/t-{number}")
         async with self.http.put(url, json=announcement) as response:
             return response.status
 
     async def call(self, number: int, call_id: str, path: str = "/a/b") -> tuple[int, bytes]:
         headers = {"Host": "h", "X-Id": call_id, "X-Left": "9000"}
-        url = f"http://{self.instances[number].settings.callers}{path}"
+        url = self.instances[number].url("callers", path)
         async with self.http.get(url, headers=headers) as response:
             return response.status, await response.read()
 
     async def is_ready(self, number: int) -> bool:
-        url = f"http://{self.instances[number].settings.readiness}/-/ready"
+        url = self.instances[number].url("readiness", "/-/ready")
         async with self.http.get(url) as response:
             return response.status == 200
 
@@ -187,7 +182,7 @@
         await self.serve()
         instance = self.instances[1]
         await instance.sidecar.stop()
-        restarted = instance.new_sidecar()
+        restarted = instance.sidecar = instance.new_sidecar()
         await restarted.start()
         self.addAsyncCleanup(restarted.stop)
         await until(restarted.is_ready)
@@ -224,7 +219,6 @@
     async def test_metrics_are_served(self) -> None:
         await self.serve()
         await self.call(0, "c-1")
-        settings = self.instances[0].settings
-        url = f"http://{settings.address}:{settings.metrics_port}/metrics"
+        url = self.instances[0].url("metrics", "/metrics")
         async with self.http.get(url) as response:
             self.assertIn("bulrushflow_call_seconds", await response.text())
