Measure membership costs of small tables too

Cause: five rounds of 300 merges take 1,500 updates, and there were two for each other member. The second half of them would have been no news either.

There are now as many updates as merges, each with a higher incarnation than the one before it for the same member.

Before: test_all_operations_of_a_small_table_are_measured, StopIteration

--- a/benchmarks/membership_costs.py
+++ b/benchmarks/membership_costs.py
@@ -1,5 +1,6 @@
 """Measures processor time and memory of membership operations in a table of a whole fleet."""
 
+import itertools
 import random
 import time
 import tracemalloc
@@ -20,6 +21,7 @@
 
 DATA_CENTRES = 15
 REPEATS = 300
+ROUNDS = 5
 
 
 def make_members(count: int, services: int) -> list[Member]:
@@ -46,10 +48,18 @@
     return table
 
 
+def make_updates(members: list[Member], count: int) -> list[Member]:
+    """Return ``count`` updates that each change a table of the members, merged in this order."""
+    return [
+        replace(member, incarnation=member.incarnation + 1 + i // len(members))
+        for i, member in enumerate(itertools.islice(itertools.cycle(members), count))
+    ]
+
+
 def measure(function: t.Callable[[int], object], repeats: int = REPEATS) -> float:
-    """Return the microseconds per call, the minimum of five rounds of ``repeats`` calls."""
+    """Return the microseconds per call: the minimum of :data:`ROUNDS` of ``repeats`` calls each."""
     rounds = []
-    for _ in range(5):
+    for _ in range(ROUNDS):
         started_at = time.perf_counter()
         for i in range(repeats):
             function(i)
@@ -74,8 +84,8 @@
     tracemalloc.stop()
     composer = MessageComposer(table, SharedRollouts(), lambda: 0)
     order = ProbeOrder(rng)
-    newer = [replace(m, incarnation=m.incarnation + 1) for m in members[1:]]
-    merges = iter(newer * 2)
+    updates = make_updates(members[1:], ROUNDS * REPEATS)
+    merges = iter(updates)
     local_members = table.in_data_centre(members[0].data_centre)
     for member in members[1:200]:
         composer.enqueue(member)
@@ -84,7 +94,7 @@
     empty_datagram = empty_composer.encode_datagram((), ping=messages.Ping(sequence=1))
     results = {
         "merge of a claim that is news": measure(lambda i: table.merge(next(merges), 1.0)),
-        "merge of a claim that is held": measure(lambda i: table.merge(newer[0], 1.0)),
+        "merge of a claim that is held": measure(lambda i: table.merge(updates[-1], 1.0)),
         "ready targets, table unchanged": measure(
             lambda i: table.ready_targets(f"service-{i % services}", "2026-12-04.1")
         ),
