--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -126,13 +126,13 @@
     report.added = _added_rows(ways)
 
 
-async def measure_goodput(fleet: Fleet, report: Report, through_nodes: bool) -> None:
+async def measure_goodput(pairs: list[Pair], report: Report, through_nodes: bool) -> None:
     """Measure goodput at each of :data:`LOAD_MULTIPLES` of the targets' capacity.
 
+    :param pairs: the targets, with their nodes.
     :param through_nodes: call through nodes; otherwise the targets directly, round robin and
         without admission control.
     """
-    pairs = [pair for pair in fleet.pairs if pair not in fleet.pairs[:2]]
     capacity = len(pairs) * OVERLOAD_SLOTS / (OVERLOAD_WORK_MS / 1000)
     urls = [pair.caller_url if through_nodes else pair.target_url for pair in pairs]
     way = "nodes" if through_nodes else "round robin"
@@ -244,7 +244,9 @@
     rounds: t.Annotated[int, cappa.Arg(long=True, help="rounds of the latency part")] = 4
     seconds: t.Annotated[float, cappa.Arg(long=True, help="seconds per load")] = 5.0
     base_port: t.Annotated[int, cappa.Arg(long=True, help="first TCP port")] = 25100
-    part: t.Annotated[str, cappa.Arg(long=True, help="all, added or goodput")] = "all"
+    part: t.Annotated[
+        t.Literal["all", "added", "goodput"], cappa.Arg(long=True, help="what to measure")
+    ] = "all"
     json: t.Annotated[pathlib.Path | None, cappa.Arg(long=True, help="write JSON here")] = None
 
     def __call__(self) -> None:
@@ -266,18 +268,23 @@
             sys.exit(f"{report.ended_badly} processes failed or did not stop in time")
 
     async def _measure(self, fleet: Fleet, report: Report) -> None:
-        await measure_added(fleet, report)
-        if self.part == "added":
-            return
+        if self.part != "goodput":
+            await measure_added(fleet, report)
+        if self.part != "added":
+            await self._measure_goodput(fleet, report)
+
+    async def _measure_goodput(self, fleet: Fleet, report: Report) -> None:
         behaviour = {"work_ms": OVERLOAD_WORK_MS, "queue_beyond_slots": True}
-        for _ in range(OVERLOAD_PAIRS):
+        pairs = [
             fleet.add_pair("payments", "v1", OVERLOAD_SLOTS, behaviour)
-        await _publish(fleet, ["plots", "statements", "payments"])
-        urls = [pair.caller_url + "/payments/7" for pair in fleet.pairs[2:]]
-        await fleet.wait_until_answered(urls)
+            for _ in range(OVERLOAD_PAIRS)
+        ]
+        measured_before = ["plots", "statements"] if self.part == "all" else []
+        await _publish(fleet, [*measured_before, "payments"])
+        await fleet.wait_until_answered([pair.caller_url + "/payments/7" for pair in pairs])
         await asyncio.sleep(SETTLE_S)
-        await measure_goodput(fleet, report, through_nodes=True)
-        await measure_goodput(fleet, report, through_nodes=False)
+        await measure_goodput(pairs, report, through_nodes=True)
+        await measure_goodput(pairs, report, through_nodes=False)
 
 
 def main() -> None:
