Draw a tick of calls after a rollback for each policy of the model

Seen (read): after a rollback the ramp was charged one more tick of calls to the new version, and the product's policy none, which made the product look better than it is.

Cause: the share of that tick was read from the policy after its decision. The ramp keeps its share, the shared state returns 0 at once; but the tick stands for the other nodes, which the rollback hasn't reached yet.

The tick is drawn with the share from before the decision.

--- a/benchmarks/move_model/run.py
+++ b/benchmarks/move_model/run.py
@@ -98,7 +98,8 @@
         while tick * self._tick_s <= self._scenario.span_s + self._tick_s:
             tick += 1
             now_s = tick * self._tick_s
-            self._draw_calls(now_s)
+            share_permille = self._policy.share_permille
+            self._draw_calls(now_s, share_permille)
             # The driving node has its own target's counts at once and peers' counts a tick late.
             for route, _ in ROUTES:
                 known_counts[NEW_VERSION, route] = self._totals[NEW_VERSION, route]
@@ -107,8 +108,9 @@
                 known_counts[OLD_VERSION, route] = _copy(self._totals[OLD_VERSION, route])
             if self._policy.rolled_back:
                 result.taken_back = True
-                # The rollback reaches the other nodes within one tick.
-                self._draw_calls(now_s + self._tick_s / 2)
+                # The rollback reaches the other nodes within one tick. Until then they keep the
+                # share.
+                self._draw_calls(now_s + self._tick_s / 2, share_permille)
                 break
             if self._policy.completed:
                 result.done_on_time = now_s <= self._scenario.span_s
@@ -116,8 +118,7 @@
         result.reason = self._policy.reason
         return result
 
-    def _draw_calls(self, now_s: float) -> None:
-        share_permille = self._policy.share_permille
+    def _draw_calls(self, now_s: float, share_permille: int) -> None:
         rate = self._rate_per_s * self._scenario.load_factor(now_s)
         for route, route_fraction in ROUTES:
             calls = draw_poisson(self._rng, rate * route_fraction * self._tick_s)
--- /dev/null
+++ b/tests/benchmarks/test_move_model.py
@@ -0,0 +1,42 @@
+import random
+import unittest
+
+from benchmarks.move_model.policies import CountsByVersionRoute
+from benchmarks.move_model.run import Run
+from benchmarks.move_model.run import RunResult
+from benchmarks.move_model.scenarios import Fails
+from benchmarks.move_model.scenarios import Scenario
+
+TICK_S = 0.5
+
+
+class RollbackAfterThreeTicks:
+    """Sends half of the calls to the new version and rolls it back in the third tick."""
+
+    uses_latency = False
+    completed = False
+    reason = ""
+
+    def __init__(self, share_after_rollback_permille: int = 500) -> None:
+        self.rolled_back = False
+        self._share_after_rollback_permille = share_after_rollback_permille
+        self._ticks = 0
+
+    @property
+    def share_permille(self) -> int:
+        return self._share_after_rollback_permille if self.rolled_back else 500
+
+    def tick(self, totals: CountsByVersionRoute, now_s: float) -> None:
+        self._ticks += 1
+        self.rolled_back = self._ticks == 3
+
+
+def run(scenario_type: type[Scenario], policy: RollbackAfterThreeTicks, seed: int = 1) -> RunResult:
+    return Run(scenario_type(random.Random(seed), 60.0), policy, 200.0, TICK_S).run_to_end()
+
+
+class RunTests(unittest.TestCase):
+    def test_all_policies_get_calls_for_one_tick_after_a_rollback(self) -> None:
+        results = [run(Fails, RollbackAfterThreeTicks(share)) for share in (0, 500)]
+        self.assertEqual(results[0], results[1])
+        self.assertEqual(results[0].last_new_call_s, 3.5 * TICK_S)
