Count only the calls on faulty routes as bad in the rollout model

Seen (read): with "fails on one route" the calls on the two healthy routes, nine in ten, counted as affected by the fault.

Cause: `bad_calls` asked the scenario whether its fault shows, not on which route. `Scenario.affects` tells the route now. The time to the last new call still counts the calls on any route, as the target says.

--- a/benchmarks/move_model/run.py
+++ b/benchmarks/move_model/run.py
@@ -29,8 +29,9 @@
 class RunResult:
     """Outcome of one run.
 
-    ``bad_calls``: calls to the new version while its fault shows. ``fault_seen_s`` and
-    ``last_new_call_s``: times of the first and the last tick with such calls.
+    ``bad_calls``: calls to the new version while its fault shows, on the routes that it affects.
+    ``fault_seen_s`` and ``last_new_call_s``: times of the first and the last tick with calls to the
+    new version while its fault shows, on any route.
     """
 
     done_on_time: bool = False
@@ -132,7 +133,7 @@
     def _draw_new_calls(self, now_s: float, route: str, calls: int, share_permille: int) -> None:
         outcome = self._scenario.new_outcome(now_s, route, share_permille)
         if self._scenario.bad and self._scenario.is_faulty(now_s, share_permille):
-            self._result.bad_calls += calls
+            self._result.bad_calls += calls if self._scenario.affects(route) else 0
             self._result.last_new_call_s = now_s
             if self._result.fault_seen_s is None:
                 self._result.fault_seen_s = now_s
--- a/benchmarks/move_model/scenarios.py
+++ b/benchmarks/move_model/scenarios.py
@@ -52,6 +52,10 @@
         """Return whether the new version's fault shows now."""
         return False
 
+    def affects(self, route: str) -> bool:
+        """Return whether the new version's fault affects the calls on a route."""
+        return True
+
     def old_outcome(self, now_s: float, route: str) -> Outcome:
         """Return the outcome of calls to the old version."""
         return Outcome()
@@ -177,12 +181,13 @@
 class FailsOnOneRoute(Fails):
     """Only the route with the fewest calls fails."""
 
+    def affects(self, route: str) -> bool:
+        return route == FAULTY_ROUTE
+
     def new_outcome(self, now_s: float, route: str, share_permille: int) -> Outcome:
-        return (
-            super().new_outcome(now_s, route, share_permille)
-            if route == FAULTY_ROUTE
-            else Outcome()
-        )
+        if not self.affects(route):
+            return Outcome()
+        return super().new_outcome(now_s, route, share_permille)
 
 
 class MisleadingHealthCheck(Fails):
--- a/tests/benchmarks/test_move_model.py
+++ b/tests/benchmarks/test_move_model.py
@@ -5,6 +5,7 @@
 from benchmarks.move_model.run import Run
 from benchmarks.move_model.run import RunResult
 from benchmarks.move_model.scenarios import Fails
+from benchmarks.move_model.scenarios import FailsOnOneRoute
 from benchmarks.move_model.scenarios import Scenario
 
 TICK_S = 0.5
@@ -40,3 +41,12 @@
         results = [run(Fails, RollbackAfterThreeTicks(share)) for share in (0, 500)]
         self.assertEqual(results[0], results[1])
         self.assertEqual(results[0].last_new_call_s, 3.5 * TICK_S)
+
+    def test_calls_on_routes_without_the_fault_do_not_count_as_bad(self) -> None:
+        everywhere, on_one_route = (
+            run(scenario, RollbackAfterThreeTicks()) for scenario in (Fails, FailsOnOneRoute)
+        )
+        # The faulty route has a tenth of the calls.
+        self.assertGreater(on_one_route.bad_calls, 0)
+        self.assertLess(on_one_route.bad_calls, everywhere.bad_calls / 5)
+        self.assertEqual(on_one_route.last_new_call_s, everywhere.last_new_call_s)
