List the most frequent reasons in the rollout benchmark

Seen (read): `commonest_reasons` of a row were those of the first three runs that ended otherwise than expected, and three empty ones for the ramps, which give none.

The runs are counted by their rule, without the figures that differ in each run; a reason is listed with the number of its runs.

Before (with the old function's name): ReasonTests AssertionError: Lists differ: ['a (z 1.0)', 'b (z 1.1)', 'c (z 1.2)'] != ['3 runs: d (z 1.3)', '2 runs: b (z 1.1)', '2 runs: c (z 1.2)']

--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -20,6 +20,7 @@
 
 SPAN_AND_TICK_BY_RATE: t.Final = {200.0: (120.0, 0.5), 20.0: (300.0, 0.5), 2.0: (900.0, 1.0)}
 """Rollout duration and decision interval in seconds, by calls per second."""
+MAX_REASONS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,13 +76,22 @@
         sum(bad_calls) / max(1, calls),
         statistics.fmean(stops) if stops else 0.0,
         _p99(stops),
-        _unexpected_reasons(results, scenario_type.bad),
+        commonest_reasons(results, scenario_type.bad),
     )
 
 
-def _unexpected_reasons(results: list[RunResult], bad: bool) -> list[str]:
-    """Return up to three reasons from runs that rolled a good version back or kept a bad one."""
-    return [r.reason for r in results if r.taken_back is not bad][:3]
+def commonest_reasons(results: list[RunResult], bad: bool) -> list[str]:
+    """Return the three most frequent reasons for rolling a good version back or keeping a bad one.
+
+    Runs are counted by the rule, which the figures follow in brackets; each has its first run's.
+    """
+    reasons_by_rule: dict[str, list[str]] = {}
+    for result in results:
+        if result.reason and result.taken_back is not bad:
+            rule = result.reason.partition(" (")[0]
+            reasons_by_rule.setdefault(rule, []).append(result.reason)
+    commonest = sorted(reasons_by_rule.values(), key=len, reverse=True)[:MAX_REASONS]
+    return [f"{len(reasons)} runs: {reasons[0]}" for reasons in commonest]
 
 
 def _p99(values: t.Sequence[float]) -> float:
--- a/tests/benchmarks/test_move_model.py
+++ b/tests/benchmarks/test_move_model.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from benchmarks import moves
 from benchmarks.move_model.policies import CountsByVersionRoute
 from benchmarks.move_model.run import Run
 from benchmarks.move_model.run import RunResult
@@ -50,3 +51,19 @@
         self.assertGreater(on_one_route.bad_calls, 0)
         self.assertLess(on_one_route.bad_calls, everywhere.bad_calls / 5)
         self.assertEqual(on_one_route.last_new_call_s, everywhere.last_new_call_s)
+
+
+class ReasonTests(unittest.TestCase):
+    def test_the_most_frequent_reasons_of_unexpected_ends_are_returned(self) -> None:
+        rules = ["a", "b", "c", "d", "b", "d", "d", "c"]
+        results = [
+            RunResult(taken_back=True, reason=f"{rule} (z 1.{i})") for i, rule in enumerate(rules)
+        ]
+        expected = RunResult(reason="done")
+        self.assertEqual(
+            moves.commonest_reasons([expected, *results], bad=False),
+            ["3 runs: d (z 1.3)", "2 runs: b (z 1.1)", "2 runs: c (z 1.2)"],
+        )
+
+    def test_policies_that_give_no_reason_have_none_listed(self) -> None:
+        self.assertEqual(moves.commonest_reasons([RunResult(taken_back=True)], bad=False), [])
