--- a/benchmarks/move_model/scenarios.py
+++ b/benchmarks/move_model/scenarios.py
@@ -191,7 +191,10 @@
 
 
 class MisleadingHealthCheck(Fails):
-    """Calls fail while the health endpoint reports success; decisions don't use health checks."""
+    """Calls fail while the health endpoint reports success.
+
+    No policy reads health checks and the model has none, so these are more draws of :class:`Fails`.
+    """
 
 
 class FewCallsGood(Scenario):
