--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -25,7 +25,7 @@
 from bulrushflow.routing import unknown
 from bulrushflow.settings import CallSettings
 from tests.targets.servers import GUARD_S
-from tests.targets.servers import until
+from tests.waiting import until
 
 MAX_BODY_BYTES = 1000
 
--- a/tests/targets/test_admission_controller.py
+++ b/tests/targets/test_admission_controller.py
@@ -20,7 +20,7 @@
 from tests.targets.servers import announcement
 from tests.targets.servers import call
 from tests.targets.servers import http_server
-from tests.targets.servers import until
+from tests.waiting import until
 
 
 class AdmissionControllerTests(unittest.IsolatedAsyncioTestCase):
--- a/tests/targets/test_slots.py
+++ b/tests/targets/test_slots.py
@@ -11,7 +11,7 @@
 from bulrushflow.exceptions import InvariantError
 from bulrushflow.targets.slots import SlotPool
 from tests.targets.servers import GUARD_S
-from tests.targets.servers import until
+from tests.waiting import until
 
 
 def full_pool(slots: int = 2) -> SlotPool:
