Start the log of the membership benchmark as the others do

benchmarks/membership_fleet.py had its own `start_log`, which chose a port, released it and passed it to the log. It uses that of benchmarks/processes.py, which lets the system choose the port and reads it from the log's output.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import statistics
+import tempfile
 import time
 import typing as t
 from dataclasses import dataclass
@@ -66,12 +67,13 @@
         report(self.json, settings, results)
 
     async def _run(self) -> dict[str, t.Any]:
-        fleet = Fleet(self.loss)
-        await fleet.start_log()
-        try:
-            return await (self._run_lossy(fleet) if self.loss else self._run_all(fleet))
-        finally:
-            await fleet.stop()
+        with tempfile.TemporaryDirectory() as directory:
+            fleet = Fleet(pathlib.Path(directory), self.loss)
+            await fleet.start_log()
+            try:
+                return await (self._run_lossy(fleet) if self.loss else self._run_all(fleet))
+            finally:
+                await fleet.stop()
 
     async def _run_all(self, fleet: Fleet) -> dict[str, t.Any]:
         results = await self._measure_start(fleet)
--- a/benchmarks/membership_fleet.py
+++ b/benchmarks/membership_fleet.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import statistics
 import sys
 import time
@@ -13,6 +12,8 @@
 
 import aiohttp
 
+from benchmarks import processes
+
 DATA_CENTRES = ("celje-a", "celje-b", "velenje")
 WAIT_TIMEOUT_S = 60.0
 READY_TIMEOUT_S = 60.0
@@ -84,39 +85,23 @@
 
 
 class Fleet:
-    """The log stand-in and all participants."""
+    """The log stand-in and all participants.
+
+    :param directory: for the log's output.
+    """
 
-    def __init__(self, loss: float) -> None:
+    def __init__(self, directory: pathlib.Path, loss: float) -> None:
+        self._directory = directory
         self.loss = loss
         self.by_id: dict[str, ParticipantProcess] = {}
         self.started = 0
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.log_port = probe.getsockname()[1]
-        self.log_url = f"http://127.0.0.1:{self.log_port}"
 
     async def start_log(self) -> None:
-        """Start the log stand-in and wait until it responds.
+        """Start the log stand-in.
 
-        :raises RuntimeError: when it does not.
+        :raises TimeoutError: when it does not listen within :data:`processes.START_TIMEOUT_S`.
         """
-        code = "from bulrushflow.standins.log import main; main()"
-        self.log = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            code,
-            "--port",
-            str(self.log_port),
-            stderr=asyncio.subprocess.DEVNULL,
-        )
-        async with aiohttp.ClientSession() as session:
-            for _ in range(200):
-                try:
-                    async with session.get(self.log_url + "/counts"):
-                        return
-                except aiohttp.ClientError:
-                    await asyncio.sleep(0.1)
-        raise RuntimeError(f"the log stand-in did not respond at {self.log_url} after 200 attempts")
+        self.log_program, self.log_url = await processes.start_log(self._directory)
 
     async def log_counts(self) -> dict[str, int]:
         """Return the numbers of reads and appends that the log has served."""
@@ -164,8 +149,7 @@
         for process in self.by_id.values():
             process.send_signal(signal.SIGKILL)
         await asyncio.gather(*(p.process.wait() for p in self.by_id.values()))
-        self.log.terminate()
-        await self.log.wait()
+        await self.log_program.stop()
 
     async def wait_for(self, condition: t.Callable[[], bool]) -> bool:
         """Wait until a condition holds; return whether it did within ``WAIT_TIMEOUT_S``."""
