Define the exit statuses of the node programs once

`EXIT_SETTINGS` was defined in application.py and in platform/command.py. The two programs load different modules, so the statuses have a module of their own that imports nothing. Run without a settings file, the sidecar ends with status 2 as before; test_command_line passes.

--- a/src/bulrushflow/application.py
+++ b/src/bulrushflow/application.py
@@ -21,6 +21,8 @@
 from bulrushflow.configuration import ConfigurationStore
 from bulrushflow.configuration import SnapshotPolicy
 from bulrushflow.exceptions import InvariantError
+from bulrushflow.exit_statuses import EXIT_INVARIANT_ERROR
+from bulrushflow.exit_statuses import EXIT_SETTINGS
 from bulrushflow.logs import configure_logs
 from bulrushflow.membership import Member
 from bulrushflow.membership import MemberTable
@@ -45,8 +47,6 @@
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
 
-EXIT_SETTINGS = 2
-EXIT_INVARIANT_ERROR = 3
 NODE_VARIABLES: t.Final = {
     "node_id": "BULRUSHFLOW_NODE_ID",
     "address": "BULRUSHFLOW_ADDRESS",
--- a/src/bulrushflow/platform/command.py
+++ b/src/bulrushflow/platform/command.py
@@ -9,6 +9,7 @@
 from result import Err
 from result import Ok
 
+from bulrushflow.exit_statuses import EXIT_SETTINGS
 from bulrushflow.logs import configure_bounded_logs
 from bulrushflow.platform.adapter import PlatformAdapter
 from bulrushflow.platform.settings import load_settings
@@ -17,7 +18,6 @@
 from bulrushflow.sidecar.application import Sidecar
 from bulrushflow.sidecar.settings import SidecarSettings
 
-EXIT_SETTINGS = 2
 GC_THRESHOLD = 20_000
 """Net allocations that trigger a collection of the youngest generation."""
 GC_GENERATIONS = 10
