Give the registration's backoff a class of its own

`Registration` and `Replica` have the same backoff. The waits are the same. `Registration` had no tests: three were written first and pass before and after.

--- a/src/bulrushflow/sidecar/registration.py
+++ b/src/bulrushflow/sidecar/registration.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from bulrushflow.background import BackgroundService
+from bulrushflow.sidecar.backoff import Backoff
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.records import encode_node_entry
@@ -31,7 +32,7 @@
         self._store = store
         self._topic = topic
         self._decisions = decisions
-        self._rng = rng
+        self._backoff = Backoff(FIRST_BACKOFF_S, MAX_BACKOFF_S, rng)
         self._desired: NodeEntry | None = None
         self._stored: NodeEntry | None = None
         self._changed = asyncio.Event()
@@ -61,7 +62,6 @@
 
     async def run(self) -> None:
         """See :meth:`BackgroundService.run`."""
-        backoff_s = FIRST_BACKOFF_S
         while True:
             await self._changed.wait()
             self._changed.clear()
@@ -73,12 +73,11 @@
             match await self._store.append(self._topic, [write]):
                 case Ok(offset):
                     self._stored = entry
-                    backoff_s = FIRST_BACKOFF_S
+                    self._backoff.reset()
                     self._decisions.event("entry written", offset=offset)
                     if entry == self._desired:
                         self._in_sync.set()
                 case Err(error):
                     self._decisions.event("entry not written", reason=error.message)
-                    await asyncio.sleep(self._rng.uniform(0.5, 1.0) * backoff_s)
-                    backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+                    await asyncio.sleep(self._backoff.next_s())
                     self._changed.set()
--- /dev/null
+++ b/tests/sidecar/test_registration.py
@@ -0,0 +1,59 @@
+import random
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from bulrushflow.sidecar import registration as registration_module
+from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.sidecar.model import NodeEntry
+from bulrushflow.sidecar.records import decode_node_entry
+from bulrushflow.sidecar.registration import Registration
+from tests.sidecar.samples import MemoryStore
+from tests.sidecar.samples import peer
+from tests.sidecar.samples import target
+from tests.waiting import until
+
+ENTRY = peer(1).entry
+GUARD_S = 30.0
+
+
+class RegistrationTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        for name in ("FIRST_BACKOFF_S", "MAX_BACKOFF_S"):
+            patch = mock.patch.object(registration_module, name, 0.001)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.store = MemoryStore()
+        self.decisions = mock.Mock(wraps=DecisionLog())
+        self.registration = Registration(self.store, "nodes", self.decisions, random.Random(1))
+        await self.registration.start()
+        self.addAsyncCleanup(self.registration.stop)
+
+    def written(self) -> list[NodeEntry]:
+        return [decode_node_entry(record.value).unwrap() for record in self.store.records]
+
+    async def test_the_published_entry_is_written_once(self) -> None:
+        self.registration.publish(ENTRY)
+        self.assertTrue(await self.registration.wait_written(GUARD_S))
+        self.registration.publish(ENTRY)
+        self.registration.reconcile(ENTRY)
+        self.assertTrue(await self.registration.wait_written(GUARD_S))
+        self.assertEqual(self.written(), [ENTRY])
+
+    async def test_only_the_latest_entry_is_written_after_an_outage(self) -> None:
+        self.store.unavailable = True
+        self.registration.publish(ENTRY)
+        await until(lambda: self.decisions.event.call_count >= 3)
+        self.assertEqual(self.written(), [])
+        latest = replace(ENTRY, target=target(sequence=2))
+        self.registration.publish(latest)
+        self.store.unavailable = False
+        self.assertTrue(await self.registration.wait_written(GUARD_S))
+        self.assertEqual(self.written(), [latest])
+
+    async def test_another_entry_in_the_store_is_overwritten(self) -> None:
+        self.registration.publish(ENTRY)
+        self.assertTrue(await self.registration.wait_written(GUARD_S))
+        self.registration.reconcile(None)
+        await until(lambda: len(self.store.records) == 2)
+        self.assertEqual(self.written(), [ENTRY, ENTRY])
