--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -18,6 +18,7 @@
 from bulrushflow.configuration import Verdict
 from bulrushflow.operators.client import OperatorClient
 from bulrushflow.operators.endpoint import NodeStatus
+from tests.processes.programs import SOURCE
 from tests.processes.programs import WAIT_TIMEOUT_S
 from tests.processes.programs import Program
 from tests.processes.programs import load_summary
@@ -99,6 +100,10 @@
             await program.kill()
         self._cleanup.close()
 
+    def source_of(self, name: str) -> pathlib.Path:
+        """Return the directory of the packages that the program ``name`` runs from."""
+        return SOURCE
+
     async def start_program(
         self,
         program: str,
@@ -111,7 +116,9 @@
         :param variables: environment variables in addition to those of the test process.
         """
         log = self._directory / f"{name}.log"
-        started = await Program.start(program, arguments, log, variables or {})
+        started = await Program.start(
+            program, arguments, log, variables or {}, self.source_of(name)
+        )
         self._programs.append(started)
         return started
 
@@ -142,9 +149,17 @@
         await self.start_target(name, service, version, node.target_port)
 
     async def start_node(
-        self, name: str, data_centre: str, target_port: int = 0, log_url: str | None = None
+        self,
+        name: str,
+        data_centre: str,
+        target_port: int = 0,
+        log_url: str | None = None,
+        **others: t.Any,
     ) -> FleetNode:
-        """Start a node; a port of 0 is assigned by the system."""
+        """Start a node; a port of 0 is assigned by the system.
+
+        :param others: top-level settings that override those of the tests.
+        """
         settings = {
             "node_id": name,
             "data_centre": data_centre,
@@ -155,10 +170,26 @@
             "operator_port": 0,
             "platform": {"url": log_url or self.log_url, "request_timeout_s": 1, "long_poll_s": 2},
             "gossip": GOSSIP,
+            **others,
         }
-        file = self._directory / f"{name}.json"
-        file.write_bytes(msgspec.json.encode(settings))
-        program = await self.start_program("bulrushflow-node", name, str(file))
+        self._settings_file(name).write_bytes(msgspec.json.encode(settings))
+        return await self._run_node(name, name)
+
+    async def restart_node(self, node: FleetNode) -> FleetNode:
+        """Stop a node, and start it again with the same settings file and a log of its own.
+
+        :raises AssertionError: when its exit status isn't 0.
+        """
+        status = await node.program.terminate()
+        assert status == 0, f"{node.name} ended with status {status}: {node.program.errors()}"
+        return await self._run_node(node.name, f"{node.name}-restarted")
+
+    def _settings_file(self, name: str) -> pathlib.Path:
+        return self._directory / f"{name}.json"
+
+    async def _run_node(self, name: str, program_name: str) -> FleetNode:
+        file = self._settings_file(name)
+        program = await self.start_program("bulrushflow-node", program_name, str(file))
         ports = await program.wait_for_log(
             r"listens on \S+ callers (\d+), nodes (\d+), target (\d+), operators (\d+)"
         )
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -21,6 +21,7 @@
     "bulrushflow-standin-log": "bulrushflow.standins.log",
     "bulrushflow-standin-target": "bulrushflow.standins.target",
     "bulrushflow-load": "bulrushflow.standins.load",
+    "bulrushflow-sidecar": "bulrushflow_sidecar",
 }
 
 
@@ -56,11 +57,15 @@
         arguments: t.Sequence[str],
         log: pathlib.Path,
         variables: t.Mapping[str, str],
+        source: pathlib.Path = SOURCE,
     ) -> "Program":
-        """Start a program with the interpreter of the tests."""
+        """Start a program with the interpreter of the tests.
+
+        :param source: directory of the packages, which may be that of another build.
+        """
         entry = ENTRY_BY_PROGRAM[program]
         code = f"import sys; sys.argv[0] = {program!r}; from {entry} import main; main()"
-        paths = [str(SOURCE), os.environ.get("PYTHONPATH", "")]
+        paths = [str(source), os.environ.get("PYTHONPATH", "")]
         environment = {
             **os.environ,
             **variables,
@@ -88,6 +93,10 @@
         """Return what the program has written to standard error."""
         return self._log.read_text(encoding="utf-8", errors="replace")
 
+    def printed(self) -> str:
+        """Return what the program has written to standard output."""
+        return self._log.with_suffix(".out").read_text(encoding="utf-8")
+
     async def wait_for_log(self, pattern: str) -> re.Match[str]:
         """Wait for the first match in the log and return it.
 
@@ -118,7 +127,7 @@
         """Wait for the exit; return the exit status and the standard output."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
             status = await self._process.wait()
-        return status, self._log.with_suffix(".out").read_text(encoding="utf-8")
+        return status, self.printed()
 
     async def kill(self) -> None:
         """Kill the process and wait for its exit."""
--- a/tests/sidecar/servers.py
+++ b/tests/sidecar/servers.py
@@ -1,12 +1,21 @@
-"""A configurable HTTP target for tests."""
+"""A configurable HTTP target for tests, and a choice of free ports."""
 
 import asyncio
+import socket
 
 from aiohttp import web
 
 from bulrushflow.sidecar.settings import Endpoint
 
 
+def free_port(address: str) -> int:
+    """Return a TCP port of an address that no process listens on."""
+    with socket.socket() as probe:
+        probe.bind((address, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
 class FakeTarget:
     """Responds with the call's id and a signature; calls wait while ``released`` is cleared."""
 
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -1,6 +1,5 @@
 import asyncio
 import json
-import socket
 import unittest
 from unittest import mock
 
@@ -17,6 +16,7 @@
 from tests.platform.standin import StoreStandIn
 from tests.sidecar.samples import NAMES
 from tests.sidecar.servers import FakeTarget
+from tests.sidecar.servers import free_port
 from tests.waiting import until
 
 ADDRESSES = ("127.0.0.1", "127.0.0.2")
@@ -26,13 +26,6 @@
     header_names = NAMES
 
 
-def free_port(address: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def configuration(version: int, service: str = "s1") -> bytes:
     return json.dumps(
         {
