--- a/scripts/builds/timelines.py
+++ b/scripts/builds/timelines.py
@@ -1,8 +1,7 @@
 """The command ``story`` of both builds, on logs that the old build has written."""
 
 import asyncio
-import pathlib
-import re
+import json
 import typing as t
 
 from scripts.builds.reporting import Build
@@ -10,12 +9,9 @@
 from scripts.builds.reporting import Report
 from tests.processes.programs import Program
 
-REQUESTS_PER_LOG = 2
-"""Requests compared from each log file; every one takes a process of each build."""
-
 
 class Story(t.NamedTuple):
-    """The exit status of a command, its first line with the outcome, and the timeline's lines."""
+    """The command's exit status, its first line with the outcome, and the timeline's lines."""
 
     status: int
     outcome: str
@@ -23,38 +19,39 @@
 
 
 async def check_timelines(builds: Builds, report: Report) -> None:
-    """Compare the text of ``story`` for some requests of each log in the report."""
-    requests = sorted({request for log in report.old_logs for request in request_ids(log)})
-    outcomes, timelines = [], []
-    lines = 0
+    """Compare the text of ``story`` for a request of each kind in the report's logs."""
+    requests = request_ids("".join(log.read_text(encoding="utf-8") for log in report.old_logs))
+    assert requests, f"no request is named in {len(report.old_logs)} logs"
+    outcomes, timelines, lines = [], [], 0
     for request in requests:
         old, new = await asyncio.gather(
             _story(builds.old, request, report), _story(builds.new, request, report)
         )
         lines += len(old.timeline)
-        if (old.status, old.outcome) != (new.status, new.outcome) or old.status:
-            outcomes.append(f"old {old.status} {old.outcome!r}, new {new.status} {new.outcome!r}")
+        if old[:2] != new[:2] or old.status:
+            outcomes.append(f"old {old[:2]}, new {new[:2]}")
         if old.timeline != new.timeline or not old.timeline:
             timelines.append(f"{request}: old {old.timeline}, new {new.timeline}")
     compared = f"{len(requests)} requests, {lines} lines, {len(report.old_logs)} logs"
-    for part, differences in (("timeline", timelines), ("outcome", outcomes)):
-        name = f"story: either build prints the same {part} for logs of the old build"
-        details = f"{len(differences)} of {len(requests)} requests differ"
-        passed = bool(requests) and not differences
-        report.add(name, passed, compared if passed else "\n".join([details, *differences[:3]]))
+    name = "story: either build prints the same {} for logs of the old build"
+    report.add_differences(name.format("timeline"), timelines, compared)
+    report.add_differences(name.format("outcome"), outcomes, compared)
 
 
-def request_ids(log: pathlib.Path) -> list[str]:
-    """Return the ids of the first and last requests that a log names."""
-    found = re.findall(r'"request":"([^"]+)"', log.read_text(encoding="utf-8"))
-    distinct: t.Sequence[str] = list(dict.fromkeys(found))
-    return list(dict.fromkeys([*distinct[:1], *distinct[1 - REQUESTS_PER_LOG :]]))
+def request_ids(text: str) -> list[str]:
+    """Return the id of the first request of each message in logs of JSON lines."""
+    id_by_message: dict[str, str] = {}
+    for line in text.splitlines():
+        fields = json.loads(line)
+        if "request" in fields:
+            id_by_message.setdefault(fields["message"], fields["request"])
+    return sorted(set(id_by_message.values()))
 
 
 async def _story(build: Build, request: str, report: Report) -> Story:
     log = report.scratch / f"story-{build.name}.log"
-    files = [str(file) for file in report.old_logs]
-    program = await Program.start("bulrushflow", ["story", request, *files], log, {}, build.source)
+    arguments = ["story", request, *map(str, report.old_logs)]
+    program = await Program.start("bulrushflow", arguments, log, {}, build.source)
     try:
         status, output = await program.output()
     finally:
--- a/scripts/mixed_builds.py
+++ b/scripts/mixed_builds.py
@@ -72,10 +72,9 @@
     with tempfile.TemporaryDirectory(prefix="mixed-builds-") as scratch:
         report = Report(pathlib.Path(scratch))
         asyncio.run(run_parts(builds, report))
-    for check in report.checks:
-        print(check)
-    print(f"failed checks: {report.failed_count} of {len(report.checks)}")
-    return 1 if report.failed_count else 0
+    print("\n".join(report.lines))
+    print(f"failed checks: {report.failed}")
+    return 1 if report.failed else 0
 
 
 if __name__ == "__main__":
