--- a/scripts/builds/log_design.py
+++ b/scripts/builds/log_design.py
@@ -64,6 +64,7 @@
         self.programs_by_name: dict[str, Program] = {}
         self._builds = builds
         self._build_by_program: dict[str, Build] = {}
+        self._commands = 0
 
     def source_of(self, name: str) -> pathlib.Path:
         """See :meth:`Fleet.source_of`; stand-ins and the load tool run the new build."""
@@ -95,7 +96,8 @@
 
     async def command(self, build: Build, node: FleetNode, *arguments: str) -> tuple[int, str, str]:
         """Run a command line of a build at a node; return its status, output and errors."""
-        name = f"command-{len(self.programs_by_name)}"
+        self._commands += 1
+        name = f"command-{self._commands}"
         self._build_by_program[name] = build
         variables = {"BULRUSHFLOW_LOG": self.log_url, "BULRUSHFLOW_NODE": node.operator_url}
         program = await self.start_program("bulrushflow", name, *arguments, variables=variables)
--- a/scripts/builds/reporting.py
+++ b/scripts/builds/reporting.py
@@ -53,7 +53,8 @@
     def add(self, name: str, passed: bool, details: t.Any = "") -> None:
         """Record a check's outcome, with the figures or the error behind it."""
         text = str(details).strip().replace("\n", " | ")
-        self.lines.append(f"{'passed' if passed else 'FAILED'}  {name}: {text}")
+        outcome = "passed" if passed else "FAILED"
+        self.lines.append(f"{outcome}  {name}" + (f": {text}" if text else ""))
         self.failed += not passed
 
     def add_differences(self, name: str, differences: t.Sequence[str], details: t.Any = "") -> None:
--- a/scripts/builds/timelines.py
+++ b/scripts/builds/timelines.py
@@ -43,7 +43,7 @@
     id_by_message: dict[str, str] = {}
     for line in text.splitlines():
         fields = json.loads(line)
-        if "request" in fields:
+        if fields.get("request"):
             id_by_message.setdefault(fields["message"], fields["request"])
     return sorted(set(id_by_message.values()))
 
--- a/scripts/mixed_builds.py
+++ b/scripts/mixed_builds.py
@@ -11,10 +11,9 @@
 import sys
 import tempfile
 import time
+import traceback
 import typing as t
 
-import aiohttp
-
 from scripts.builds.log_design import check_log_design
 from scripts.builds.reporting import Build
 from scripts.builds.reporting import Builds
@@ -59,7 +58,8 @@
         try:
             async with asyncio.timeout_at(deadline):
                 await part(builds, report)
-        except (AssertionError, TimeoutError, OSError, aiohttp.ClientError) as exc:
+        except Exception as exc:  # The other parts' outcomes are printed all the same.
+            traceback.print_exc()
             report.add(f"{name}: all checks were made", False, repr(exc))
         print(f"{name}: {time.monotonic() - started_at:.0f} s", file=sys.stderr, flush=True)
 
