Test the sidecar's client against responses without end

Guards; each of these cases held before. Endless header lines, one endless header line, bytes that are no HTTP, a body until the connection closes, a chunk size, a chunk extension and trailers without end fail the call as unknown before its deadline when they arrive fast, at the deadline when they arrive byte by byte, and close the connection. Endless bytes after a response close an idle connection and fail the next call of a reused one. A cancelled call closes its connection.

--- /dev/null
+++ b/tests/sidecar/test_endless_responses.py
@@ -0,0 +1,142 @@
+"""Responses without end: their calls fail, their connections close, and nothing is delivered."""
+
+import asyncio
+import typing as t
+import unittest
+
+from bulrushflow.routing import CallResult
+from bulrushflow.routing import Outcome
+from bulrushflow.sidecar.target_client import TargetClient
+from tests.sidecar.endless import EndlessTarget
+from tests.sidecar.endless import flood
+from tests.sidecar.endless import read_request
+from tests.sidecar.endless import trickle
+from tests.sidecar.samples import NAMES
+from tests.sidecar.samples import call
+from tests.waiting import GUARD_S
+from tests.waiting import until
+
+Sender = t.Callable[[asyncio.StreamWriter, bytes], t.Awaitable[t.NoReturn]]
+
+OK_LINE = b"HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Id: r-1\r\n"
+CHUNKED = OK_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+STALE = b"HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Id: r-0\r\nContent-Length: 4\r\n\r\nbody"
+ENDLESS_RESPONSES: dict[str, tuple[bytes, bytes]] = {
+    "one header line": (OK_LINE + b"X-A: ", b"a"),
+    "header lines": (OK_LINE, b"X-A: a\r\n"),
+    "folded header lines": (OK_LINE, b" a\r\n"),
+    "bytes that are no HTTP": (b"", b"\x00\xfe"),
+    "lines that are no HTTP": (b"", b"garbage\r\n"),
+    "empty lines": (b"", b"\r\n"),
+    "body until close": (OK_LINE + b"\r\n", b"a"),
+    "chunks": (CHUNKED, b"1000\r\n" + b"a" * 0x1000 + b"\r\n"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"1;", b"e"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: a\r\n"),
+    "one trailer line": (CHUNKED + b"0\r\nX-A: ", b"a"),
+    "one stale body": (STALE[:-8] + b"\r\n", b"a"),
+}
+"""The beginning of each response, and what follows it without end."""
+
+
+class EndlessResponseTests(unittest.IsolatedAsyncioTestCase):
+    async def start(self, script: t.Any) -> tuple[EndlessTarget, TargetClient]:
+        target = EndlessTarget(script)
+        client = TargetClient(await target.start(), "t-1", NAMES)
+        self.addAsyncCleanup(target.stop)
+        self.addCleanup(client.close)
+        return target, client
+
+    async def send(self, client: TargetClient, request_id: str, timeout_s: float) -> CallResult:
+        async with asyncio.timeout(GUARD_S):
+            return await client.send(call(request_id, timeout_s=timeout_s))
+
+    async def assert_fails(
+        self, sender: Sender, begin: bytes, unit: bytes, timeout_s: float
+    ) -> str:
+        """Check that an endless response fails its call and closes its connection.
+
+        :return: the reason of the failure.
+        """
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(begin)
+            await sender(writer, unit)
+
+        target, client = await self.start(script)
+        failure = (await self.send(client, "r-1", timeout_s)).unwrap_err()
+        self.assertIs(failure.outcome, Outcome.UNKNOWN)
+        await until(lambda: target.closed == 1)
+        await target.stop()
+        return failure.reason
+
+    async def test_a_fast_endless_response_fails_before_the_deadline(self) -> None:
+        for name, (begin, unit) in ENDLESS_RESPONSES.items():
+            with self.subTest(name):
+                reason = await self.assert_fails(flood, begin, unit, timeout_s=GUARD_S * 2)
+                self.assertIn("the target's connection failed", reason)
+
+    async def test_a_slow_endless_response_fails_at_the_deadline(self) -> None:
+        for name, (begin, unit) in ENDLESS_RESPONSES.items():
+            with self.subTest(name):
+                await self.assert_fails(trickle, begin, unit, timeout_s=0.1)
+
+    async def test_endless_bytes_after_a_response_close_the_connection(self) -> None:
+        for unit in (b"a", b"\r\n", STALE):
+            for pause_s in (0.0, 0.02):
+                with self.subTest(unit=unit, pause_s=pause_s):
+
+                    async def script(
+                        reader: asyncio.StreamReader,
+                        writer: asyncio.StreamWriter,
+                        unit: bytes = unit,
+                        pause_s: float = pause_s,
+                    ) -> None:
+                        await read_request(reader)
+                        writer.write(OK_LINE + b"Content-Length: 4\r\n\r\nbody")
+                        await writer.drain()
+                        await asyncio.sleep(pause_s)
+                        await flood(writer, unit)
+
+                    target, client = await self.start(script)
+                    response = (await self.send(client, "r-1", GUARD_S)).unwrap()
+                    self.assertEqual(response.body, b"body")
+                    await until(lambda target=target: target.closed == 1)  # type: ignore[misc]
+
+    async def test_endless_bytes_on_a_reused_connection_fail_the_call(self) -> None:
+        for unit in (b"a", b"\r\n"):
+            with self.subTest(unit=unit):
+
+                async def script(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    unit: bytes = unit,
+                ) -> None:
+                    await read_request(reader)
+                    writer.write(OK_LINE + b"Content-Length: 4\r\n\r\nbody")
+                    await read_request(reader)
+                    await flood(writer, unit)
+
+                target, client = await self.start(script)
+                (await self.send(client, "r-1", GUARD_S)).unwrap()
+                failure = (await self.send(client, "r-2", GUARD_S * 2)).unwrap_err()
+                self.assertIs(failure.outcome, Outcome.UNKNOWN)
+                self.assertIn("the target's connection failed", failure.reason)
+                self.assertEqual(target.opened, 1)
+                await until(lambda target=target: target.closed == 1)  # type: ignore[misc]
+
+    async def test_a_cancelled_call_closes_the_connection_of_its_endless_response(self) -> None:
+        flooding = asyncio.Event()
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(CHUNKED)
+            flooding.set()
+            await trickle(writer, b"1\r\na\r\n")
+
+        target, client = await self.start(script)
+        sending = asyncio.create_task(client.send(call(timeout_s=GUARD_S)))
+        await flooding.wait()
+        sending.cancel()
+        await until(lambda: target.closed == 1)
