Fail a call whose target sends informational responses without end

Callers saw their call hang until its deadline while the target kept sending 100 or 103 responses, and the node parsed all of them. The client ignored 1xx responses without a count. It accepts 16 for each call now, closes the connection at the next one, and the call's outcome is unknown, as for other responses that are no HTTP.

test_a_fast_endless_response_fails_before_the_deadline failed before, after the guard of 30 s: ERROR: ... [informational responses] ERROR: ... [early hints] TimeoutError

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -7,6 +7,8 @@
 import h11
 
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Responses with a 1xx status before a final one, after which the final one is not awaited."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +47,7 @@
         self._request: h11.Request | None = None
         self._request_id = ""
         self._response: h11.Response | None = None
+        self._informational_responses = 0
         self._body = bytearray()
         self._waiter: asyncio.Future[RawResponse] | None = None
         self.reusable = True
@@ -97,6 +100,7 @@
             raise ExchangeError("connection closed before use")
         self._request_id = call_id
         self._response = None
+        self._informational_responses = 0
         self._body.clear()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
@@ -131,7 +135,14 @@
             self._fail(f"no HTTP answer: {exc}")
 
     def _handle_event(self, event: t.Any) -> None:
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._informational_responses += 1
+            if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                self._fail(
+                    f"no HTTP answer: more than {MAX_INFORMATIONAL_RESPONSES} "
+                    "informational responses"
+                )
+        elif isinstance(event, h11.Response):
             self._response = event
         elif isinstance(event, h11.Data):
             self._body += event.data
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/test_endless_responses.py
@@ -28,6 +28,8 @@
     "bytes that are no HTTP": (b"", b"\x00\xfe"),
     "lines that are no HTTP": (b"", b"garbage\r\n"),
     "empty lines": (b"", b"\r\n"),
+    "informational responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "early hints": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
     "body until close": (OK_LINE + b"\r\n", b"a"),
     "chunks": (CHUNKED, b"1000\r\n" + b"a" * 0x1000 + b"\r\n"),
     "chunk size": (CHUNKED, b"0"),
