Fail a call whose target sends responses to other calls without end

Callers saw their call hang until its deadline while the target kept sending responses with the id of another call. Each was skipped without a count, and each copied all bytes that were received behind it. The client skips 16 for each call now and closes the connection at the next one; the outcome is unknown. Skipping is for a target that answers an earlier call twice.

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -9,6 +9,8 @@
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
 MAX_INFORMATIONAL_RESPONSES = 16
 """Responses with a 1xx status before a final one, after which the final one is not awaited."""
+MAX_STALE_RESPONSES = 16
+"""Responses to other calls that are skipped before a call's own one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +50,7 @@
         self._request_id = ""
         self._response: h11.Response | None = None
         self._informational_responses = 0
+        self._stale_responses = 0
         self._body = bytearray()
         self._waiter: asyncio.Future[RawResponse] | None = None
         self.reusable = True
@@ -101,6 +104,7 @@
         self._request_id = call_id
         self._response = None
         self._informational_responses = 0
+        self._stale_responses = 0
         self._body.clear()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
@@ -179,6 +183,13 @@
         if closed or self._parser.their_state is not h11.DONE or self._request is None:
             self._fail(f"response belongs to another call than {self._request_id}")
             return
+        self._stale_responses += 1
+        if self._stale_responses > MAX_STALE_RESPONSES:
+            self._fail(
+                f"response belongs to another call than {self._request_id}, after "
+                f"{MAX_STALE_RESPONSES} others that were skipped"
+            )
+            return
         self._parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         self._response = None
         self._body.clear()
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/test_endless_responses.py
@@ -36,6 +36,7 @@
     "chunk extension": (CHUNKED + b"1;", b"e"),
     "trailers": (CHUNKED + b"0\r\n", b"X-A: a\r\n"),
     "one trailer line": (CHUNKED + b"0\r\nX-A: ", b"a"),
+    "stale responses": (b"", STALE),
     "one stale body": (STALE[:-8] + b"\r\n", b"a"),
 }
 """The beginning of each response, and what follows it without end."""
@@ -107,7 +108,7 @@
                     await until(lambda target=target: target.closed == 1)  # type: ignore[misc]
 
     async def test_endless_bytes_on_a_reused_connection_fail_the_call(self) -> None:
-        for unit in (b"a", b"\r\n"):
+        for unit in (b"a", b"\r\n", STALE):
             with self.subTest(unit=unit):
 
                 async def script(
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bulrushflow.sidecar.exchange import MAX_INFORMATIONAL_RESPONSES
+from bulrushflow.sidecar.exchange import MAX_STALE_RESPONSES
 from bulrushflow.sidecar.exchange import ExchangeError
 from bulrushflow.sidecar.exchange import RawResponse
 from bulrushflow.sidecar.exchange import TargetConnection
@@ -69,6 +70,17 @@
         await self.call(connection, "1")
         self.assertEqual((await self.call(connection, "2")).body, b"second")
 
+    async def test_the_response_after_many_stale_ones_is_returned(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for call_id in ("1", "2"):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(response("0", b"other") * MAX_STALE_RESPONSES)
+                writer.write(response(call_id, b"body"))
+
+        connection = await self.connect(script)
+        self.assertEqual((await self.call(connection, "1")).body, b"body")
+        self.assertEqual((await self.call(connection, "2")).body, b"body")
+
     async def test_the_response_after_informational_ones_is_returned(self) -> None:
         async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             for call_id in ("1", "2"):
