Parse a response in turns that leave time to other tasks

The connection handles at most 64 parser events in a step, and reads no more until what it has received is parsed, so that unparsed bytes stay bounded.

test_parsing_of_many_small_parts_leaves_turns_to_other_tasks failed before: AssertionError: 1 not greater than or equal to 78

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -7,6 +7,9 @@
 import h11
 
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+MAX_EVENTS_PER_TURN = 64
+"""Parser events of one connection that are handled before other tasks get their turn. A read of
+256 KiB can hold some 40,000 chunks."""
 MAX_INFORMATIONAL_RESPONSES = 16
 """Responses with a 1xx status before a final one, after which the final one is not awaited."""
 MAX_STALE_RESPONSES = 16
@@ -128,15 +131,31 @@
             self._waiter = None
 
     def _feed(self, data: bytes) -> None:
+        self._parser.receive_data(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Handle the events of one turn; with more to parse, go on in the next turn."""
         try:
-            self._parser.receive_data(data)
-            while self._waiter is not None and not self._waiter.done():
+            for _ in range(MAX_EVENTS_PER_TURN):
+                if self._waiter is None or self._waiter.done():
+                    return
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as exc:
             self._fail(f"no HTTP answer: {exc}")
+            return
+        if self._transport is not None:
+            # The received bytes are parsed before more of them are read into memory.
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._continue_parsing)
+
+    def _continue_parsing(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+        self._parse()
 
     def _handle_event(self, event: t.Any) -> None:
         if isinstance(event, h11.InformationalResponse):
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -4,6 +4,7 @@
 import typing as t
 import unittest
 
+from bulrushflow.sidecar.exchange import MAX_EVENTS_PER_TURN
 from bulrushflow.sidecar.exchange import MAX_INFORMATIONAL_RESPONSES
 from bulrushflow.sidecar.exchange import MAX_STALE_RESPONSES
 from bulrushflow.sidecar.exchange import ExchangeError
@@ -92,6 +93,24 @@
         self.assertEqual((await self.call(connection, "1")).body, b"body")
         self.assertEqual((await self.call(connection, "2")).body, b"body")
 
+    async def test_parsing_of_many_small_parts_leaves_turns_to_other_tasks(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+
+        parts = 5000
+        connection = await self.connect(script)
+        calling = asyncio.create_task(self.call(connection, "1"))
+        await asyncio.sleep(0)
+        head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.data_received(head + b"1\r\na\r\n" * parts + b"0\r\n\r\n")
+        turns = 0
+        while not calling.done():
+            await asyncio.sleep(0)
+            turns += 1
+        self.assertEqual((await calling).body, b"a" * parts)
+        self.assertTrue(connection.reusable)
+        self.assertGreaterEqual(turns, parts // MAX_EVENTS_PER_TURN)
+
     async def test_data_after_a_response_closes_the_connection(self) -> None:
         async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
