Fail a call whose response is nearly all framing

Callers saw their call hang until its deadline when the target sent chunks of one byte, or chunks with long extensions, without end: only the body was bounded, to 15 MiB, and so many small chunks carry 75 MiB or, with extensions of 1,000 bytes, 15 GiB. Parsing them kept the loop busy all that time. The client counts what isn't body, over all heads, chunk headers and trailers of a call. It fails the call as unknown beyond 256 KiB plus the size of the body. Chunks of six bytes or more never reach that, one-byte chunks after some 65,000.

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -12,6 +12,9 @@
 256 KiB can hold some 40,000 chunks."""
 MAX_INFORMATIONAL_RESPONSES = 16
 """Responses with a 1xx status before a final one, after which the final one is not awaited."""
+MAX_FRAMING_BYTES = 256 << 10
+"""Bytes of heads, chunk headers and trailers that are received for a call, beyond one for each byte
+of a body. Chunks of one byte, the smallest that a target can write, carry five each."""
 MAX_STALE_RESPONSES = 16
 """Responses to other calls that are skipped before a call's own one."""
 
@@ -54,6 +57,9 @@
         self._response: h11.Response | None = None
         self._informational_responses = 0
         self._stale_responses = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
+        """Bytes of bodies among the received bytes, those of stale responses included."""
         self._body = bytearray()
         self._waiter: asyncio.Future[RawResponse] | None = None
         self.reusable = True
@@ -66,7 +72,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.reusable = False
-        if self._waiter is None or self._waiter.done():
+        if not self._is_pending():
             return
         if exc is None:
             # A response without a length ends with an orderly close, but not with a reset.
@@ -75,7 +81,7 @@
             self._waiter.set_exception(ExchangeError(f"connection lost: {exc}"))
 
     def data_received(self, data: bytes) -> None:
-        if self._waiter is None or self._waiter.done():
+        if not self._is_pending():
             # No request is pending: an extra response, or the rest of a failed one.
             self.close()
             return
@@ -108,6 +114,8 @@
         self._response = None
         self._informational_responses = 0
         self._stale_responses = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._body.clear()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
@@ -131,27 +139,49 @@
             self._waiter = None
 
     def _feed(self, data: bytes) -> None:
+        self._received_bytes += len(data)
         self._parser.receive_data(data)
         self._parse()
 
     def _parse(self) -> None:
         """Handle the events of one turn; with more to parse, go on in the next turn."""
         try:
-            for _ in range(MAX_EVENTS_PER_TURN):
-                if self._waiter is None or self._waiter.done():
-                    return
-                event = self._parser.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                self._handle_event(event)
+            complete = self._handle_events()
         except h11.RemoteProtocolError as exc:
             self._fail(f"no HTTP answer: {exc}")
             return
-        if self._transport is not None:
+        if not self._is_pending():
+            return
+        self._check_framing()
+        if not complete and self._transport is not None:
             # The received bytes are parsed before more of them are read into memory.
             self._transport.pause_reading()
             asyncio.get_running_loop().call_soon(self._continue_parsing)
 
+    def _handle_events(self) -> bool:
+        """Handle at most one turn's events; return whether all received bytes were parsed."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if not self._is_pending():
+                return True
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return True
+            self._handle_event(event)
+        return False
+
+    def _is_pending(self) -> bool:
+        """Return whether a call waits for its response."""
+        return self._waiter is not None and not self._waiter.done()
+
+    def _check_framing(self) -> None:
+        unparsed, _ = self._parser.trailing_data
+        framing_bytes = self._received_bytes - self._body_bytes - len(unparsed)
+        if framing_bytes > MAX_FRAMING_BYTES + self._body_bytes:
+            self._fail(
+                f"no HTTP answer: {framing_bytes} bytes of heads and chunk headers for "
+                f"{self._body_bytes} bytes of a body"
+            )
+
     def _continue_parsing(self) -> None:
         if self._transport is not None:
             self._transport.resume_reading()
@@ -169,6 +199,7 @@
             self._response = event
         elif isinstance(event, h11.Data):
             self._body += event.data
+            self._body_bytes += len(event.data)
             if len(self._body) > self._max_body_bytes:
                 self._fail(f"response body exceeds {self._max_body_bytes} bytes")
         elif isinstance(event, h11.EndOfMessage):
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/test_endless_responses.py
@@ -32,6 +32,8 @@
     "early hints": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
     "body until close": (OK_LINE + b"\r\n", b"a"),
     "chunks": (CHUNKED, b"1000\r\n" + b"a" * 0x1000 + b"\r\n"),
+    "chunks of one byte": (CHUNKED, b"1\r\na\r\n"),
+    "chunks with extensions": (CHUNKED, b"1;" + b"e" * 1000 + b"\r\na\r\n"),
     "chunk size": (CHUNKED, b"0"),
     "chunk extension": (CHUNKED + b"1;", b"e"),
     "trailers": (CHUNKED + b"0\r\n", b"X-A: a\r\n"),
@@ -143,3 +145,22 @@
         await flooding.wait()
         sending.cancel()
         await until(lambda: target.closed == 1)
+
+    async def test_other_calls_complete_beside_endless_responses(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                request_id = await read_request(reader)
+                if request_id == "endless":
+                    writer.write(CHUNKED)
+                    await flood(writer, b"1\r\na\r\n")
+                head = f"HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Id: {request_id}\r\n"
+                writer.write(head.encode() + b"Content-Length: 4\r\n\r\nbody")
+
+        target, client = await self.start(script)
+        endless = [asyncio.create_task(self.send(client, "endless", GUARD_S)) for _ in range(4)]
+        await until(lambda: target.opened == 4)
+        for number in range(20):
+            response = (await self.send(client, f"r-{number}", GUARD_S)).unwrap()
+            self.assertEqual(response.body, b"body")
+        for result in await asyncio.gather(*endless):
+            self.assertIs(result.unwrap_err().outcome, Outcome.UNKNOWN)
