Fail a call whose target switches to another protocol

After a response that switches protocols (101 to an Upgrade, 200 to a CONNECT) the parser pauses for good. The connection went on to buffer what the target sent, without a bound, until the call's deadline. A pause while a response is awaited has no other cause, so it fails the call as unknown and closes the connection. The callers' Upgrade headers are dropped, so no test through the node shows it.

test_a_switch_of_protocols_fails_the_call failed before, both cases after the guard of 30 s: asyncio.exceptions.CancelledError TimeoutError

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -164,7 +164,7 @@
             if not self._is_pending():
                 return True
             event = self._parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is h11.NEED_DATA:
                 return True
             self._handle_event(event)
         return False
@@ -204,6 +204,8 @@
                 self._fail(f"response body exceeds {self._max_body_bytes} bytes")
         elif isinstance(event, h11.EndOfMessage):
             self._finish_response()
+        elif event is h11.PAUSED:
+            self._fail("no HTTP answer: the target switched to another protocol")
         elif isinstance(event, h11.ConnectionClosed):
             self._fail("connection closed without a response")
 
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -10,6 +10,7 @@
 from bulrushflow.sidecar.exchange import ExchangeError
 from bulrushflow.sidecar.exchange import RawResponse
 from bulrushflow.sidecar.exchange import TargetConnection
+from tests.waiting import GUARD_S
 from tests.waiting import until
 
 Script = t.Callable[[asyncio.StreamReader, asyncio.StreamWriter], t.Awaitable[None]]
@@ -111,6 +112,29 @@
         self.assertTrue(connection.reusable)
         self.assertGreaterEqual(turns, parts // MAX_EVENTS_PER_TURN)
 
+    async def test_a_switch_of_protocols_fails_the_call(self) -> None:
+        cases = (
+            ("CONNECT", (), b"HTTP/1.1 200 OK\r\n\r\n"),
+            ("GET", (("Upgrade", "x"),), b"HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+        )
+        for method, headers, head in cases:
+            with self.subTest(method):
+
+                async def script(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    head: bytes = head,
+                ) -> None:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(head + b"a" * 1000)
+
+                connection = await self.connect(script)
+                with self.assertRaises(ExchangeError):
+                    async with asyncio.timeout(GUARD_S):
+                        request_headers = [("Host", "h"), *headers]
+                        await connection.exchange(method, "/a", request_headers, b"", "1")
+                self.assertFalse(connection.reusable)
+
     async def test_data_after_a_response_closes_the_connection(self) -> None:
         async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
