Bound the sum of the response bodies that a node receives

A target whose responses have bodies without end, or large ones that stall, could take 15 MiB for each call until its deadline: 600 MiB with 40 calls, on instances that have as little as 200 MB. The body of a finished call also stayed in memory with its idle connection, until the next call on it. The connections to a target count their unfinished bodies together. Beyond 48 MiB the call with the largest one fails as unknown, so that small responses are still received beside endless ones. A body is freed when its call ends.

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -6,6 +6,8 @@
 
 import h11
 
+from bulrushflow.sidecar.body_buffers import BodyBuffers
+
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
 MAX_EVENTS_PER_TURN = 64
 """Parser events of one connection that are handled before other tasks get their turn. A read of
@@ -45,11 +47,13 @@
 
     :param id_header: header, in lower case, whose value ties a response to its request.
     :param max_body_bytes: limit on the body of a response.
+    :param body_buffers: bounds the sum of the bodies that all connections receive.
     """
 
-    def __init__(self, id_header: str, max_body_bytes: int) -> None:
+    def __init__(self, id_header: str, max_body_bytes: int, body_buffers: BodyBuffers) -> None:
         self._id_header = id_header
         self._max_body_bytes = max_body_bytes
+        self._body_buffers = body_buffers
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         self._request: h11.Request | None = None
@@ -77,8 +81,7 @@
         if exc is None:
             # A response without a length ends with an orderly close, but not with a reset.
             self._feed(b"")
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(ExchangeError(f"connection lost: {exc}"))
+        self.fail(f"connection lost: {exc}")
 
     def data_received(self, data: bytes) -> None:
         if not self._is_pending():
@@ -93,6 +96,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """Fail the pending exchange, if there is one, and abort the connection."""
+        if self._is_pending():
+            t.cast("asyncio.Future[RawResponse]", self._waiter).set_exception(ExchangeError(reason))
+        self._release_body()
+        self.close()
+
     async def exchange(
         self,
         method: str,
@@ -116,7 +126,6 @@
         self._stale_responses = 0
         self._received_bytes = 0
         self._body_bytes = 0
-        self._body.clear()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             self._request = h11.Request(
@@ -137,6 +146,7 @@
             raise
         finally:
             self._waiter = None
+            self._release_body()
 
     def _feed(self, data: bytes) -> None:
         self._received_bytes += len(data)
@@ -148,7 +158,7 @@
         try:
             complete = self._handle_events()
         except h11.RemoteProtocolError as exc:
-            self._fail(f"no HTTP answer: {exc}")
+            self.fail(f"no HTTP answer: {exc}")
             return
         if not self._is_pending():
             return
@@ -177,7 +187,7 @@
         unparsed, _ = self._parser.trailing_data
         framing_bytes = self._received_bytes - self._body_bytes - len(unparsed)
         if framing_bytes > MAX_FRAMING_BYTES + self._body_bytes:
-            self._fail(
+            self.fail(
                 f"no HTTP answer: {framing_bytes} bytes of heads and chunk headers for "
                 f"{self._body_bytes} bytes of a body"
             )
@@ -191,28 +201,37 @@
         if isinstance(event, h11.InformationalResponse):
             self._informational_responses += 1
             if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
-                self._fail(
+                self.fail(
                     f"no HTTP answer: more than {MAX_INFORMATIONAL_RESPONSES} "
                     "informational responses"
                 )
         elif isinstance(event, h11.Response):
             self._response = event
         elif isinstance(event, h11.Data):
-            self._body += event.data
-            self._body_bytes += len(event.data)
-            if len(self._body) > self._max_body_bytes:
-                self._fail(f"response body exceeds {self._max_body_bytes} bytes")
+            self._receive_body(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._finish_response()
         elif event is h11.PAUSED:
-            self._fail("no HTTP answer: the target switched to another protocol")
+            self.fail("no HTTP answer: the target switched to another protocol")
         elif isinstance(event, h11.ConnectionClosed):
-            self._fail("connection closed without a response")
+            self.fail("connection closed without a response")
+
+    def _receive_body(self, data: bytes) -> None:
+        self._body += data
+        self._body_bytes += len(data)
+        if len(self._body) > self._max_body_bytes:
+            self.fail(f"response body exceeds {self._max_body_bytes} bytes")
+            return
+        self._body_buffers.add(self, len(data))
+
+    def _release_body(self) -> None:
+        self._body.clear()
+        self._body_buffers.release(self)
 
     def _finish_response(self) -> None:
         response = self._response
         if response is None or self._waiter is None:
-            self._fail("end of message without a response")
+            self.fail("end of message without a response")
             return
         result = RawResponse(response.status_code, _decode(response.headers), bytes(self._body))
         if result.header(self._id_header) not in {None, self._request_id}:
@@ -233,18 +252,18 @@
         """Ignore a late response to an earlier call, and continue with the data that follows it."""
         trailing, closed = self._parser.trailing_data
         if closed or self._parser.their_state is not h11.DONE or self._request is None:
-            self._fail(f"response belongs to another call than {self._request_id}")
+            self.fail(f"response belongs to another call than {self._request_id}")
             return
         self._stale_responses += 1
         if self._stale_responses > MAX_STALE_RESPONSES:
-            self._fail(
+            self.fail(
                 f"response belongs to another call than {self._request_id}, after "
                 f"{MAX_STALE_RESPONSES} others that were skipped"
             )
             return
         self._parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         self._response = None
-        self._body.clear()
+        self._release_body()
         # A new parser must be given the request, whose bytes were sent already.
         self._parser.send(h11.Request(method=self._request.method, target="/", headers=_HOST))
         self._parser.send(h11.EndOfMessage())
@@ -254,11 +273,6 @@
     def _has_unsent_data(self) -> bool:
         return self._transport is None or self._transport.get_write_buffer_size() > 0
 
-    def _fail(self, reason: str) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(ExchangeError(reason))
-        self.close()
-
 
 _HOST: t.Final = [("host", "target")]
 
--- a/src/bulrushflow/sidecar/target_client.py
+++ b/src/bulrushflow/sidecar/target_client.py
@@ -8,6 +8,7 @@
 from bulrushflow.routing import Response
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
+from bulrushflow.sidecar.body_buffers import BodyBuffers
 from bulrushflow.sidecar.exchange import ExchangeError
 from bulrushflow.sidecar.exchange import RawResponse
 from bulrushflow.sidecar.exchange import TargetConnection
@@ -25,6 +26,8 @@
 while the target closes the connection would be lost."""
 MAX_RESPONSE_BYTES = 15 << 20
 """Bound on a response body, which has to fit into one frame between nodes."""
+MAX_BUFFERED_BODY_BYTES = 48 << 20
+"""Bound on the bodies that are received at the same time. Instances have as little as 200 MB."""
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that callers take to mean that a call did not run."""
 SUCCESS_STATUSES = range(200, 300)
@@ -44,6 +47,7 @@
         self._id_header = header_names.request_id.lower()
         self._signature_header = header_names.signature.lower()
         self._not_run_header = header_names.not_run.lower()
+        self._body_buffers = BodyBuffers(MAX_BUFFERED_BODY_BYTES)
         self._idle: list[TargetConnection] = []
         self.unreachable = False
         """Whether the latest attempt to connect failed."""
@@ -152,7 +156,9 @@
         try:
             async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_TIMEOUT_S)):
                 transport, connection = await loop.create_connection(
-                    lambda: TargetConnection(self._id_header, MAX_RESPONSE_BYTES),
+                    lambda: TargetConnection(
+                        self._id_header, MAX_RESPONSE_BYTES, self._body_buffers
+                    ),
                     self._endpoint.address,
                     self._endpoint.port,
                 )
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/test_endless_responses.py
@@ -6,6 +6,7 @@
 
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
+from bulrushflow.sidecar.target_client import MAX_RESPONSE_BYTES
 from bulrushflow.sidecar.target_client import TargetClient
 from tests.sidecar.endless import EndlessTarget
 from tests.sidecar.endless import flood
@@ -164,3 +165,33 @@
             self.assertEqual(response.body, b"body")
         for result in await asyncio.gather(*endless):
             self.assertIs(result.unwrap_err().outcome, Outcome.UNKNOWN)
+
+    async def test_the_sum_of_unfinished_bodies_is_bounded(self) -> None:
+        size = MAX_RESPONSE_BYTES * 2 // 3
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            request_id = await read_request(reader)
+            head = f"HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Id: {request_id}\r\n".encode()
+            if request_id == "small":
+                writer.write(head + b"Content-Length: 4\r\n\r\nbody")
+                return
+            writer.write(head + b"\r\n")
+            for _ in range(size >> 16):
+                writer.write(b"a" * (1 << 16))
+                await writer.drain()
+
+        target, client = await self.start(script)
+        large = [asyncio.create_task(self.send(client, "large", GUARD_S * 2)) for _ in range(8)]
+        # The target sends no more, so that only the bound can end a call before its deadline.
+        await until(lambda: sum(task.done() for task in large) >= 4)
+        for task in large:
+            if task.done():
+                failure = task.result().unwrap_err()
+                self.assertIs(failure.outcome, Outcome.UNKNOWN)
+                self.assertIn("the target's connection failed", failure.reason)
+        response = (await self.send(client, "small", GUARD_S)).unwrap()
+        self.assertEqual(response.body, b"body")
+        for task in large:
+            task.cancel()
+        client.close()
+        await until(lambda: target.closed == target.opened)
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -4,6 +4,7 @@
 import typing as t
 import unittest
 
+from bulrushflow.sidecar.body_buffers import BodyBuffers
 from bulrushflow.sidecar.exchange import MAX_EVENTS_PER_TURN
 from bulrushflow.sidecar.exchange import MAX_INFORMATIONAL_RESPONSES
 from bulrushflow.sidecar.exchange import MAX_STALE_RESPONSES
@@ -24,6 +25,9 @@
 
 
 class ExchangeTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.body_buffers = BodyBuffers(2 << 20)
+
     async def connect(self, script: Script) -> TargetConnection:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await script(reader, writer)
@@ -35,7 +39,7 @@
         address = server.sockets[0].getsockname()
         loop = asyncio.get_running_loop()
         _, connection = await loop.create_connection(
-            lambda: TargetConnection("x-id", 1 << 20), *address
+            lambda: TargetConnection("x-id", 1 << 20, self.body_buffers), *address
         )
         self.addCleanup(connection.close)
         return connection
@@ -58,6 +62,25 @@
         self.assertTrue(connection.reusable)
         self.assertEqual((await self.call(connection, "2")).status, 200)
 
+    async def test_a_body_counts_as_buffered_until_its_call_ends(self) -> None:
+        part = response("1", b"body")[:-1]
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(part)
+
+        for end in (b"y", b"yy", None):
+            with self.subTest(end=end):
+                connection = await self.connect(script)
+                calling = asyncio.create_task(self.call(connection, "1"))
+                await until(lambda: self.body_buffers.used_bytes == 3)
+                if end is None:
+                    calling.cancel()
+                else:
+                    connection.data_received(end)
+                await asyncio.wait([calling])
+                self.assertEqual(self.body_buffers.used_bytes, 0)
+
     async def test_a_stale_response_to_an_earlier_call_is_ignored(self) -> None:
         async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
