--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -6,7 +6,19 @@
 
 import h11
 
+from bulrushflow.sidecar.body_buffers import BodyBuffers
+
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+MAX_EVENTS_PER_TURN = 64
+"""Parser events of one connection that are handled before other tasks get their turn. A read of
+256 KiB can hold some 40,000 chunks."""
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Responses with a 1xx status before a final one, after which the final one is not awaited."""
+MAX_FRAMING_BYTES = 256 << 10
+"""Bytes of heads, chunk headers and trailers that are received for a call, beyond one for each byte
+of a body. Chunks of one byte, the smallest that a target can write, carry five each."""
+MAX_STALE_RESPONSES = 16
+"""Responses to other calls that are skipped before a call's own one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,16 +47,23 @@
 
     :param id_header: header, in lower case, whose value ties a response to its request.
     :param max_body_bytes: limit on the body of a response.
+    :param body_buffers: bounds the sum of the bodies that all connections receive.
     """
 
-    def __init__(self, id_header: str, max_body_bytes: int) -> None:
+    def __init__(self, id_header: str, max_body_bytes: int, body_buffers: BodyBuffers) -> None:
         self._id_header = id_header
         self._max_body_bytes = max_body_bytes
+        self._body_buffers = body_buffers
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._request_id = ""
         self._response: h11.Response | None = None
+        self._informational_responses = 0
+        self._stale_responses = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
+        """Bytes of bodies among the received bytes, those of stale responses included."""
         self._body = bytearray()
         self._waiter: asyncio.Future[RawResponse] | None = None
         self.reusable = True
@@ -57,16 +76,15 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.reusable = False
-        if self._waiter is None or self._waiter.done():
+        if not self._is_pending():
             return
         if exc is None:
             # A response without a length ends with an orderly close, but not with a reset.
             self._feed(b"")
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(ExchangeError(f"connection lost: {exc}"))
+        self.fail(f"connection lost: {exc}")
 
     def data_received(self, data: bytes) -> None:
-        if self._waiter is None or self._waiter.done():
+        if not self._is_pending():
             # No request is pending: an extra response, or the rest of a failed one.
             self.close()
             return
@@ -78,6 +96,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """Fail the pending exchange, if there is one, and abort the connection."""
+        if self._is_pending():
+            t.cast("asyncio.Future[RawResponse]", self._waiter).set_exception(ExchangeError(reason))
+        self._release_body()
+        self.close()
+
     async def exchange(
         self,
         method: str,
@@ -97,7 +122,10 @@
             raise ExchangeError("connection closed before use")
         self._request_id = call_id
         self._response = None
-        self._body.clear()
+        self._informational_responses = 0
+        self._stale_responses = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             self._request = h11.Request(
@@ -118,34 +146,92 @@
             raise
         finally:
             self._waiter = None
+            self._release_body()
 
     def _feed(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        self._parser.receive_data(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Handle the events of one turn; with more to parse, go on in the next turn."""
         try:
-            self._parser.receive_data(data)
-            while self._waiter is not None and not self._waiter.done():
-                event = self._parser.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                self._handle_event(event)
+            complete = self._handle_events()
         except h11.RemoteProtocolError as exc:
-            self._fail(f"no HTTP answer: {exc}")
+            self.fail(f"no HTTP answer: {exc}")
+            return
+        if not self._is_pending():
+            return
+        self._check_framing()
+        if not complete and self._transport is not None:
+            # The received bytes are parsed before more of them are read into memory.
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._continue_parsing)
+
+    def _handle_events(self) -> bool:
+        """Handle at most one turn's events; return whether all received bytes were parsed."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if not self._is_pending():
+                return True
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                return True
+            self._handle_event(event)
+        return False
+
+    def _is_pending(self) -> bool:
+        """Return whether a call waits for its response."""
+        return self._waiter is not None and not self._waiter.done()
+
+    def _check_framing(self) -> None:
+        unparsed, _ = self._parser.trailing_data
+        framing_bytes = self._received_bytes - self._body_bytes - len(unparsed)
+        if framing_bytes > MAX_FRAMING_BYTES + self._body_bytes:
+            self.fail(
+                f"no HTTP answer: {framing_bytes} bytes of heads and chunk headers for "
+                f"{self._body_bytes} bytes of a body"
+            )
+
+    def _continue_parsing(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+        self._parse()
 
     def _handle_event(self, event: t.Any) -> None:
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._informational_responses += 1
+            if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                self.fail(
+                    f"no HTTP answer: more than {MAX_INFORMATIONAL_RESPONSES} "
+                    "informational responses"
+                )
+        elif isinstance(event, h11.Response):
             self._response = event
         elif isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > self._max_body_bytes:
-                self._fail(f"response body exceeds {self._max_body_bytes} bytes")
+            self._receive_body(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._finish_response()
+        elif event is h11.PAUSED:
+            self.fail("no HTTP answer: the target switched to another protocol")
         elif isinstance(event, h11.ConnectionClosed):
-            self._fail("connection closed without a response")
+            self.fail("connection closed without a response")
+
+    def _receive_body(self, data: bytes) -> None:
+        self._body += data
+        self._body_bytes += len(data)
+        if len(self._body) > self._max_body_bytes:
+            self.fail(f"response body exceeds {self._max_body_bytes} bytes")
+            return
+        self._body_buffers.add(self, len(data))
+
+    def _release_body(self) -> None:
+        self._body.clear()
+        self._body_buffers.release(self)
 
     def _finish_response(self) -> None:
         response = self._response
         if response is None or self._waiter is None:
-            self._fail("end of message without a response")
+            self.fail("end of message without a response")
             return
         result = RawResponse(response.status_code, _decode(response.headers), bytes(self._body))
         if result.header(self._id_header) not in {None, self._request_id}:
@@ -166,11 +252,18 @@
         """Ignore a late response to an earlier call, and continue with the data that follows it."""
         trailing, closed = self._parser.trailing_data
         if closed or self._parser.their_state is not h11.DONE or self._request is None:
-            self._fail(f"response belongs to another call than {self._request_id}")
+            self.fail(f"response belongs to another call than {self._request_id}")
+            return
+        self._stale_responses += 1
+        if self._stale_responses > MAX_STALE_RESPONSES:
+            self.fail(
+                f"response belongs to another call than {self._request_id}, after "
+                f"{MAX_STALE_RESPONSES} others that were skipped"
+            )
             return
         self._parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         self._response = None
-        self._body.clear()
+        self._release_body()
         # A new parser must be given the request, whose bytes were sent already.
         self._parser.send(h11.Request(method=self._request.method, target="/", headers=_HOST))
         self._parser.send(h11.EndOfMessage())
@@ -180,11 +273,6 @@
     def _has_unsent_data(self) -> bool:
         return self._transport is None or self._transport.get_write_buffer_size() > 0
 
-    def _fail(self, reason: str) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(ExchangeError(reason))
-        self.close()
-
 
 _HOST: t.Final = [("host", "target")]
 
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -4,9 +4,14 @@
 import typing as t
 import unittest
 
+from bulrushflow.sidecar.body_buffers import BodyBuffers
+from bulrushflow.sidecar.exchange import MAX_EVENTS_PER_TURN
+from bulrushflow.sidecar.exchange import MAX_INFORMATIONAL_RESPONSES
+from bulrushflow.sidecar.exchange import MAX_STALE_RESPONSES
 from bulrushflow.sidecar.exchange import ExchangeError
 from bulrushflow.sidecar.exchange import RawResponse
 from bulrushflow.sidecar.exchange import TargetConnection
+from tests.waiting import GUARD_S
 from tests.waiting import until
 
 Script = t.Callable[[asyncio.StreamReader, asyncio.StreamWriter], t.Awaitable[None]]
@@ -20,6 +25,9 @@
 
 
 class ExchangeTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.body_buffers = BodyBuffers(2 << 20)
+
     async def connect(self, script: Script) -> TargetConnection:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await script(reader, writer)
@@ -31,7 +39,7 @@
         address = server.sockets[0].getsockname()
         loop = asyncio.get_running_loop()
         _, connection = await loop.create_connection(
-            lambda: TargetConnection("x-id", 1 << 20), *address
+            lambda: TargetConnection("x-id", 1 << 20, self.body_buffers), *address
         )
         self.addCleanup(connection.close)
         return connection
@@ -54,6 +62,25 @@
         self.assertTrue(connection.reusable)
         self.assertEqual((await self.call(connection, "2")).status, 200)
 
+    async def test_a_body_counts_as_buffered_until_its_call_ends(self) -> None:
+        part = response("1", b"body")[:-1]
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(part)
+
+        for end in (b"y", b"yy", None):
+            with self.subTest(end=end):
+                connection = await self.connect(script)
+                calling = asyncio.create_task(self.call(connection, "1"))
+                await until(lambda: self.body_buffers.used_bytes == 3)
+                if end is None:
+                    calling.cancel()
+                else:
+                    connection.data_received(end)
+                await asyncio.wait([calling])
+                self.assertEqual(self.body_buffers.used_bytes, 0)
+
     async def test_a_stale_response_to_an_earlier_call_is_ignored(self) -> None:
         async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
@@ -68,6 +95,69 @@
         await self.call(connection, "1")
         self.assertEqual((await self.call(connection, "2")).body, b"second")
 
+    async def test_the_response_after_many_stale_ones_is_returned(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for call_id in ("1", "2"):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(response("0", b"other") * MAX_STALE_RESPONSES)
+                writer.write(response(call_id, b"body"))
+
+        connection = await self.connect(script)
+        self.assertEqual((await self.call(connection, "1")).body, b"body")
+        self.assertEqual((await self.call(connection, "2")).body, b"body")
+
+    async def test_the_response_after_informational_ones_is_returned(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for call_id in ("1", "2"):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" * MAX_INFORMATIONAL_RESPONSES)
+                writer.write(response(call_id, b"body"))
+
+        connection = await self.connect(script)
+        self.assertEqual((await self.call(connection, "1")).body, b"body")
+        self.assertEqual((await self.call(connection, "2")).body, b"body")
+
+    async def test_parsing_of_many_small_parts_leaves_turns_to_other_tasks(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+
+        parts = 5000
+        connection = await self.connect(script)
+        calling = asyncio.create_task(self.call(connection, "1"))
+        await asyncio.sleep(0)
+        head = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.data_received(head + b"1\r\na\r\n" * parts + b"0\r\n\r\n")
+        turns = 0
+        while not calling.done():
+            await asyncio.sleep(0)
+            turns += 1
+        self.assertEqual((await calling).body, b"a" * parts)
+        self.assertTrue(connection.reusable)
+        self.assertGreaterEqual(turns, parts // MAX_EVENTS_PER_TURN)
+
+    async def test_a_switch_of_protocols_fails_the_call(self) -> None:
+        cases = (
+            ("CONNECT", (), b"HTTP/1.1 200 OK\r\n\r\n"),
+            ("GET", (("Upgrade", "x"),), b"HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+        )
+        for method, headers, head in cases:
+            with self.subTest(method):
+
+                async def script(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    head: bytes = head,
+                ) -> None:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(head + b"a" * 1000)
+
+                connection = await self.connect(script)
+                with self.assertRaises(ExchangeError):
+                    async with asyncio.timeout(GUARD_S):
+                        request_headers = [("Host", "h"), *headers]
+                        await connection.exchange(method, "/a", request_headers, b"", "1")
+                self.assertFalse(connection.reusable)
+
     async def test_data_after_a_response_closes_the_connection(self) -> None:
         async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
