--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from bulrushflow.background import BackgroundService
+from bulrushflow.sidecar.backoff import Backoff
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.storage import KeyedRecord
 from bulrushflow.sidecar.storage import Store
@@ -65,9 +66,8 @@
         self._topic = topic
         self._handler = handler
         self._decisions = decisions
-        self._rng = rng
+        self._backoff = Backoff(FIRST_BACKOFF_S, MAX_BACKOFF_S, rng)
         self._connected: bool | None = None
-        self._backoff_s = FIRST_BACKOFF_S
         self._poll_timeout_s = SHORT_POLL_S
         self._reading: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
@@ -135,10 +135,9 @@
         """See :meth:`BackgroundService.run`."""
         while True:
             if await self._read_once():
-                self._backoff_s = FIRST_BACKOFF_S
+                self._backoff.reset()
                 continue
-            await asyncio.sleep(self._rng.uniform(0.5, 1.0) * self._backoff_s)
-            self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
+            await asyncio.sleep(self._backoff.next_s())
 
     async def _read_once(self) -> bool:
         """Load the state or read new records once; return whether the store responded."""
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -16,7 +16,6 @@
 from tests.platform.standin import StoreStandIn
 from tests.sidecar.samples import NAMES
 from tests.sidecar.servers import FakeTarget
-from tests.sidecar.servers import free_port
 from tests.waiting import until
 
 ADDRESSES = ("127.0.0.1", "127.0.0.2")
