Refuse a body that does not arrive before the call's deadline

A caller whose body stopped arriving held its request at the sidecar without end: reading the body had no bound, although the call's deadline passed, and a stop waited for it until the end of the grace period. Found by looking at bytes that never come, beside those that come without end.

The body is read until the call's deadline, then 408 is returned, which is true: nothing was sent to a target.

The test failed before (TimeoutError: no response).

--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -8,8 +8,10 @@
 from multidict import CIMultiDict
 from result import Err
 from result import Ok
+from result import Result
 
 from bulrushflow.bodies import read_body
+from bulrushflow.bodies import refusal_status
 from bulrushflow.metrics import Metrics
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
@@ -130,12 +132,13 @@
             return self._error_response(
                 request_id, 400, f"missing header {self._header_names.request_id}"
             )
-        match await read_body(request, routing.limits.max_body_bytes):
-            case Err(reason):
-                return self._error_response(request_id, 413, reason)
+        deadline = started_at + self._timeout_s(request, route)
+        match await self._read_body(request, routing.limits.max_body_bytes, deadline):
+            case Err(response):
+                return response
             case Ok(body):
                 pass
-        call = self._build_call(request, route, body, started_at)
+        call = self._build_call(request, route, body, started_at, deadline)
         result = await self._dispatch(route, call)
         seconds = asyncio.get_running_loop().time() - started_at
         self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
@@ -170,13 +173,41 @@
             self._decisions.failed(call, "cancelled", reason="the caller disconnected")
             raise
 
+    def _timeout_s(self, request: web.BaseRequest, route: Route) -> float:
+        header = request.headers.get(self._header_names.timeout_ms)
+        return min(_parse_timeout_s(header), route.timeout_s)
+
+    async def _read_body(
+        self, request: web.BaseRequest, max_bytes: int, deadline: float
+    ) -> Result[bytes, web.Response]:
+        """Return the body, or the response to a request whose body is refused."""
+        request_id = request.headers[self._header_names.request_id]
+        try:
+            async with asyncio.timeout_at(deadline):
+                read = await read_body(request, max_bytes)
+        except TimeoutError:
+            reason = "the body did not arrive before the call's deadline"
+            response = self._error_response(request_id, 408, reason)
+        else:
+            match read:
+                case Ok(body):
+                    return Ok(body)
+                case Err(reason):
+                    pass
+            response = self._error_response(request_id, refusal_status(reason), reason)
+        # The rest of the body would be taken for the next request.
+        response.force_close()
+        return Err(response)
+
     def _build_call(
-        self, request: web.BaseRequest, route: Route, body: bytes, started_at: float
+        self,
+        request: web.BaseRequest,
+        route: Route,
+        body: bytes,
+        started_at: float,
+        deadline: float,
     ) -> Call:
         headers = request.headers
-        timeout_s = min(
-            _parse_timeout_s(headers.get(self._header_names.timeout_ms)), route.timeout_s
-        )
         return Call(
             request_id=headers[self._header_names.request_id],
             tenant=self._own_service(),
@@ -189,7 +220,7 @@
                 (k, v) for k, v in headers.items() if k.lower() not in self._stripped_headers
             ),
             body=body,
-            deadline=started_at + timeout_s,
+            deadline=deadline,
             idempotent=route.idempotent,
             priority=route.priority,
             late_after=started_at + route.latency_objective_s,
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -16,6 +16,7 @@
 from tests.platform.standin import StoreStandIn
 from tests.sidecar.samples import NAMES
 from tests.sidecar.servers import FakeTarget
+from tests.waiting import GUARD_S
 from tests.waiting import until
 
 ADDRESSES = ("127.0.0.1", "127.0.0.2")
@@ -160,6 +161,20 @@
         self.assertEqual(status, 503)
         self.assertEqual((await self.call(0, "c-3"))[0], 200)
 
+    async def test_a_body_that_stops_arriving_is_refused_at_the_deadline(self) -> None:
+        await self.serve()
+        endpoint = self.instances[0].sidecar.bound_by_setting["callers"]
+        reader, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
+        writer.write(
+            b"POST /a/b HTTP/1.1\r\nHost: h\r\nX-Id: c-1\r\nX-Left: 50\r\n"
+            b"Content-Length: 10\r\n\r\n12345"
+        )
+        async with asyncio.timeout(GUARD_S):
+            response = await reader.read()
+        writer.close()
+        self.assertIn(b" 408 ", response.splitlines()[0])
+        self.assertFalse(any(target.received for target in self.targets))
+
     async def test_a_draining_target_gets_no_calls_after_the_acknowledgement(self) -> None:
         await self.serve()
         self.assertEqual(await self.announce(1, "draining", 2), 200)
