Bound the header lines of a target's response

The limit of 64 KiB applies only while a head is incomplete, so a head that ends within one read of 256 KiB was accepted with up to 87,000 lines: 8 MiB of memory until the call's end and 0.1 s of parsing (one parse of a head of "a:\n" lines, Python 3.11, this machine). With 40 calls whose bodies then stall that is 320 MiB. A head of more than 1,000 lines fails its call as unknown.

test_a_response_with_too_many_header_lines_fails_the_call failed before, final and informational: AssertionError: ExchangeError not raised

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -9,6 +9,9 @@
 from bulrushflow.sidecar.body_buffers import BodyBuffers
 
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+MAX_HEADER_LINES = 1000
+"""Lines of a head. The parser bounds the bytes of a head only while it is incomplete, and a parsed
+line takes many times its bytes in memory."""
 MAX_EVENTS_PER_TURN = 64
 """Parser events of one connection that are handled before other tasks get their turn. A read of
 256 KiB can hold some 40,000 chunks."""
@@ -198,15 +201,8 @@
         self._parse()
 
     def _handle_event(self, event: t.Any) -> None:
-        if isinstance(event, h11.InformationalResponse):
-            self._informational_responses += 1
-            if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
-                self.fail(
-                    f"no HTTP answer: more than {MAX_INFORMATIONAL_RESPONSES} "
-                    "informational responses"
-                )
-        elif isinstance(event, h11.Response):
-            self._response = event
+        if isinstance(event, h11.InformationalResponse | h11.Response):
+            self._receive_head(event)
         elif isinstance(event, h11.Data):
             self._receive_body(event.data)
         elif isinstance(event, h11.EndOfMessage):
@@ -216,6 +212,22 @@
         elif isinstance(event, h11.ConnectionClosed):
             self.fail("connection closed without a response")
 
+    def _receive_head(self, head: h11.InformationalResponse | h11.Response) -> None:
+        if len(head.headers) > MAX_HEADER_LINES:
+            self.fail(
+                f"no HTTP answer: {len(head.headers)} header lines, at most {MAX_HEADER_LINES} "
+                "are accepted"
+            )
+            return
+        if isinstance(head, h11.Response):
+            self._response = head
+            return
+        self._informational_responses += 1
+        if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+            self.fail(
+                f"no HTTP answer: more than {MAX_INFORMATIONAL_RESPONSES} informational responses"
+            )
+
     def _receive_body(self, data: bytes) -> None:
         self._body += data
         self._body_bytes += len(data)
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -6,6 +6,7 @@
 
 from bulrushflow.sidecar.body_buffers import BodyBuffers
 from bulrushflow.sidecar.exchange import MAX_EVENTS_PER_TURN
+from bulrushflow.sidecar.exchange import MAX_HEADER_LINES
 from bulrushflow.sidecar.exchange import MAX_INFORMATIONAL_RESPONSES
 from bulrushflow.sidecar.exchange import MAX_STALE_RESPONSES
 from bulrushflow.sidecar.exchange import ExchangeError
@@ -135,6 +136,35 @@
         self.assertTrue(connection.reusable)
         self.assertGreaterEqual(turns, parts // MAX_EVENTS_PER_TURN)
 
+    async def test_a_response_with_too_many_header_lines_fails_the_call(self) -> None:
+        for status in (200, 100):
+            with self.subTest(status):
+
+                async def script(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    status: int = status,
+                ) -> None:
+                    await reader.readuntil(b"\r\n\r\n")
+                    head = f"HTTP/1.1 {status} S\r\nContent-Length: 0\r\n".encode()
+                    writer.write(head + b"a:\r\n" * MAX_HEADER_LINES + b"\r\n")
+                    writer.write(response("1", b"body"))
+
+                connection = await self.connect(script)
+                with self.assertRaises(ExchangeError) as raised:
+                    await self.call(connection, "1")
+                self.assertIn(f"at most {MAX_HEADER_LINES}", str(raised.exception))
+
+    async def test_a_response_with_many_header_lines_is_returned(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            lines = b"a:\r\n" * (MAX_HEADER_LINES - 1)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + lines + b"Content-Length: 0\r\n\r\n")
+
+        connection = await self.connect(script)
+        headers = (await self.call(connection, "1")).headers
+        self.assertEqual(len(headers), MAX_HEADER_LINES)
+
     async def test_a_switch_of_protocols_fails_the_call(self) -> None:
         cases = (
             ("CONNECT", (), b"HTTP/1.1 200 OK\r\n\r\n"),
