Count rules that differ only in their figures together

Rules are compared with their figures masked; each still shows its first run's.

Before: test_rules_that_differ_only_in_their_figures_are_counted_together AssertionError: Lists differ: ['1 runs: cut to 97 s (x)', ...] != ['3 runs: cut to 97 s (x)', '1 runs: held (x)']

--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 import pathlib
+import re
 import statistics
 import time
 import typing as t
@@ -22,6 +23,8 @@
 """Rollout duration and decision interval in seconds, by calls per second."""
 MAX_REASONS = 3
 
+_FIGURE = re.compile(r"\d+(\.\d+)?")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
@@ -83,12 +86,13 @@
 def commonest_reasons(results: list[RunResult], bad: bool) -> list[str]:
     """Return the three most frequent reasons for rolling a good version back or keeping a bad one.
 
-    Runs are counted by the rule, which the figures follow in brackets; each has its first run's.
+    Runs are counted by the rule, whatever its figures and those that follow it in brackets; each
+    has the figures of its first run.
     """
     reasons_by_rule: dict[str, list[str]] = {}
     for result in results:
         if result.reason and result.taken_back is not bad:
-            rule = result.reason.partition(" (")[0]
+            rule = _FIGURE.sub("N", result.reason.partition(" (")[0])
             reasons_by_rule.setdefault(rule, []).append(result.reason)
     commonest = sorted(reasons_by_rule.values(), key=len, reverse=True)[:MAX_REASONS]
     return [f"{len(reasons)} runs: {reasons[0]}" for reasons in commonest]
--- a/tests/benchmarks/test_move_model.py
+++ b/tests/benchmarks/test_move_model.py
@@ -67,3 +67,11 @@
 
     def test_policies_that_give_no_reason_have_none_listed(self) -> None:
         self.assertEqual(moves.commonest_reasons([RunResult(taken_back=True)], bad=False), [])
+
+    def test_rules_that_differ_only_in_their_figures_are_counted_together(self) -> None:
+        reasons = ["cut to 97 s (x)", "held (x)", "cut to 98 s (x)", "cut to 9.5 s (x)"]
+        results = [RunResult(taken_back=False, reason=reason) for reason in reasons]
+        self.assertEqual(
+            moves.commonest_reasons(results, bad=True),
+            ["3 runs: cut to 97 s (x)", "1 runs: held (x)"],
+        )
