Don't let a lack of time hide an attempt that may have run

A caller could get 503, the promise that its call did not run, though an earlier attempt may have run: if the time ended between the dispatcher's check and the send to the next node, the attempt's 'refused' replaced the earlier attempt's 'unknown'. A refusal for lack of time now leaves the earlier result, as a refusal by a target does, and ends the call.

Its test failed before (REFUSED is not UNKNOWN).

--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -69,10 +69,12 @@
             case Ok(response):
                 self.result = result
                 final = not response.is_failure
-            case Err(failure) if failure.outcome is Outcome.NOT_RUN:
+            case Err(failure) if failure.outcome in (Outcome.NOT_RUN, Outcome.REFUSED):
                 # A refusal does not replace the result of an earlier attempt that may have run.
                 if not self.possible_runs:
                     self.result = result
+                if failure.outcome is Outcome.REFUSED:
+                    return True
                 self.refusals += 1
                 self.deliveries += failure.reached_target
                 return self.refusals >= MAX_REFUSALS
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -12,6 +12,7 @@
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import Response
 from bulrushflow.routing import not_run
+from bulrushflow.routing import refused
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.balancer import Balancer
 from bulrushflow.sidecar.decisions import DecisionLog
@@ -51,6 +52,12 @@
         progress.record(not_run("full"), True, 2)
         self.assertIs(progress.result.unwrap_err().outcome, Outcome.UNKNOWN)
 
+    def test_a_lack_of_time_does_not_hide_an_attempt_that_may_have_run(self) -> None:
+        progress = self.progress()
+        self.assertFalse(progress.record(unknown("cut"), True, 2))
+        self.assertTrue(progress.record(refused("no time left"), True, 2))
+        self.assertIs(progress.result.unwrap_err().outcome, Outcome.UNKNOWN)
+
     def test_a_call_that_is_not_idempotent_is_not_retried_once_it_may_have_run(self) -> None:
         for result in (unknown("cut"), response_with(500).as_result()):
             self.assertTrue(self.progress().record(result, False, 3))
