Don't take a missing topic's 404 for the response of a waiting read

The store answers 404 for a topic without records and the wait happens in the client; that 404 counted as the response's beginning, after which the read is not restarted. Only a response with status 200 counts.

The stand-in answers 404 now as the store does.

--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -192,7 +192,7 @@
                     method, self._base + path, params=query, data=body or None, timeout=_NO_TIMEOUT
                 ) as response,
             ):
-                if on_response is not None:
+                if on_response is not None and response.status == 200:
                     on_response()
                 return Ok((response.status, await _read_body(response, until_response)))
         except aiohttp.ClientConnectorError as exc:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -78,6 +78,8 @@
             return web.Response(status=self.status)
         topic = request.query["topic"]
         start = int(request.query["from"])
+        if topic not in self.records_by_topic:
+            return web.Response(status=404)
         first = self.first_offset_by_topic.get(topic, 0)
         if start < first:
             return web.json_response({"first": first}, status=410)
