--- a/tests/sidecar/endless.py
+++ b/tests/endless.py
@@ -4,7 +4,7 @@
 import contextlib
 import typing as t
 
-from bulrushflow.sidecar.settings import Endpoint
+_ID_HEADERS = ("x-id: ", "x-request-id: ")
 
 Script = t.Callable[[asyncio.StreamReader, asyncio.StreamWriter], t.Awaitable[None]]
 
@@ -19,9 +19,11 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> Endpoint:
+    async def start(self) -> tuple[str, int]:
+        """Listen on a free port; return the address and the port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return Endpoint(*self._server.sockets[0].getsockname()[:2])
+        address, port = self._server.sockets[0].getsockname()[:2]
+        return address, port
 
     async def stop(self) -> None:
         if self._server is not None:
@@ -46,10 +48,10 @@
 
 
 async def read_request(reader: asyncio.StreamReader) -> str:
-    """Read a request without a body; return the value of its ``X-Id`` header."""
+    """Read a request without a body; return the call's id."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     lines = head.split("\r\n")
-    return next(line[6:] for line in lines if line.lower().startswith("x-id: "))
+    return next(line.split(": ")[1] for line in lines if line.lower().startswith(_ID_HEADERS))
 
 
 async def flood(writer: asyncio.StreamWriter, unit: bytes) -> t.NoReturn:
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/test_endless_responses.py
@@ -6,12 +6,13 @@
 
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
+from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.target_client import MAX_RESPONSE_BYTES
 from bulrushflow.sidecar.target_client import TargetClient
-from tests.sidecar.endless import EndlessTarget
-from tests.sidecar.endless import flood
-from tests.sidecar.endless import read_request
-from tests.sidecar.endless import trickle
+from tests.endless import EndlessTarget
+from tests.endless import flood
+from tests.endless import read_request
+from tests.endless import trickle
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import call
 from tests.waiting import GUARD_S
@@ -48,7 +49,7 @@
 class EndlessResponseTests(unittest.IsolatedAsyncioTestCase):
     async def start(self, script: t.Any) -> tuple[EndlessTarget, TargetClient]:
         target = EndlessTarget(script)
-        client = TargetClient(await target.start(), "t-1", NAMES)
+        client = TargetClient(Endpoint(*await target.start()), "t-1", NAMES)
         self.addAsyncCleanup(target.stop)
         self.addCleanup(client.close)
         return target, client
