Close an idle connection to a target that sends data

A caller could get the response to another call as its own, as a success: aiohttp keeps a complete response that arrives on an idle connection, and the next call on the connection is given it. Responses without end were parsed and kept in memory until the connection's idle timeout of 4 s. The client's connections are a subclass that aborts when data arrives after the response was complete, and drops a second response to one request. A late response that the loop has not read when the next call is sent is still taken for that call's: the target's responses carry no id in this design.

test_a_response_on_an_idle_connection_is_not_the_next_calls failed before: AssertionError: b'late' != b'r-02' test_endless_bytes_after_a_response_close_the_connection passed before as well, at the idle timeout; the module ran for 24 s before the change.

--- a/src/bulrushflow/targets/client.py
+++ b/src/bulrushflow/targets/client.py
@@ -14,6 +14,7 @@
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
 from bulrushflow.targets.announcement import Announcement
+from bulrushflow.targets.connection import TargetConnector
 
 HOP_BY_HOP_HEADERS = CONNECTION_HEADERS | {"host"}
 REQUEST_ID_HEADER = "x-request-id"
@@ -52,7 +53,7 @@
         self._url = announcement.url
         self._byte_budget = byte_budget
         self._max_response_bytes = max_response_bytes
-        connector = aiohttp.TCPConnector(
+        connector = TargetConnector(
             limit=announcement.connections, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
         self._session = aiohttp.ClientSession(
--- a/tests/targets/test_endless_responses.py
+++ b/tests/targets/test_endless_responses.py
@@ -103,3 +103,24 @@
                         # aiohttp drops a response that is read together with malformed data.
                         self.assertIs(result.unwrap_err().outcome, Outcome.UNKNOWN)
                     await until(lambda target=target: target.closed == 1)  # type: ignore[misc]
+
+    async def test_a_response_on_an_idle_connection_is_not_the_next_calls(self) -> None:
+        written = asyncio.Event()
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            request_id = await read_request(reader)
+            writer.write(COMPLETE.replace(b"body", request_id.encode()))
+            await writer.drain()
+            if request_id == "r-01":
+                await asyncio.sleep(0.02)
+                writer.write(COMPLETE.replace(b"body", b"late"))
+                await writer.drain()
+                written.set()
+
+        target, client = await self.start(script)
+        (await self.send(client, "r-01", GUARD_S)).unwrap()
+        await written.wait()
+        await asyncio.sleep(0.02)
+        response = (await self.send(client, "r-02", GUARD_S)).unwrap()
+        self.assertEqual(response.body, b"r-02")
+        await until(lambda: target.closed == 1)
