--- a/src/bulrushflow/targets/client.py
+++ b/src/bulrushflow/targets/client.py
@@ -14,6 +14,7 @@
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
 from bulrushflow.targets.announcement import Announcement
+from bulrushflow.targets.connection import ResponseLimitError
 from bulrushflow.targets.connection import TargetConnector
 
 HOP_BY_HOP_HEADERS = CONNECTION_HEADERS | {"host"}
@@ -94,6 +95,8 @@
             return not_run(f"no connection to the target: {exc}")
         except TimeoutError:
             return unknown(f"the target did not answer in time (within {remaining_s:.3f} s)")
+        except ResponseLimitError as exc:
+            return unknown(f"the target's connection failed: no HTTP answer: {exc}")
         except (aiohttp.ClientError, OSError) as exc:
             return unknown(f"the target's connection failed: {type(exc).__name__}")
 
--- a/src/bulrushflow/targets/connection.py
+++ b/src/bulrushflow/targets/connection.py
@@ -9,6 +9,16 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Responses with a 1xx status before a final one, after which the final one is not awaited."""
+MAX_FRAMING_BYTES = 512 << 10
+"""Bytes of heads, chunk headers and trailers that are received for a call, beyond one for each byte
+of the body. It exceeds one read of 256 KiB, of which a part may not be parsed yet."""
+
+
+class ResponseLimitError(aiohttp.ClientPayloadError):
+    """Raised when a response exceeds a limit, which the message names."""
+
 
 class TargetConnection(ResponseHandler):
     """A client connection that is closed when data arrives while no response is awaited.
@@ -18,10 +28,14 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self._received_bytes = 0
+        self._informational_responses = 0
         self._final_payload: StreamReader | None = None
 
     def set_response_params(self, **params: t.Any) -> None:
         """Await the response to a request that is about to be sent."""
+        self._received_bytes = 0
+        self._informational_responses = 0
         self._final_payload = None
         super().set_response_params(**params)
 
@@ -30,7 +44,9 @@
         if data and self._final_payload is not None and self._final_payload.is_eof():
             self.abort()
             return
+        self._received_bytes += len(data)
         super().data_received(data)
+        self._check_framing()
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Queue a parsed head; a second final one is dropped, and closes the connection."""
@@ -38,10 +54,35 @@
         if self._final_payload is not None:
             self.force_close()
             return
-        if message.code >= 200 or message.code == 101:
+        if 100 <= message.code < 200 and message.code != 101:
+            self._informational_responses += 1
+            if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                self._fail(f"more than {MAX_INFORMATIONAL_RESPONSES} informational responses")
+                return
+        else:
             self._final_payload = payload
         super().feed_data(data, size)
 
+    def _check_framing(self) -> None:
+        payload = self._final_payload
+        if payload is not None and payload.is_eof():
+            return
+        body_bytes = 0 if payload is None else payload.total_bytes
+        framing_bytes = self._received_bytes - body_bytes
+        if framing_bytes > MAX_FRAMING_BYTES + body_bytes:
+            self._fail(
+                f"{framing_bytes} bytes of heads and chunk headers for {body_bytes} bytes of a body"
+            )
+
+    def _fail(self, reason: str) -> None:
+        error = ResponseLimitError(reason)
+        if self._final_payload is not None:
+            self._final_payload.set_exception(error)
+        if self.exception() is None:
+            self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
 
 class TargetConnector(aiohttp.TCPConnector):
     """A pool of connections of the class :class:`TargetConnection`."""
