Ignore a keep-alive timeout that is no number

A response with a Keep-Alive timeout such as a superscript 2 was lost: isdigit() accepts it, float() raises, and the connection failed with the response complete, its outcome unknown. Where the response is parsed in a later turn, the call would have waited until its deadline.

test_a_keep_alive_timeout_that_is_no_number_is_ignored failed before: ExchangeError: connection lost: could not convert string to float: '²'

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -307,6 +307,7 @@
     """Return the ``timeout`` parameter of a ``Keep-Alive`` header in seconds."""
     for part in (value or "").split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        # isdigit() is true for characters that float() rejects, such as superscripts.
+        if name.lower() == "timeout" and number.isdecimal():
             return float(number)
     return None
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/test_exchange.py
@@ -165,6 +165,16 @@
         headers = (await self.call(connection, "1")).headers
         self.assertEqual(len(headers), MAX_HEADER_LINES)
 
+    async def test_a_keep_alive_timeout_that_is_no_number_is_ignored(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            head = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=\xc2\xb2\r\n"
+            writer.write(head + b"Content-Length: 4\r\n\r\nbody")
+
+        connection = await self.connect(script)
+        self.assertEqual((await self.call(connection, "1")).body, b"body")
+        self.assertIsNone(connection.keep_alive_s)
+
     async def test_a_switch_of_protocols_fails_the_call(self) -> None:
         cases = (
             ("CONNECT", (), b"HTTP/1.1 200 OK\r\n\r\n"),
