Don't reuse a connection to a target that has unread data

A caller could still get a late response as its own, as a success, when it was in the socket but not yet read by the loop as the next call began. The pool asks the connection whether it is connected before it reuses it; an idle connection with unread data, or whose target closed it, now says that it isn't. What arrives after that is still taken for the new call's, since responses carry no id in this design.

test_an_unread_response_on_an_idle_connection_is_not_the_next_calls failed before: AssertionError: b'late' != b'r-02'

--- a/src/bulrushflow/targets/connection.py
+++ b/src/bulrushflow/targets/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import select
 import typing as t
 
 import aiohttp
@@ -32,6 +33,12 @@
         self._informational_responses = 0
         self._final_payload: StreamReader | None = None
 
+    def is_connected(self) -> bool:
+        """Return whether the connection is open and, if it is idle, can be used for a call."""
+        if not super().is_connected():
+            return False
+        return not (self._is_answered() and self._has_unread_data())
+
     def set_response_params(self, **params: t.Any) -> None:
         """Await the response to a request that is about to be sent."""
         self._received_bytes = 0
@@ -41,7 +48,7 @@
 
     def data_received(self, data: bytes) -> None:
         # aiohttp calls this without data when it goes on to parse after a pause.
-        if data and self._final_payload is not None and self._final_payload.is_eof():
+        if data and self._is_answered():
             self.abort()
             return
         self._received_bytes += len(data)
@@ -63,10 +70,22 @@
             self._final_payload = payload
         super().feed_data(data, size)
 
+    def _is_answered(self) -> bool:
+        """Return whether the response was received completely, so that no data is awaited."""
+        return self._final_payload is not None and self._final_payload.is_eof()
+
+    def _has_unread_data(self) -> bool:
+        """Return whether the socket has data, or the target's close, that the loop hasn't read."""
+        if self.transport is None:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _check_framing(self) -> None:
-        payload = self._final_payload
-        if payload is not None and payload.is_eof():
+        if self._is_answered():
             return
+        payload = self._final_payload
         body_bytes = 0 if payload is None else payload.total_bytes
         framing_bytes = self._received_bytes - body_bytes
         if framing_bytes > MAX_FRAMING_BYTES + body_bytes:
--- a/tests/targets/test_endless_responses.py
+++ b/tests/targets/test_endless_responses.py
@@ -137,3 +137,32 @@
         response = (await self.send(client, "r-02", GUARD_S)).unwrap()
         self.assertEqual(response.body, b"r-02")
         await until(lambda: target.closed == 1)
+
+    async def test_an_unread_response_on_an_idle_connection_is_not_the_next_calls(self) -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            while True:
+                request_id = await read_request(reader)
+                writer.write(COMPLETE.replace(b"body", request_id.encode()))
+
+        target, client = await self.start(script)
+        (await self.send(client, "r-01", GUARD_S)).unwrap()
+        # The data is in the client's socket when the next call begins, before the loop reads it.
+        writers[0].write(COMPLETE.replace(b"body", b"late"))
+        response = (await self.send(client, "r-02", GUARD_S)).unwrap()
+        self.assertEqual(response.body, b"r-02")
+        self.assertEqual(target.opened, 2)
+
+    async def test_an_idle_connection_without_data_is_reused(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                request_id = await read_request(reader)
+                writer.write(COMPLETE.replace(b"body", request_id.encode()))
+
+        target, client = await self.start(script)
+        for request_id in ("r-01", "r-02", "r-03"):
+            response = (await self.send(client, request_id, GUARD_S)).unwrap()
+            self.assertEqual(response.body, request_id.encode())
+        self.assertEqual(target.opened, 1)
