--- a/src/bulrushflow/targets/client.py
+++ b/src/bulrushflow/targets/client.py
@@ -95,10 +95,8 @@
             return not_run(f"no connection to the target: {exc}")
         except TimeoutError:
             return unknown(f"the target did not answer in time (within {remaining_s:.3f} s)")
-        except ResponseLimitError as exc:
-            return unknown(f"the target's connection failed: no HTTP answer: {exc}")
         except (aiohttp.ClientError, OSError) as exc:
-            return unknown(f"the target's connection failed: {type(exc).__name__}")
+            return unknown(f"the target's connection failed: {_describe(exc)}")
 
     async def _read(self, response: aiohttp.ClientResponse) -> CallResult:
         if (
@@ -160,3 +158,10 @@
     if call.attempt:
         headers.append((ATTEMPT_HEADER, str(call.attempt)))
     return headers
+
+
+def _describe(error: Exception) -> str:
+    """Return the limit that a response exceeded, or the class of another error."""
+    if isinstance(error, ResponseLimitError):
+        return f"no HTTP answer: {error}"
+    return type(error).__name__
