--- a/src/bulrushflow/targets/client.py
+++ b/src/bulrushflow/targets/client.py
@@ -14,6 +14,8 @@
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
 from bulrushflow.targets.announcement import Announcement
+from bulrushflow.targets.connection import ResponseLimitError
+from bulrushflow.targets.connection import TargetConnector
 
 HOP_BY_HOP_HEADERS = CONNECTION_HEADERS | {"host"}
 REQUEST_ID_HEADER = "x-request-id"
@@ -52,7 +54,7 @@
         self._url = announcement.url
         self._byte_budget = byte_budget
         self._max_response_bytes = max_response_bytes
-        connector = aiohttp.TCPConnector(
+        connector = TargetConnector(
             limit=announcement.connections, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
         self._session = aiohttp.ClientSession(
@@ -94,7 +96,7 @@
         except TimeoutError:
             return unknown(f"the target did not answer in time (within {remaining_s:.3f} s)")
         except (aiohttp.ClientError, OSError) as exc:
-            return unknown(f"the target's connection failed: {type(exc).__name__}")
+            return unknown(f"the target's connection failed: {_describe(exc)}")
 
     async def _read(self, response: aiohttp.ClientResponse) -> CallResult:
         if (
@@ -156,3 +158,10 @@
     if call.attempt:
         headers.append((ATTEMPT_HEADER, str(call.attempt)))
     return headers
+
+
+def _describe(error: Exception) -> str:
+    """Return the limit that a response exceeded, or the class of another error."""
+    if isinstance(error, ResponseLimitError):
+        return f"no HTTP answer: {error}"
+    return type(error).__name__
