--- a/scripts/builds/log_design.py
+++ b/scripts/builds/log_design.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from bulrushflow.operators.client import OperatorClient
+from bulrushflow.operators.reports import NodeStatus
 from bulrushflow.recording import CONFIGURATION_STREAM
 from scripts.builds.reporting import Build
 from scripts.builds.reporting import Builds
@@ -34,6 +35,9 @@
 MOVES_LOAD_S = 33.0
 SWAP_LOAD_S = 8.0
 CALLS_PER_S = 90.0
+GOSSIP = {"period_s": 0.5, "ack_timeout_s": 1.0, "suspicion_s": 3.0}
+"""A probe for ``status --fleet`` and ``history`` has one attempt, and four commands that start at
+once can delay its acknowledgement by more than the 0.3 s of the tests."""
 PATHS = ("/plots/7", "/payments/7")
 DOCUMENT_BY_ID: t.Mapping[str, t.Any] = {
     "first": {
@@ -62,13 +66,14 @@
     def __init__(self, builds: Builds) -> None:
         super().__init__()
         self.programs_by_name: dict[str, Program] = {}
-        self._builds = builds
-        self._build_by_program: dict[str, Build] = {}
+        self.builds = builds
+        self.build_by_program: dict[str, Build] = {}
         self._commands = 0
 
     def source_of(self, name: str) -> pathlib.Path:
         """See :meth:`Fleet.source_of`; stand-ins and the load tool run the new build."""
-        return self._build_by_program.get(name, self._builds.new).source
+        program = name.partition("-start-")[0]
+        return self.build_by_program.get(program, self.builds.new).source
 
     async def start_program(
         self, program: str, name: str, *arguments: str, **others: t.Any
@@ -83,13 +88,13 @@
         await self.start()
         for number, (data_centre, service, version) in enumerate(PLACEMENTS, 1):
             name = f"node-{number}"
-            self._build_by_program[name] = self._builds.of(number)
-            self._build_by_program[f"{name}-restarted"] = self._builds.of(number, swapped=True)
+            self.build_by_program[name] = self.builds.of(number)
             # The ports stay when the node is restarted.
-            ports: dict[str, t.Any] = {
+            others: dict[str, t.Any] = {
                 f"{kind}_port": free_port(ADDRESS) for kind in ("caller", "peer", "operator")
             }
-            node = await self.start_node(name, data_centre, free_port(ADDRESS), **ports)
+            others["gossip"] = GOSSIP
+            node = await self.start_node(name, data_centre, free_port(ADDRESS), **others)
             faulty = ("--behaviour", '{"error_share": 1.0}') if version == FAULTY_VERSION else ()
             await self.start_target(name, service, version, node.target_port, *faulty)
         await self.wait_ready(len(PLACEMENTS))
@@ -98,15 +103,34 @@
         """Run a command line of a build at a node; return its status, output and errors."""
         self._commands += 1
         name = f"command-{self._commands}"
-        self._build_by_program[name] = build
+        self.build_by_program[name] = build
         variables = {"BULRUSHFLOW_LOG": self.log_url, "BULRUSHFLOW_NODE": node.operator_url}
         program = await self.start_program("bulrushflow", name, *arguments, variables=variables)
         status, output = await program.output()
         return status, output, program.errors()
 
-    async def replace_records_by_snapshot(self, build: Build) -> None:
-        """Trim the log to a snapshot made by a build, which restarted nodes have to read."""
-        configuration = await self.get(self.nodes[0].operator_url + "/configuration")
+    async def restart_swapped(self, node: FleetNode) -> None:
+        """Restart a node with the other build, and wait until all targets are ready."""
+        await self.stop_node(node)
+        is_old = self.build_by_program[node.name] is self.builds.old
+        self.build_by_program[node.name] = self.builds.new if is_old else self.builds.old
+        await self.start_again(node.name)
+        await self.wait_ready(len(PLACEMENTS))
+
+    async def read_alone(self, name: str, build: Build, offset: int) -> tuple[bytes, bool]:
+        """Run one node of a build, the only one, until it has read the log up to an offset.
+
+        :return: its configuration, and whether it restored a snapshot.
+        """
+        self.build_by_program[name] = build
+        node = await self.start_again(name)
+        await self.wait_converged(offset)
+        configuration = await self.get(node.operator_url + "/configuration")
+        await self.stop_node(node)
+        return configuration, "restored from a snapshot" in node.program.errors()
+
+    async def replace_records_by_snapshot(self, build: Build, configuration: bytes) -> int:
+        """Append the snapshot that a build makes, trim all before it, and return its offset."""
         writer = await asyncio.create_subprocess_exec(
             *(sys.executable, "-c", SNAPSHOT_CODE),
             env={**os.environ, "PYTHONPATH": str(build.source)},
@@ -117,8 +141,8 @@
         assert writer.returncode == 0, f"the {build.name} build made no snapshot"
         async with OperatorClient(self.log_url, "", 0.0) as client:
             offset = (await client.log.append(CONFIGURATION_STREAM, record)).unwrap()
-        await self.wait_converged(offset)
         await self.post(f"{self.log_url}/trim/{CONFIGURATION_STREAM}?keep=1", {})
+        return offset
 
 
 class LogDesign:
@@ -141,15 +165,21 @@
         await self._check_load("calls during publish and moves", load)
         await self._check_digests("before the swap")
         await self._check_reading_commands("before the swap")
-        before = await self._configuration()
         half = len(PLACEMENTS) // 2
-        await self._swap(old, staying=self._fleet.nodes[:half], leaving=self._fleet.nodes[half:])
-        await self._swap(new, staying=self._fleet.nodes[half:], leaving=self._fleet.nodes[:half])
-        await self._check_digests("after the swap")
-        after = await self._configuration()
-        self._report.add("log: the swap keeps the configuration", before == after, after)
+        await self._check_swap_under_calls(self._fleet.nodes[:half], self._fleet.nodes[half:])
+        await self._check_swap_under_calls(self._fleet.nodes[:half], self._fleet.nodes[half:])
+        status = await self._check_digests("after the swap")
         await self._check_reading_commands("after the swap")
+        node = self._fleet.nodes_by_name["node-1"]
+        configuration = await self._fleet.get(node.operator_url + "/configuration")
         await self._stop()
+        await self._check_readers("the records of both builds", configuration, status.offset)
+        for build in (old, new):
+            offset = await self._fleet.replace_records_by_snapshot(build, configuration)
+            source = f"a snapshot of the {build.name} build"
+            configuration = await self._check_readers(source, configuration, offset, True)
+        logs = {n: program.errors() for n, program in self._fleet.programs_by_name.items()}
+        self._report.add_logs("log: nothing unreadable, no traceback", logs)
 
     async def _check_publish(self, build: Build, node_name: str, publish_id: str) -> None:
         file = self._report.scratch / f"{publish_id}.json"
@@ -184,12 +214,13 @@
         details = ", ".join(f"{count} {summary[count]}" for count in counts)
         self._report.add(f"log: {name} are intact", passed, details)
 
-    async def _check_digests(self, when: str) -> None:
+    async def _check_digests(self, when: str) -> NodeStatus:
         await self._fleet.wait_converged(0)
         statuses = [await self._fleet.status(node) for node in self._fleet.nodes]
         digests = {(status.offset, status.digest) for status in statuses}
         name = f"log: all nodes have the same version and digest {when}"
         self._report.add(name, len(digests) == 1, f"{len(statuses)} nodes: {digests}")
+        return statuses[0]
 
     async def _check_reading_commands(self, when: str) -> None:
         """Compare the output of both command lines at a node of each build."""
@@ -206,34 +237,45 @@
             name = f"log: `{line}` {when} is the same by either command line at either build"
             self._report.add_differences(name, differences)
 
-    async def _configuration(self) -> str:
-        """Return the services and routes that ``get`` prints at the first node."""
-        node = self._fleet.nodes_by_name["node-1"]
-        _, output, _ = await self._fleet.command(self._builds.new, node, "get")
-        document = json.loads(output)
-        return json.dumps({key: document[key] for key in ("services", "routes")})
-
-    async def _swap(
-        self, snapshot_by: Build, staying: list[FleetNode], leaving: list[FleetNode]
+    async def _check_swap_under_calls(
+        self, leaving: t.Sequence[FleetNode], staying: t.Sequence[FleetNode]
     ) -> None:
-        """Restart nodes with the other build from a snapshot, while the others serve."""
-        await self._fleet.replace_records_by_snapshot(snapshot_by)
-        load = await self._start_load(f"swap-{snapshot_by.name}", staying, SWAP_LOAD_S)
-        for node in leaving:
-            await self._fleet.restart_node(node)
-        await self._fleet.wait_ready(len(PLACEMENTS))
+        """Restart nodes with the other build, while others serve and send them the state."""
         names = ", ".join(node.name for node in leaving)
-        name = (
-            f"calls while {names} restart swapped from a snapshot of the {snapshot_by.name} build"
-        )
-        await self._check_load(name, load)
+        load = await self._start_load(f"swap-{names}", staying, SWAP_LOAD_S)
+        for node in leaving:
+            await self._fleet.restart_swapped(node)
+        await self._check_load(f"calls while {names} restart with the other build", load)
+
+    async def _check_readers(
+        self, source: str, configuration: bytes, offset: int, snapshot: bool = False
+    ) -> bytes:
+        """Let a node of each build read the log while no other runs; compare and return the state.
+
+        :param configuration: the state that was written to the log.
+        :param snapshot: whether the log starts with a snapshot, which has to be restored.
+        """
+        results = [
+            await self._fleet.read_alone("node-1", build, offset)
+            for build in (self._builds.old, self._builds.new)
+        ]
+        (old, old_restored), (new, new_restored) = results
+        kept = _without_version(old) == _without_version(configuration)
+        passed = old == new and kept and old_restored == new_restored == snapshot
+        name = f"log: a node of either build alone reads {source}, with equal results"
+        details = f"{len(old)} and {len(new)} bytes, equal: {old == new}, kept: {kept}"
+        self._report.add(name, passed, details)
+        return old
 
     async def _stop(self) -> None:
-        statuses = [await node.program.terminate() for node in self._fleet.nodes]
-        self._report.add("log: all nodes stop", not any(statuses), f"exit statuses {statuses}")
-        programs = self._fleet.programs_by_name
-        logs = {name: program.errors() for name, program in programs.items()}
-        self._report.add_logs("log: nothing unreadable, no traceback", logs)
+        nodes = self._fleet.nodes
+        await asyncio.gather(*(self._fleet.stop_node(node) for node in nodes))
+        self._report.add("log: all nodes stop with status 0", True, f"{len(nodes)} nodes")
+
+
+def _without_version(configuration: bytes) -> dict[str, t.Any]:
+    fields = json.loads(configuration).items()
+    return {key: value for key, value in fields if key not in ("offset", "newest_snapshot")}
 
 
 def _stable(output: str) -> str:
