--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -20,6 +20,7 @@
 from bulrushflow.sidecar.storage import StoreError
 from bulrushflow.sidecar.storage import StoreErrorKind
 from bulrushflow.sidecar.storage import StorePage
+from bulrushflow.sidecar.topic_end import TopicEnd
 
 SHORT_POLL_S = 1.0
 """Long-poll timeout of the first read after records arrived. Changes often come in series, and an
@@ -76,11 +77,7 @@
         self._reading: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
         self._waiting = False
-        self._known_end = 0
-        self._noted_end = 0
-        """Latest offset that another node named since the pending request was sent."""
-        self._denied_end: int | None = None
-        """Offset that another node named, but the store's later answer did not reach."""
+        self._end = TopicEnd()
         self._behind_since: float | None = None
         self._restarts = 0
         self.offset: int | None = None
@@ -101,7 +98,7 @@
     @property
     def records_behind(self) -> int:
         """Number of records that the topic is known to have and this replica has not read."""
-        return 0 if self.offset is None else max(0, self._known_end - self.offset)
+        return 0 if self.offset is None else max(0, self._end.offset - self.offset)
 
     @property
     def is_current(self) -> bool:
@@ -115,12 +112,8 @@
         records is restarted. One that fetches records is left to finish: it would be restarted by
         each new record, and never complete while these come faster than a response.
         """
-        if self._denied_end is not None and offset >= self._denied_end:
+        if not self._end.note(offset) or self.offset is None or offset <= self.offset:
             return
-        self._noted_end = max(self._noted_end, offset)
-        if self.offset is None or offset <= max(self.offset, self._known_end):
-            return
-        self._known_end = offset
         loop = asyncio.get_running_loop()
         if self._behind_since is None:
             self._behind_since = loop.time()
@@ -179,7 +172,7 @@
 
     async def _load(self) -> bool:
         """Load the newest record of each key; return whether the store responded."""
-        self._noted_end = 0
+        self._end.begin_request()
         match await self._store.newest(self._topic):
             case Err(error):
                 self._mark_disconnected(error.message)
@@ -207,7 +200,7 @@
     async def _read(self, offset: int) -> Result[StorePage, StoreError] | None:
         """Wait for records; return ``None`` if the read was cancelled to be restarted."""
         loop = asyncio.get_running_loop()
-        self._noted_end = 0
+        self._end.begin_request()
         self._read_started_at = loop.time()
         wait_s = 0.0 if self.records_behind else self._poll_timeout_s
         self._waiting = wait_s > 0
@@ -230,17 +223,9 @@
         self._waiting = False
 
     def _advance(self, page: StorePage) -> None:
-        """Move on to the end of a page.
-
-        The end that the store reports replaces what other nodes named before the request, but not
-        what they named since: the page may be older.
-        """
-        if page.end < self._known_end and self._known_end > self._noted_end:
-            self._denied_end = self._known_end
+        """Move on to the end of a page."""
         self.offset = page.next_offset
-        if self._denied_end is not None and self.offset >= self._denied_end:
-            self._denied_end = None
-        self._known_end = max(page.end, self._noted_end)
+        self._end.update(page.end)
         if self._behind_since is None or self.records_behind:
             return
         self._decisions.event(
