Write no rollout status before the topic is loaded

Operators saw: nothing logged. Found by reading StatusLog.write: a node that had an order and had not loaded the statuses, at its start or after the store trimmed the offset it had read, could record step 1 behind a later step, and nodes that started then took it for the newest status.

Cause: Replica.offset is None while the whole state has to be loaded, and Store.append takes None as "append unconditionally".

Fix: the write is refused without an offset, so every append is conditional. The driver logs `move step not written` and decides again at its next check, on the state then loaded.

The test failed before: UnwrapError: Called `Result.unwrap_err()` on an `Ok` value

--- a/src/bulrushflow/sidecar/statuses.py
+++ b/src/bulrushflow/sidecar/statuses.py
@@ -2,12 +2,14 @@
 
 import typing as t
 
+from result import Err
 from result import Result
 
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.storage import Store
 from bulrushflow.sidecar.storage import StoreError
+from bulrushflow.sidecar.storage import StoreErrorKind
 from bulrushflow.sidecar.storage import StoreWrite
 
 StatusEncoder = t.Callable[[RolloutStatus], StoreWrite]
@@ -34,5 +36,11 @@
         return self._replica.offset
 
     async def write(self, status: RolloutStatus) -> Result[int, StoreError]:
-        """Append a status; fails if the topic has records that this node has not read."""
-        return await self._store.append(self._topic, [self._encode(status)], self.offset)
+        """Append a status; fails unless this node has loaded the topic and read all its records."""
+        offset = self.offset
+        if offset is None:
+            # Without an expected end the store would append whatever other nodes have written.
+            return Err(
+                StoreError(StoreErrorKind.REFUSED, f"topic {self._topic} has to be loaded first")
+            )
+        return await self._store.append(self._topic, [self._encode(status)], offset)
