Append a rollout's step behind other services' steps

Operators saw: with many rollouts at once a node far from the store logged `move step not written` at each check, then a missed deadline or a rollback without a fault.

Cause: all services share the topic of statuses, and a step was appended only if the topic ended where the replica had read. The replica pauses 0.5 s after records, so a node whose pause and round trip are longer than the gap between other services' steps always expected an old end.

Fix: after a conflict the new records are read at once, from the offset that the step was decided on, and the append is repeated at their end. A new record of the service itself fails the write as before. Each append is still conditional, and every record between the decision and the append was checked, so of two drivers only one writes a step from a state. As it lasts longer, it ends early once the node knows another state of the rollout, such as a rollback by notice.

The test failed before, test_a_step_is_written_after_unread_steps_of_other_services: AssertionError: Lists differ: ['billing'] != ['billing', 'statements'] test_two_drivers_never_both_write_a_step_from_the_same_state passed before too; it fails if the check of the key is left out.

--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -2,8 +2,8 @@
 
 The first few reachable nodes with targets of the service receive all evidence, analyse it and
 take the steps. The others only roll back a version that their own target shows to be faulty, and
-replace nodes that become unreachable. A step is written only if all earlier ones were read, so
-two drivers, or one that was paused, can't overwrite each other.
+replace nodes that become unreachable. A step is written only if all earlier ones of its service
+were read, so two drivers, or one that was paused, can't overwrite each other.
 """
 
 import asyncio
@@ -183,7 +183,13 @@
         if self._rollouts.is_recorded(status):
             self._unwritten.pop(service, None)
             return
-        match await self._statuses.write(status):
+        decided_on = rollout.status
+
+        def is_due() -> bool:
+            current = self._rollouts.by_service.get(service)
+            return current is rollout and rollout.status is decided_on
+
+        match await self._statuses.write(status, is_due):
             case Ok(_):
                 self._unwritten.pop(service, None)
                 now = asyncio.get_running_loop().time()
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -24,6 +24,8 @@
 from bulrushflow.sidecar.rollouts import Rollouts
 from bulrushflow.sidecar.statuses import StatusLog
 from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import StoreError
+from bulrushflow.sidecar.storage import StorePage
 from bulrushflow.sidecar.storage import StoreWrite
 from bulrushflow.timers import SystemClock
 from tests.sidecar.samples import MemoryStore
@@ -65,6 +67,36 @@
     return decode_rollout_status(record.value)
 
 
+class InterleavingStore(MemoryStore):
+    """A store whose calls take effect, and return, a few turns of the loop later."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__()
+        self._rng = rng
+
+    async def _pass_turns(self) -> None:
+        for _ in range(self._rng.randrange(6)):
+            await asyncio.sleep(0)
+
+    async def append_for(self, service: str, count: int) -> None:
+        """Append statuses of another service, a few turns of the loop apart."""
+        for _ in range(count):
+            await self._pass_turns()
+            self.put(service, encode_rollout_status(replace(STATUS, service=service)))
+
+    async def read(self, *args: t.Any, **kwargs: t.Any) -> Result[StorePage, StoreError]:
+        await self._pass_turns()
+        result = await super().read(*args, **kwargs)
+        await self._pass_turns()
+        return result
+
+    async def append(self, *args: t.Any, **kwargs: t.Any) -> Result[int, StoreError]:
+        await self._pass_turns()
+        result = await super().append(*args, **kwargs)
+        await self._pass_turns()
+        return result
+
+
 class Node:
     """The rollout components of one node, on a store shared with other nodes."""
 
@@ -129,6 +161,50 @@
         self.assertEqual(len(self.store.records), 1)
         self.assertIsNone(self.first.status)
 
+    async def test_a_step_is_written_after_unread_steps_of_other_services(self) -> None:
+        self.store.put("billing", encode_rollout_status(replace(STATUS, service="billing")))
+        await self.first.driver.check()
+        self.assertEqual([record.key for record in self.store.records], ["billing", "statements"])
+        assert self.first.status is not None
+        self.assertEqual(self.first.status.step, 1)
+
+    async def test_a_rollback_received_during_a_write_prevents_an_earlier_step(self) -> None:
+        rollout = self.first.rollouts.by_service["statements"]
+        rollout.seen_at = asyncio.get_running_loop().time() - 2.0
+        await self.first.driver.check()
+        await self.first.read()
+        await self.second.read()
+        self.store.put("billing", encode_rollout_status(replace(STATUS, service="billing")))
+        self.store.answers.clear()
+        check = asyncio.create_task(self.first.driver.check())
+        await until(lambda: bool(self.store.reads))
+        self.second.driver.roll_back(self.second.rollouts.by_service["statements"], "errors")
+        await until(lambda: bool(self.second.links.bodies("state_notice")))
+        notice = self.second.links.bodies("state_notice")[0]
+        await self.first.links.handlers["state_notice"](notice)
+        self.store.answers.set()
+        await check
+        self.assertEqual([record.key for record in self.store.records], ["statements", "billing"])
+
+    async def test_two_drivers_never_both_write_a_step_from_the_same_state(self) -> None:
+        written_steps = 0
+        for seed in range(100):
+            with self.subTest(seed=seed), mock.patch.object(driver_module, "RANK_DELAY_S", 0.0):
+                store = InterleavingStore(random.Random(seed))
+                nodes = Node(1, store), Node(2, store)
+                for node in nodes:
+                    await node.read()
+                    node.rollouts.apply_order(ORDER, 0.0)
+                await asyncio.gather(
+                    *(node.driver.check() for node in nodes), store.append_for("billing", 8)
+                )
+                steps = [record for record in store.records if record.key == "statements"]
+                self.assertLessEqual(len(steps), 1)
+                written = [node for node in nodes if node.status is not None]
+                self.assertEqual(len(written), len(steps))
+                written_steps += len(steps)
+        self.assertGreater(written_steps, 0)
+
     async def test_a_faulty_version_is_rolled_back_without_the_store(self) -> None:
         await self.first.driver.check()
         self.first.rollouts.apply_status(replace(STATUS, step=2), 0.0)
