Analyse a rollout while its step waits for the store

Cause: the driver's check awaits the write of a step, and its timer starts no check before the last one has ended.

Fix: a second timer analyses the rollout, and only that, while a write is in progress, so there is still one writer. A rollback decided then ends the write at its next conflict. If the step gets in first, the rollback stays unwritten and follows; the end of a write used to discard whatever status was unwritten.

Tests failed before, in their order: AssertionError: False is not true (is_forbidden, while the read waits) AssertionError: Lists differ: [<RolloutPhase.RUNNING: 'running'>] != [<RolloutPhase.RUNNING: 'running'>, <RolloutPhase.ROLLED_BACK: ...>] The tests' fake timers now run the subscribed callbacks when told to; those of the other tests are never told to, as before.

--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -68,27 +68,40 @@
         """Order id and number of the due step, and since when it is due."""
         self._sending: set[asyncio.Task[None]] = set()
         self._unwritten: dict[str, RolloutStatus] = {}
+        self._writing = False
+        """Whether :meth:`check` waits for the store."""
         links.handle("evidence_report", self._on_evidence_report)
         links.handle("state_notice", self._on_state_notice)
         timers.subscribe("moves", CHECK_PERIOD_S, self.check)
+        timers.subscribe("moves during writes", CHECK_PERIOD_S, self.check_during_write)
 
     async def check(self) -> None:
-        """Check the rollout of this node's service once."""
+        """Check the rollout of this node's service once, and write the step that is due."""
         rollout = self._rollouts.by_service.get(self._own_service())
         if rollout is None:
             return
         now = asyncio.get_running_loop().time()
-        if rollout.phase is RolloutPhase.RUNNING:
-            self._send_evidence(rollout)
-            reason = self._rollouts.update_analysis(rollout, now)
-            if reason is not None:
-                self.roll_back(rollout, reason)
-            else:
-                await self._advance(rollout, now)
+        if rollout.phase is RolloutPhase.RUNNING and not self._analyse(rollout, now):
+            await self._advance(rollout, now)
         unwritten = self._unwritten.get(rollout.order.service)
         if unwritten is not None:
             await self._write(rollout, unwritten)
 
+    async def check_during_write(self) -> None:
+        """Analyse the rollout if :meth:`check` waits for the store, which can take seconds."""
+        rollout = self._rollouts.by_service.get(self._own_service())
+        if self._writing and rollout is not None and rollout.phase is RolloutPhase.RUNNING:
+            self._analyse(rollout, asyncio.get_running_loop().time())
+
+    def _analyse(self, rollout: Rollout, now: float) -> bool:
+        """Send this node's evidence and analyse all; return whether the version is rolled back."""
+        self._send_evidence(rollout)
+        reason = self._rollouts.update_analysis(rollout, now)
+        if reason is None:
+            return False
+        self.roll_back(rollout, reason)
+        return True
+
     def _send_evidence(self, rollout: Rollout) -> None:
         evidence = self._rollouts.local_evidence(rollout)
         if evidence.sequence:
@@ -189,9 +202,16 @@
             current = self._rollouts.by_service.get(service)
             return current is rollout and rollout.status is decided_on
 
-        match await self._statuses.write(status, is_due):
+        self._writing = True
+        try:
+            result = await self._statuses.write(status, is_due)
+        finally:
+            self._writing = False
+        match result:
             case Ok(_):
-                self._unwritten.pop(service, None)
+                # A rollback decided during the write of an earlier step is still unwritten.
+                if self._unwritten.get(service) is status:
+                    del self._unwritten[service]
                 now = asyncio.get_running_loop().time()
                 self._rollouts.apply_status(status, now, recorded=True)
             case Err(error):
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -54,9 +54,27 @@
         return [body[kind] for _, body in self.sent if kind in body]
 
 
-class NoTimers:
+class ManualTimers:
+    """Timers that run each callback when told to, unless its last run has not ended."""
+
+    def __init__(self) -> None:
+        self._callbacks: dict[str, t.Callable[[], t.Coroutine[t.Any, t.Any, None]]] = {}
+        self._runs: dict[str, asyncio.Task[None]] = {}
+
     def subscribe(self, name: str, period_s: float, callback: t.Any) -> None:
-        pass
+        self._callbacks[name] = callback
+
+    async def tick(self) -> None:
+        """Start the callbacks, and return after a few turns of the loop."""
+        for name, callback in self._callbacks.items():
+            if name not in self._runs or self._runs[name].done():
+                self._runs[name] = asyncio.get_running_loop().create_task(callback())
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    async def finish(self) -> None:
+        """Wait until the callbacks have ended."""
+        await asyncio.gather(*self._runs.values())
 
 
 def encode(status: RolloutStatus) -> StoreWrite:
@@ -106,6 +124,7 @@
         self.store = store
         self.rollouts = Rollouts(f"n-{number}", 1, decisions, rng, ExposureLimits(0.1, 50))
         self.links = RecordedLinks()
+        self.timers = ManualTimers()
         directory = self.directory = Directory()
         for other in (1, 2):
             directory.update(f"node/{other}", peer(other).entry)
@@ -120,7 +139,7 @@
             directory,
             t.cast(t.Any, self.links),
             StatusLog(store, "statuses", self.replica, encode),
-            t.cast(t.Any, NoTimers()),
+            t.cast(t.Any, self.timers),
             SystemClock(),
             decisions,
         )
@@ -186,6 +205,48 @@
         await check
         self.assertEqual([record.key for record in self.store.records], ["statements", "billing"])
 
+    async def test_a_faulty_version_is_rolled_back_while_a_step_waits_for_the_store(self) -> None:
+        self.store.put("billing", encode_rollout_status(replace(STATUS, service="billing")))
+        self.store.answers.clear()
+        await self.first.timers.tick()
+        self.assertEqual(len(self.store.reads), 1)
+        with mock.patch.object(Rollouts, "update_analysis", return_value="errors"):
+            await self.first.timers.tick()
+        self.assertTrue(self.first.rollouts.is_forbidden("statements", "v2"))
+        self.store.answers.set()
+        await self.first.timers.finish()
+        statuses = [decode_rollout_status(record.value).unwrap() for record in self.store.records]
+        self.assertEqual(
+            [(status.service, status.phase) for status in statuses],
+            [("billing", RolloutPhase.RUNNING), ("statements", RolloutPhase.ROLLED_BACK)],
+        )
+
+    async def test_a_rollback_is_recorded_after_a_step_that_was_being_written(self) -> None:
+        responses = asyncio.Event()
+        append = self.store.append
+
+        async def append_and_hold(*args: t.Any) -> Result[int, StoreError]:
+            result = await append(*args)
+            await responses.wait()
+            return result
+
+        with mock.patch.object(self.store, "append", append_and_hold):
+            await self.first.timers.tick()
+            self.assertEqual(len(self.store.records), 1)
+            rollout = self.first.rollouts.by_service["statements"]
+            self.first.driver.roll_back(rollout, "errors")
+            responses.set()
+            await self.first.timers.finish()
+        await self.first.read()
+        await self.first.timers.tick()
+        await self.first.timers.finish()
+        statuses = [decode_rollout_status(record.value).unwrap() for record in self.store.records]
+        self.assertEqual(
+            [status.phase for status in statuses],
+            [RolloutPhase.RUNNING, RolloutPhase.ROLLED_BACK],
+        )
+        self.assertTrue(self.first.rollouts.is_forbidden("statements", "v2"))
+
     async def test_two_drivers_never_both_write_a_step_from_the_same_state(self) -> None:
         written_steps = 0
         for seed in range(100):
