Keep a connection between nodes open while a frame makes progress over it

Callers saw large calls over a slow link lost after about 2 s, each retry as well, with all other calls on the connection; the healthy node was then marked unreachable.

Cause: after 1 s without received bytes a ping is written, and 1 s later the connection is aborted. The ping was queued behind a frame of some MB, so it hadn't been sent by then.

A ping now notes how many bytes were written before it. As long as the peer acknowledges more of these, by the write buffer and the kernel's send queue (SIOCOUTQ), the second starts again; it last starts when the frames ahead of the ping are acknowledged. Bytes behind the ping don't count, so a relay that discards all it reads can't hold the connection open while new calls are written to it. Frames and the protocol are as before. The keep-alive of a peer that takes nothing is as before; of one that ends in the middle of a transfer it starts with the check, every 0.5 s, that last found progress.

Ruled out: counting any progress as life without a bound (the relay above), and only the write buffer (the kernel holds up to some MB more).

--- a/benchmarks/mechanisms.py
+++ b/benchmarks/mechanisms.py
@@ -238,7 +238,23 @@
     ),
     Mechanism(
         "a silent connection is closed",
-        (Edit("wire/link.py", "if now - self._ping_sent_at >= PONG_TIMEOUT_S:", "if False:"),),
+        (
+            Edit(
+                "wire/link.py",
+                "if now - self._ping.waiting_since >= PONG_TIMEOUT_S:",
+                "if False:",
+            ),
+        ),
+        ("tests.wire.test_link",),
+    ),
+    Mechanism(
+        "a slow transfer that makes progress is not cut off",
+        (Edit("wire/keepalive.py", "if acknowledged > self.acknowledged:", "if False:"),),
+        ("tests.wire.test_link",),
+    ),
+    Mechanism(
+        "bytes behind a ping do not keep a silent connection open",
+        (Edit("wire/keepalive.py", "acknowledged = min(acknowledged, self.offset)", "pass"),),
         ("tests.wire.test_link",),
     ),
     Mechanism(
--- /dev/null
+++ b/src/bulrushflow/wire/keepalive.py
@@ -0,0 +1,57 @@
+"""The wait for a response to a ping, which goes on while the frames ahead of it make progress."""
+
+import asyncio
+import fcntl
+import struct
+import termios
+from dataclasses import dataclass
+
+_QUEUED_BYTES = struct.Struct("i")
+
+
+@dataclass(slots=True)
+class Ping:
+    """A ping after which no bytes were received yet.
+
+    :param offset: bytes written to the connection before the ping.
+    :param acknowledged: how many of these the peer has acknowledged.
+    :param waiting_since: time of the ping, or of the check that last found more acknowledged.
+    """
+
+    offset: int
+    acknowledged: int
+    waiting_since: float
+
+    def record_progress(self, now: float, acknowledged: int) -> None:
+        """Restart the wait if more of the bytes ahead of the ping are acknowledged.
+
+        Bytes behind the ping don't count: a relay that discards what it reads acknowledges them,
+        and new requests would keep its connection open for good.
+
+        :param acknowledged: bytes of the whole connection that the peer has acknowledged.
+        """
+        acknowledged = min(acknowledged, self.offset)
+        if acknowledged > self.acknowledged:
+            self.acknowledged = acknowledged
+            self.waiting_since = now
+
+
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes in a transport's write buffer and in the kernel's send queue.
+
+    Where the system doesn't tell the second part, only the first is returned.
+    """
+    raw = transport.get_extra_info("socket")
+    queued = 0 if raw is None else _send_queue_bytes(raw.fileno())
+    return transport.get_write_buffer_size() + queued
+
+
+def _send_queue_bytes(fileno: int) -> int:
+    """Return the bytes sent or to be sent by the kernel that the peer has not acknowledged."""
+    try:
+        # SIOCOUTQ, by the name that Python has for the same number.
+        data = fcntl.ioctl(fileno, termios.TIOCOUTQ, bytes(_QUEUED_BYTES.size))
+    except (OSError, ValueError):
+        return 0
+    queued: int = _QUEUED_BYTES.unpack(data)[0]
+    return queued
--- a/src/bulrushflow/wire/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -15,6 +15,8 @@
 from result import Result
 
 from bulrushflow.wire import messages
+from bulrushflow.wire.keepalive import Ping
+from bulrushflow.wire.keepalive import unacknowledged_bytes
 
 MAX_FRAME_BYTES = 16 << 20
 HIGH_WATER_BYTES = 1 << 20
@@ -26,7 +28,10 @@
 IDLE_KEEPALIVE_S = 3.0
 """The same without open exchanges, so that a dead connection is found before the next call."""
 PONG_TIMEOUT_S = 1.0
-"""Seconds without received bytes after a ping, after which the connection is closed."""
+"""Seconds without received bytes after a ping, after which the connection is closed.
+
+They start again whenever the peer acknowledges bytes that were queued ahead of the ping.
+"""
 
 _LENGTH = struct.Struct(">I")
 _RESPONSE_FIELDS = ("call_answer", "records", "members", "pong", "failure")
@@ -67,7 +72,8 @@
         self._one_way_tasks: set[asyncio.Task[None]] = set()
         self._exchange_numbers = itertools.count(1)
         self._last_received_at = 0.0
-        self._ping_sent_at: float | None = None
+        self._ping: Ping | None = None
+        self._written_bytes = 0
         self._congested = False
         self.last_used_at = 0.0
         self.lost = False
@@ -110,7 +116,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._last_received_at = asyncio.get_running_loop().time()
-        self._ping_sent_at = None
+        self._ping = None
         self._buffer += data
         start = 0
         available = len(self._buffer)
@@ -207,28 +213,37 @@
         """Ping a silent peer, and close the connection if no bytes follow in time.
 
         A connection can stay silent for good while new ones to the same node work, so only
-        bytes received on this connection show that it is alive.
+        bytes received on this connection show that it is alive. The ping can't be answered before
+        the frames ahead of it are sent, so the wait goes on while the peer acknowledges these.
         """
-        if self.lost:
+        if self.lost or self._transport is None:
             return
-        if self._ping_sent_at is not None:
-            if now - self._ping_sent_at >= PONG_TIMEOUT_S:
-                logger.warning(
-                    "closing the connection: silent for {} s after a ping, {} exchanges open",
-                    PONG_TIMEOUT_S,
-                    len(self._pending),
-                )
-                self.abort()
+        if self._ping is None:
+            silence_s = BUSY_KEEPALIVE_S if self._pending or self._tasks else IDLE_KEEPALIVE_S
+            if now - self._last_received_at >= silence_s:
+                self._send_ping(now, self._transport)
             return
-        silence_s = BUSY_KEEPALIVE_S if self._pending or self._tasks else IDLE_KEEPALIVE_S
-        if now - self._last_received_at >= silence_s:
-            self._ping_sent_at = now
-            self._write(_encode_frame(0, {"ping": messages.Heartbeat()}).unwrap())
+        unacknowledged = unacknowledged_bytes(self._transport)
+        self._ping.record_progress(now, self._written_bytes - unacknowledged)
+        if now - self._ping.waiting_since >= PONG_TIMEOUT_S:
+            logger.warning(
+                "closing the connection: silent for {} s after a ping, "
+                "{} bytes unacknowledged, {} exchanges open",
+                PONG_TIMEOUT_S,
+                unacknowledged,
+                len(self._pending),
+            )
+            self.abort()
 
     def reset_keepalive(self, now: float) -> None:
         """Restart the keep-alive period after a pause of this node itself."""
         self._last_received_at = now
-        self._ping_sent_at = None
+        self._ping = None
+
+    def _send_ping(self, now: float, transport: asyncio.Transport) -> None:
+        acknowledged = self._written_bytes - unacknowledged_bytes(transport)
+        self._ping = Ping(self._written_bytes, acknowledged, now)
+        self._write(_encode_frame(0, {"ping": messages.Heartbeat()}).unwrap())
 
     def _write(self, data: bytes) -> None:
         if self._transport is None or self.lost:
@@ -241,6 +256,7 @@
             self.abort()
             return
         self._transport.write(data)
+        self._written_bytes += len(data)
 
     def _handle_frame(self, payload: bytes) -> None:
         match messages.decode(messages.Frame, payload):
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -1,6 +1,7 @@
 """Tests of one connection between nodes, over an in-memory transport."""
 
 import asyncio
+import math
 import random
 import typing as t
 import unittest
@@ -11,6 +12,7 @@
 
 from bulrushflow.wire import link as link_module
 from bulrushflow.wire import messages
+from bulrushflow.wire.link import BUSY_KEEPALIVE_S
 from bulrushflow.wire.link import IDLE_KEEPALIVE_S
 from bulrushflow.wire.link import MAX_FRAME_BYTES
 from bulrushflow.wire.link import PONG_TIMEOUT_S
@@ -41,6 +43,10 @@
     def abort(self) -> None:
         self._link.connection_lost(None)
 
+    def acknowledge(self, acknowledged_bytes: int) -> None:
+        """Let the peer have taken the first bytes written, and no others."""
+        self.unwritten_bytes = len(self.written) - acknowledged_bytes
+
     def frames(self) -> list[t.Any]:
         """Return the frames written since the last call."""
         frames, data = [], bytes(self.written)
@@ -257,3 +263,60 @@
         transport.unwritten_bytes = link_module.MAX_WRITE_BUFFER_BYTES
         link.send(pong=messages.Heartbeat())
         self.assertTrue(link.lost)
+
+
+class SlowTransferTests(unittest.IsolatedAsyncioTestCase):
+    """A ping that is queued behind a frame which the peer takes slowly."""
+
+    async def asyncSetUp(self) -> None:
+        self.link, self.transport = open_link()
+        big = request("1")
+        big.body = bytes(5_000_000)
+        self.call = asyncio.create_task(self.link.exchange(GUARD_S, call_request=big))
+        await asyncio.sleep(0)
+        self.ahead_bytes = len(self.transport.written)
+        # Whole seconds, so that differences of times are exact.
+        self.pinged_at = math.ceil(asyncio.get_running_loop().time()) + BUSY_KEEPALIVE_S
+        self.check(0.0, 1_000_000)
+        self.assertGreater(len(self.transport.written), self.ahead_bytes)
+
+    async def asyncTearDown(self) -> None:
+        self.call.cancel()
+        await asyncio.gather(self.call, return_exceptions=True)
+
+    def check(self, after_ping_s: float, acknowledged_bytes: int) -> bool:
+        """Check the connection; return whether it is open."""
+        self.transport.acknowledge(acknowledged_bytes)
+        self.link.check_keepalive(self.pinged_at + after_ping_s)
+        return not self.link.lost
+
+    async def test_a_peer_that_takes_bytes_of_the_frame_is_not_silent(self) -> None:
+        for i in range(1, 9):
+            later_s = i * PONG_TIMEOUT_S
+            self.assertTrue(self.check(later_s, 1_000_000 + i * 100_000), f"{later_s} s")
+
+    async def test_a_peer_that_takes_no_bytes_is_closed_after_the_pong_timeout(self) -> None:
+        self.assertTrue(self.check(0.5 * PONG_TIMEOUT_S, 1_000_000))
+        self.assertFalse(self.check(PONG_TIMEOUT_S, 1_000_000))
+
+    async def test_a_peer_that_stops_taking_bytes_is_closed_after_the_pong_timeout(self) -> None:
+        self.assertTrue(self.check(PONG_TIMEOUT_S, 1_000_001))
+        self.assertTrue(self.check(1.5 * PONG_TIMEOUT_S, 1_000_001))
+        self.assertFalse(self.check(2 * PONG_TIMEOUT_S, 1_000_001))
+
+    async def test_the_pong_timeout_starts_when_the_frame_ahead_is_taken(self) -> None:
+        self.assertTrue(self.check(PONG_TIMEOUT_S, self.ahead_bytes))
+        self.assertTrue(self.check(1.5 * PONG_TIMEOUT_S, len(self.transport.written)))
+        self.assertFalse(self.check(2 * PONG_TIMEOUT_S, len(self.transport.written)))
+
+    async def test_bytes_behind_the_ping_do_not_keep_a_silent_connection_open(self) -> None:
+        self.assertTrue(self.check(PONG_TIMEOUT_S, self.ahead_bytes))
+        for later_s in (1.5 * PONG_TIMEOUT_S, 2 * PONG_TIMEOUT_S):
+            self.link.send(state_notice=messages.StateNotice())
+            is_open = self.check(later_s, len(self.transport.written))
+        self.assertFalse(is_open)
+
+    async def test_a_pong_ends_the_wait(self) -> None:
+        self.assertTrue(self.check(PONG_TIMEOUT_S, len(self.transport.written)))
+        self.link.data_received(frame(0, pong=messages.Heartbeat()))
+        self.assertTrue(self.check(2 * PONG_TIMEOUT_S, len(self.transport.written)))
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -1,15 +1,20 @@
 """Tests of the connections between nodes, over loopback."""
 
 import asyncio
+import math
 import random
+import socket
 import typing as t
 import unittest
 from unittest import mock
 
 from bulrushflow.timers import Timers
+from bulrushflow.wire import Link
 from bulrushflow.wire import Links
 from bulrushflow.wire import links as links_module
 from bulrushflow.wire import messages
+from bulrushflow.wire.link import IDLE_KEEPALIVE_S
+from bulrushflow.wire.link import PONG_TIMEOUT_S
 from tests.targets.servers import GUARD_S
 from tests.targets.servers import until
 from tests.wire.test_link import call_answer
@@ -102,3 +107,41 @@
         self.client._close_idle(now + links_module.IDLE_TIMEOUT_S)
         self.assertEqual(self.client._outbound_by_endpoint, {})
         self.assertTrue((await self.send_call(others[0])).is_ok())
+
+
+class KernelBufferTests(unittest.IsolatedAsyncioTestCase):
+    """A frame that is in the kernel's send buffer as a whole, for a peer that reads slowly."""
+
+    async def asyncSetUp(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sender = socket.socket()
+        sender.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 200_000)
+        sender.connect(listener.getsockname())
+        self.peer, _ = listener.accept()
+        self.addCleanup(self.peer.close)
+        self.peer.setblocking(False)
+        sender.setblocking(False)
+        self.transport, self.link = await asyncio.get_running_loop().create_connection(
+            lambda: Link({}, lambda _: None), sock=sender
+        )
+        self.addCleanup(self.transport.abort)
+
+    async def read(self, size: int) -> None:
+        loop = asyncio.get_running_loop()
+        while size > 0:
+            data = await asyncio.wait_for(loop.sock_recv(self.peer, size), GUARD_S)
+            size -= len(data)
+
+    async def test_bytes_that_the_peer_takes_from_the_kernel_keep_the_connection_open(self) -> None:
+        large = request("1")
+        large.body = bytes(100_000)
+        self.link.send(call_request=large)
+        self.assertEqual(self.transport.get_write_buffer_size(), 0)
+        pinged_at = math.ceil(asyncio.get_running_loop().time()) + IDLE_KEEPALIVE_S
+        self.link.check_keepalive(pinged_at)
+        for i in range(1, 4):
+            await self.read(25_000)
+            self.link.check_keepalive(pinged_at + i * PONG_TIMEOUT_S)
+            self.assertFalse(self.link.lost, f"after {i * 25_000} bytes")
