--- a/scripts/mixed_builds.py
+++ b/scripts/mixed_builds.py
@@ -71,7 +71,10 @@
         print(f"{build.name}: {build.source} at {build.commit()}", flush=True)
     with tempfile.TemporaryDirectory(prefix="mixed-builds-") as scratch:
         report = Report(pathlib.Path(scratch))
-        asyncio.run(run_parts(builds, report))
+        try:
+            asyncio.run(run_parts(builds, report))
+        except (asyncio.CancelledError, KeyboardInterrupt):
+            report.add("run: all parts were run", False, "stopped by a signal")
     print("\n".join(report.lines))
     print(f"failed checks: {report.failed}")
     return 1 if report.failed else 0
