Let the system close accepted connections with unacknowledged data as well

Nobody saw it yet: TCP_USER_TIMEOUT was set on outbound connections only, so unacknowledged data on an accepted one was given up by the kernel after minutes, where the keep-alive doesn't check: on a connection that is closing and still has a response to send.

Cause: the option was set where a connection is opened. Now it is set on the listening sockets before they listen, and accepted sockets inherit it (tcp(7)), the first one included.

Failed before: AssertionError: 0 != 1500

--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -62,8 +62,14 @@
 
     async def on_start(self) -> None:
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, self._address, self.port)
+        self._server = await loop.create_server(
+            self._accept, self._address, self.port, start_serving=False
+        )
+        for listener in self._server.sockets:
+            # Accepted sockets inherit the option.
+            listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         self.port = self._server.sockets[0].getsockname()[1]
+        await self._server.start_serving()
         self._pause_detector.check(loop.time())
         self._timers.subscribe("link-silence", CHECK_PERIOD_S, self._check)
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -53,6 +53,18 @@
         self.assertTrue(all(result.is_ok() for result in results))
         self.assertEqual(len(self.server._accepted), 1)
 
+    async def test_the_system_closes_connections_with_unacknowledged_data_at_both_ends(
+        self,
+    ) -> None:
+        await self.send_call()
+        (outbound,) = self.client._outbound_by_endpoint.values()
+        (accepted,) = self.server._accepted
+        for name, link in (("outbound", outbound), ("accepted", accepted)):
+            with self.subTest(name):
+                raw = t.cast(asyncio.Transport, link._transport).get_extra_info("socket")
+                timeout_ms = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                self.assertEqual(timeout_ms, links_module.USER_TIMEOUT_MS)
+
     async def test_a_cancelled_call_does_not_cancel_a_shared_connection_attempt(self) -> None:
         first, second = asyncio.create_task(self.send_call()), asyncio.create_task(self.send_call())
         await asyncio.sleep(0)
