Bound a log's response by the pause between its bytes, not in total

A page that takes longer than 5 s was given up although it kept arriving, and begun anew by the reader: on a slow link it never ends.

The time until a response begins keeps its bound, request_timeout_s. From then on the same time without a byte ends it, 60 s altogether for one that trickles, and 64 MiB. The reading moves from the platform's store to a module that both use; the store's bounds stay as they are.

Its test failed before: LogError(kind=<LogErrorKind.UNAVAILABLE: 'unavailable'>, message='TimeoutError: ')

--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -12,6 +12,8 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.http_responses import BodyLimits
+from bulrushflow.http_responses import read_body
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.storage import KeyedRecord
 from bulrushflow.sidecar.storage import StoreError
@@ -25,8 +27,7 @@
 READ_MARGIN_S = 2.0
 """The same for a long-polling read, beyond the time that it waits for records."""
 IDLE_TIMEOUT_S = 1.5
-"""Time without a byte after which a response that has begun is given up. A response that keeps
-arriving is not: begun anew, it would take as long again on a slow link."""
+"""Time without a byte after which a response that has begun is given up."""
 MAX_TRANSFER_S = 20.0
 """Bound on the whole duration of a response, for one that trickles without end."""
 MAX_RESPONSE_BYTES = 4 << 20
@@ -202,21 +203,8 @@
 
 
 async def _read_body(response: aiohttp.ClientResponse, timeout: asyncio.Timeout) -> bytes:
-    """Read a response, and move the timeout on with each part of it.
-
-    :raises aiohttp.ClientPayloadError: if the response exceeds :data:`MAX_RESPONSE_BYTES`.
-    """
-    loop = asyncio.get_running_loop()
-    give_up_at = loop.time() + MAX_TRANSFER_S
-    data = bytearray()
-    while True:
-        timeout.reschedule(min(give_up_at, loop.time() + IDLE_TIMEOUT_S))
-        chunk = await response.content.readany()
-        if not chunk:
-            return bytes(data)
-        data += chunk
-        if len(data) > MAX_RESPONSE_BYTES:
-            raise aiohttp.ClientPayloadError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
+    limits = BodyLimits(IDLE_TIMEOUT_S, MAX_TRANSFER_S, MAX_RESPONSE_BYTES)
+    return await read_body(response, timeout, limits)
 
 
 def _create_socket(address_info: t.Any) -> socket.socket:
--- a/src/bulrushflow/recording/http.py
+++ b/src/bulrushflow/recording/http.py
@@ -1,5 +1,6 @@
 """Client of the platform's log over HTTP."""
 
+import asyncio
 import base64
 import typing as t
 
@@ -10,15 +11,25 @@
 from result import Result
 
 from bulrushflow.configuration import LogRecord
+from bulrushflow.http_responses import BodyLimits
+from bulrushflow.http_responses import read_body
 from bulrushflow.recording.log import LogError
 from bulrushflow.recording.log import LogErrorKind
 from bulrushflow.recording.log import LogPage
 
+MAX_TRANSFER_S = 60.0
+"""Bound on the duration of a response: 37 MB at 5 Mbit/s."""
+MAX_RESPONSE_BYTES = 64 << 20
+"""Bound on the memory for a response. The log decides how many records a page has."""
+
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+
 
 class HttpLog:
     """Implements :class:`~bulrushflow.recording.log.Log` over HTTP.
 
-    :param timeout_s: timeout of a request; a read that waits gets its waiting time on top.
+    :param timeout_s: seconds until a response begins, and between its bytes; a read that waits gets
+        its waiting time on top.
     """
 
     __slots__ = ("_session", "_timeout_s", "_url")
@@ -58,12 +69,15 @@
     ) -> Result[dict[str, t.Any], LogError]:
         if self._session is None:
             self._session = aiohttp.ClientSession()
-        timeout = aiohttp.ClientTimeout(total=self._timeout_s + extra_timeout_s)
+        limits = BodyLimits(self._timeout_s, MAX_TRANSFER_S, MAX_RESPONSE_BYTES)
         try:
-            async with self._session.request(
-                method, self._url + path, timeout=timeout, **options
-            ) as response:
-                return _decode(response.status, await response.read())
+            async with (
+                asyncio.timeout(self._timeout_s + extra_timeout_s) as timeout,
+                self._session.request(
+                    method, self._url + path, timeout=_NO_TIMEOUT, **options
+                ) as response,
+            ):
+                return _decode(response.status, await read_body(response, timeout, limits))
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             return Err(LogError(LogErrorKind.UNAVAILABLE, f"{type(exc).__name__}: {exc}"))
 
--- a/src/bulrushflow/settings.py
+++ b/src/bulrushflow/settings.py
@@ -24,7 +24,7 @@
     url: str
     """URL of the log, with its port."""
     request_timeout_s: Seconds = 5.0
-    """Seconds after which a request to the log counts as failed."""
+    """Seconds until a response of the log begins, and between its bytes, that count as failure."""
     long_poll_s: Seconds = 10.0
     """Seconds that a read may wait at the log for the next record."""
     append_rate_per_s: Seconds = 2.0
