--- a/src/bulrushflow/recording/recovery.py
+++ b/src/bulrushflow/recording/recovery.py
@@ -3,6 +3,8 @@
 It is used by nodes whose next record was trimmed, or which are far behind the log's end.
 """
 
+import asyncio
+
 import msgspec
 from loguru import logger
 from result import Err
@@ -19,9 +21,18 @@
 from bulrushflow.recording.log import CONFIGURATION_STREAM
 from bulrushflow.recording.log import Log
 from bulrushflow.recording.log import LogError
+from bulrushflow.recording.log import LogErrorKind
+from bulrushflow.recording.log import LogPage
 
 SPAN_FACTOR = 4
 """Growth of the searched span each time it contains no usable snapshot."""
+MAX_ATTEMPTS = 3
+"""Reads that may fail in a row before the search fails. It keeps the pages read so far, since a
+search that begins anew after each error may never end on a log that fails now and then."""
+RETRY_WAIT_S = 0.2
+"""Wait before a failed read is repeated."""
+
+_REPEATABLE_KINDS = {LogErrorKind.UNAVAILABLE, LogErrorKind.LIMITED}
 
 
 class Recovery(msgspec.Struct, frozen=True):
@@ -67,7 +78,7 @@
 async def _read_all(log: Log, start: int, end: int) -> Result[list[LogRecord], LogError]:
     records: list[LogRecord] = []
     while start < end:
-        match await log.read(CONFIGURATION_STREAM, start):
+        match await _read_page(log, start):
             case Err(error):
                 return Err(error)
             case Ok(page):
@@ -79,6 +90,21 @@
     return Ok(records)
 
 
+async def _read_page(log: Log, start: int) -> Result[LogPage, LogError]:
+    failures = 0
+    while True:
+        match await log.read(CONFIGURATION_STREAM, start):
+            case Err(error):
+                pass
+            case Ok(page):
+                return Ok(page)
+        failures += 1
+        if failures >= MAX_ATTEMPTS or error.kind not in _REPEATABLE_KINDS:
+            return Err(error)
+        logger.debug("reading offset {} failed {} times: {}", start, failures, error.message)
+        await asyncio.sleep(RETRY_WAIT_S)
+
+
 def _newest_usable(
     records: list[LogRecord], start: int, current_offset: int
 ) -> Configuration | None:
--- a/tests/recording/test_recovery.py
+++ b/tests/recording/test_recovery.py
@@ -1,17 +1,26 @@
 """Tests of recovery from a snapshot after records were trimmed."""
 
+import typing as t
 import unittest
+from unittest import mock
 
 import msgspec
+from result import Err
+from result import Result
 
 from bulrushflow.configuration import EMPTY_CONFIGURATION
 from bulrushflow.configuration import Configure
+from bulrushflow.configuration import LogRecord
 from bulrushflow.configuration import ServiceBody
 from bulrushflow.configuration import digest
 from bulrushflow.configuration import encode_record
 from bulrushflow.configuration import fold_records
 from bulrushflow.configuration import make_snapshot
+from bulrushflow.recording import LogError
+from bulrushflow.recording import LogPage
 from bulrushflow.recording import recover_from_snapshot
+from bulrushflow.recording import recovery as recovery_module
+from tests.recording.fakes import DOWN
 from tests.recording.fakes import MemoryLog
 
 
@@ -34,6 +43,26 @@
     return log
 
 
+class FaultyLog(MemoryLog):
+    """Fails the reads of the given numbers, from 1 on, and records the offsets of the others."""
+
+    def __init__(self, records: list[LogRecord], failing_reads: t.Container[int]) -> None:
+        super().__init__()
+        self.records = records
+        self.offsets_read: list[int] = []
+        self._failing_reads = failing_reads
+
+    async def read(
+        self, stream: str, from_offset: int, wait_s: float = 0.0
+    ) -> Result[LogPage, LogError]:
+        """See :meth:`Log.read`."""
+        result = await super().read(stream, from_offset, wait_s)
+        if self.reads in self._failing_reads:
+            return Err(DOWN)
+        self.offsets_read.append(from_offset)
+        return result
+
+
 class RecoverTests(unittest.IsolatedAsyncioTestCase):
     async def test_the_newest_usable_snapshot_and_later_records_equal_a_full_replay(self) -> None:
         cases = {
@@ -71,3 +100,25 @@
         log = log_with_snapshots(12)
         log.down = True
         self.assertEqual((await recover_from_snapshot(log, -1, 0, 8)).unwrap_err(), "down")
+
+    async def test_after_a_failed_read_the_search_goes_on_from_the_offset_reached(self) -> None:
+        log = FaultyLog(log_with_snapshots(12).records, failing_reads={2, 4, 5})
+        with mock.patch.object(recovery_module, "RETRY_WAIT_S", 0.0):
+            found = (await recover_from_snapshot(log, -1, 0, 16)).unwrap()
+        self.assertEqual(found.configuration.offset, 11)
+        self.assertEqual(log.offsets_read, [4, 8, 12, 16])
+
+    async def test_failures_without_progress_are_bounded(self) -> None:
+        log = FaultyLog(log_with_snapshots(12).records, failing_reads=range(2, 1000))
+        with mock.patch.object(recovery_module, "RETRY_WAIT_S", 0.0):
+            result = await recover_from_snapshot(log, -1, 0, 16)
+        self.assertEqual(result.unwrap_err(), "down")
+        self.assertEqual(log.reads, 1 + recovery_module.MAX_ATTEMPTS)
+
+    async def test_a_trimmed_offset_is_not_read_again(self) -> None:
+        log = log_with_snapshots(12)
+        del log.records[:8]
+        with mock.patch.object(recovery_module, "RETRY_WAIT_S", 0.0):
+            result = await recover_from_snapshot(log, -1, 0, 16)
+        self.assertEqual(result.unwrap_err(), "trimmed")
+        self.assertEqual(log.reads, 1)
