Bound a node's response to the command line by the pause between its bytes

`bulrushflow` gave the response of a node up 5 s after the request, although it kept arriving: a configuration or a page of records that takes longer on a slow link could never be read, by history, diff or get.

The client reads responses as those of the log: 5 s until a response begins and between its bytes, 60 s altogether, 64 MiB; a pause of the process doesn't count. The record reader reads through this client and the log's.

--- a/src/bulrushflow/operators/client.py
+++ b/src/bulrushflow/operators/client.py
@@ -19,6 +19,9 @@
 from bulrushflow.configuration import decode_configuration
 from bulrushflow.configuration import encode_record
 from bulrushflow.configuration import record_digest
+from bulrushflow.http_responses import BodyLimits
+from bulrushflow.http_responses import SilenceTimeout
+from bulrushflow.http_responses import read_body
 from bulrushflow.operators.reports import Convergence
 from bulrushflow.recording import CONFIGURATION_STREAM
 from bulrushflow.recording import HttpLog
@@ -28,6 +31,11 @@
 MAX_BACKOFF_S = 2.0
 POLL_S = 0.1
 REQUEST_TIMEOUT_S = 5.0
+"""Time until a response begins, and between its bytes."""
+MAX_TRANSFER_S = 60.0
+"""Bound on the duration of a response: 37 MB at 5 Mbit/s."""
+MAX_RESPONSE_BYTES = 64 << 20
+"""Bound on the memory for a response; a configuration is the longest one."""
 OK_STATUS = 200
 
 T = t.TypeVar("T")
@@ -58,9 +66,7 @@
     def __init__(self, log_url: str, node_urls: str, timeout_s: float) -> None:
         self.log = HttpLog(log_url, REQUEST_TIMEOUT_S)
         self._node_urls = [url.strip().rstrip("/") for url in node_urls.split(",")]
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-        )
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None))
         self._rng = random.Random()
         self._deadline = time.monotonic() + timeout_s
 
@@ -143,9 +149,14 @@
 
     async def _request(self, url: str, path: str) -> Result[_NodeResponse, str]:
         """Return one node's response, whatever its status."""
+        limits = BodyLimits(REQUEST_TIMEOUT_S, MAX_TRANSFER_S, MAX_RESPONSE_BYTES)
         try:
-            async with self._session.get(url + path) as response:
-                return Ok(_NodeResponse(url, response.status, await response.read()))
+            async with (
+                SilenceTimeout(REQUEST_TIMEOUT_S) as timeout,
+                self._session.get(url + path) as response,
+            ):
+                body = await read_body(response, timeout, limits)
+                return Ok(_NodeResponse(url, response.status, body))
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             return Err(f"the node at {url} could not be asked: {exc!r}")
 
--- a/tests/operators/test_client.py
+++ b/tests/operators/test_client.py
@@ -1,18 +1,28 @@
 """Tests of publishing: the verdict returned must be on the record that was published."""
 
+import asyncio
+import typing as t
 import unittest
+from unittest import mock
 
 from aiohttp import web
+from result import Result
 
 from bulrushflow.configuration import ConfigurationStore
 from bulrushflow.configuration import Configure
 from bulrushflow.configuration import ServiceBody
+from bulrushflow.operators import client as client_module
 from bulrushflow.operators.client import OperatorClient
+from bulrushflow.operators.record_reader import read_records
 from tests.recording.test_http import StandinFixture
+from tests.skipped_time import PieceServer
+from tests.skipped_time import SkippedTime
 
 FIRST = Configure(1, "p1", "ana", services={"plots": ServiceBody("v1")})
 OTHER = Configure(1, "p1", "bojan", services={"plots": ServiceBody("v2")})
 GUARD_S = 30.0
+BODY = b"x" * 200
+UNREACHABLE = "http://127.0.0.1:1"
 
 
 class PublishTests(unittest.IsolatedAsyncioTestCase):
@@ -70,3 +80,44 @@
                 "record_digest": verdict.record_digest,
             }
         )
+
+
+class TransferTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.time = SkippedTime(self)
+
+    async def test_a_response_that_keeps_arriving_is_not_given_up(self) -> None:
+        body = await self._get(lambda _: self.time.skip(0.4))
+        self.assertEqual(body.unwrap(), BODY)
+        self.assertGreater(self.time.skipped_s, client_module.REQUEST_TIMEOUT_S)
+
+    async def test_a_response_that_stops_arriving_is_given_up(self) -> None:
+        stopped = asyncio.Event()
+
+        async def stop(_: int) -> None:
+            await stopped.wait()
+
+        getting = asyncio.create_task(self._get(stop))
+        while not getting.done():
+            await self.time.skip(0.4)
+        stopped.set()
+        self.assertIn("could not be asked", (await getting).unwrap_err())
+
+    async def test_a_response_without_end_is_given_up(self) -> None:
+        for name, bound in (("MAX_TRANSFER_S", 1.0), ("MAX_RESPONSE_BYTES", 100)):
+            with self.subTest(name), mock.patch.object(client_module, name, bound):
+                body = await self._get(lambda _: self.time.skip(0.4))
+                self.assertIn("could not be asked", body.unwrap_err())
+
+    async def test_a_list_of_records_that_keeps_arriving_is_read_from_a_node(self) -> None:
+        # The log is unreachable, so the records come from the node, in one slow page.
+        server = PieceServer(b"[]" + b" " * 200, lambda _: self.time.skip(0.4))
+        async with OperatorClient(UNREACHABLE, await server.start(self), 0.0) as client:
+            loaded = (await read_records(client)).unwrap()
+        self.assertEqual(loaded.first_offset, 0)
+        self.assertEqual(server.requests, 1)
+
+    async def _get(self, after_piece: t.Callable[[int], t.Awaitable[None]]) -> Result[bytes, str]:
+        server = PieceServer(BODY, after_piece)
+        async with OperatorClient(UNREACHABLE, await server.start(self), 0.0) as client:
+            return await client.get_bytes("/configuration")
