Halve the bound on the framing of a response

test_other_calls_complete_beside_endless_responses failed in one of five runs beside four busy processes (load 25 on 8 cores): its four calls with endless chunks of one byte had not ended after the guard of 30 s (TimeoutError), since 256 KiB of framing are 65,000 chunks, parsed in turns. The bound is 128 KiB now, some 32,000 chunks, still twice the limit on an incomplete head.

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -17,9 +17,10 @@
 256 KiB can hold some 40,000 chunks."""
 MAX_INFORMATIONAL_RESPONSES = 16
 """Responses with a 1xx status before a final one, after which the final one is not awaited."""
-MAX_FRAMING_BYTES = 256 << 10
+MAX_FRAMING_BYTES = 128 << 10
 """Bytes of heads, chunk headers and trailers that are received for a call, beyond one for each byte
-of a body. Chunks of one byte, the smallest that a target can write, carry five each."""
+of a body. Chunks of one byte, the smallest that a target can write, carry five each, so that
+some 32,000 of them are accepted."""
 MAX_STALE_RESPONSES = 16
 """Responses to other calls that are skipped before a call's own one."""
 
