Restart the mixed fleet's nodes one by one again

Restarted three at once, a run at load 30 on 8 cores had members silent for 1 s and not ready, and exceeded 240 s in the log part. Not run since.

--- a/scripts/builds/log_design.py
+++ b/scripts/builds/log_design.py
@@ -109,13 +109,12 @@
         status, output = await program.output()
         return status, output, program.errors()
 
-    async def restart_swapped(self, nodes: t.Sequence[FleetNode]) -> None:
-        """Restart nodes with the other build, and wait until all targets are ready."""
-        await asyncio.gather(*(self.stop_node(node) for node in nodes))
-        for node in nodes:
-            is_old = self.build_by_program[node.name] is self.builds.old
-            self.build_by_program[node.name] = self.builds.new if is_old else self.builds.old
-        await asyncio.gather(*(self.start_again(node.name) for node in nodes))
+    async def restart_swapped(self, node: FleetNode) -> None:
+        """Restart a node with the other build, and wait until all targets are ready."""
+        await self.stop_node(node)
+        is_old = self.build_by_program[node.name] is self.builds.old
+        self.build_by_program[node.name] = self.builds.new if is_old else self.builds.old
+        await self.start_again(node.name)
         await self.wait_ready(len(PLACEMENTS))
 
     async def read_alone(self, name: str, build: Build, offset: int) -> tuple[bytes, bool]:
@@ -244,7 +243,8 @@
         """Restart nodes with the other build, while others serve and send them the state."""
         names = ", ".join(node.name for node in leaving)
         load = await self._start_load(f"swap-{names}", staying, SWAP_LOAD_S)
-        await self._fleet.restart_swapped(leaving)
+        for node in leaving:
+            await self._fleet.restart_swapped(node)
         await self._check_load(f"calls while {names} restart with the other build", load)
 
     async def _check_readers(
