Listen for callers before saying that the node is ready

A caller that connected as soon as a sidecar said that it was ready could be refused: the readiness check was served before the callers' listener.

The test failed before (callers came after readiness).

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -176,15 +176,16 @@
             self._decisions,
         )
         await self._serve_application("announcements", application, self.settings.announcements)
-        readiness = readiness_application(self._adapter.paths.readiness, self.is_ready)
-        await self._serve_application("readiness", readiness, self.settings.readiness)
-        metrics = Endpoint(self.settings.address, self.settings.metrics_port)
-        await self._serve_application("metrics", metrics_application(self._metrics), metrics)
+        # Callers may connect at the moment at which they see that this node is ready.
         await self._serve(
             "callers",
             web.ServerRunner(self._callers.server(), shutdown_timeout=CONNECTION_CLOSE_TIMEOUT_S),
             self.settings.callers,
         )
+        readiness = readiness_application(self._adapter.paths.readiness, self.is_ready)
+        await self._serve_application("readiness", readiness, self.settings.readiness)
+        metrics = Endpoint(self.settings.address, self.settings.metrics_port)
+        await self._serve_application("metrics", metrics_application(self._metrics), metrics)
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
         self.timers.subscribe("replica metrics", REPLICA_METRICS_S, self._observe_replicas)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -143,6 +143,10 @@
         self.assertFalse(await self.is_ready(0))
         self.assertEqual((await self.call(0, "c-1"))[0], 503)
 
+    async def test_callers_can_connect_before_the_node_can_say_that_it_is_ready(self) -> None:
+        started = list(self.instances[0].sidecar.bound_by_setting)
+        self.assertLess(started.index("callers"), started.index("readiness"))
+
     async def test_calls_are_served_by_both_targets(self) -> None:
         await self.serve()
         for i in range(40):
