--- a/src/bulrushflow/operators/request_timeline.py
+++ b/src/bulrushflow/operators/request_timeline.py
@@ -42,7 +42,7 @@
         """The request's outcome as one line of text."""
         final = [line for line in self.request_lines if line.message in FINAL_MESSAGES]
         if not final:
-            return "no line has its end: answered in time, or left out by the limit on log lines"
+            return "no line tells its end: answered in time, or left out by the bound on lines"
         fields = final[-1].fields
         parts = [final[-1].message, *(str(fields[k]) for k in ("status", "outcome") if k in fields)]
         reason = fields.get("reason")
--- a/tests/operators/test_request_timeline.py
+++ b/tests/operators/test_request_timeline.py
@@ -58,7 +58,7 @@
     def test_a_timeline_without_the_request_s_end_says_so(self) -> None:
         timeline = build_timeline("r-10", LINES, 0.0)
         assert timeline is not None
-        self.assertIn("no line has its end", timeline.outcome_text)
+        self.assertIn("no line tells its end", timeline.outcome_text)
 
     def test_a_request_without_a_line_has_no_timeline(self) -> None:
         self.assertIsNone(build_timeline("r", LINES, 2.0))
