--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -115,7 +115,10 @@
                 found.append(match)
             return match is not None
 
-        await until(seen, f"{pattern!r} in {self._log.name}")
+        try:
+            await until(seen, f"{pattern!r} in {self._log.name}")
+        except AssertionError as exc:
+            raise AssertionError(f"{exc}; the log has: {self.errors()!r}") from exc
         return found[0]
 
     def signal(self, number: signal.Signals) -> None:
