--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -44,8 +44,8 @@
     def replace(self, records: t.Sequence[KeyedRecord]) -> None:
         """Replace the state by the latest record of each key.
 
-        A key without a record was deleted, or dropped by the store; what a handler keeps of it is
-        told at its class.
+        A key without a record was deleted, or dropped by the store. Each handler's class says what
+        it keeps of such a key.
         """
 
     def apply(self, record: KeyedRecord) -> None:
