Log the limit that a target names, and the calls sent to it under the limit

'target limit' has the limit, the one before, and the calls sent in between with those that are repeats; 'target leaving' says that a response announced the leave; bulrushflow_target_limit_per_s is a gauge. No call is treated differently.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -1,5 +1,6 @@
 """The node's Prometheus metrics, with a bound on the number of tenant labels."""
 
+import math
 import typing as t
 
 from aiohttp import web
@@ -54,6 +55,7 @@
         "sheds",
         "store_connected",
         "store_records_behind",
+        "target_limit",
         "unrecorded",
     )
 
@@ -93,6 +95,11 @@
             "1 if the latest read of a topic succeeded, else 0",
             registry=self.registry,
         )
+        self.target_limit = Gauge(
+            "bulrushflow_target_limit_per_s",
+            "Calls per second that this node's target says it accepts; +Inf without a limit",
+            registry=self.registry,
+        )
         self.admission = Gauge(
             "bulrushflow_admission", "Calls at the target by state", registry=self.registry
         )
@@ -128,6 +135,10 @@
         self.store_records_behind.set({"topic": topic}, records_behind)
         self.store_connected.set({"topic": topic}, int(connected))
 
+    def observe_target(self, limit_per_s: float | None) -> None:
+        """Record the limit that this node's target names."""
+        self.target_limit.set({}, math.inf if limit_per_s is None else limit_per_s)
+
     def count_control_bytes(self, direction: str, kind: str, count: int) -> None:
         """Count bytes of control messages.
 
--- a/src/bulrushflow/platform/headers.py
+++ b/src/bulrushflow/platform/headers.py
@@ -10,4 +10,6 @@
     not_run="X-Bulrushflow-Not-Executed",
     caller_service="X-Bulrushflow-Caller-Service",
     target_id="X-Bulrushflow-Instance-Id",
+    rate_limit="Server-Limit",
+    leaving="Server-Leaving",
 )
--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import functools
 import typing as t
 
 from result import Err
@@ -16,6 +17,7 @@
 from bulrushflow.routing import not_run
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.limit_tracker import LimitTracker
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.retry_budget import TargetRetryBudget
@@ -23,6 +25,7 @@
 from bulrushflow.sidecar.slots import SlotPool
 from bulrushflow.sidecar.slots import SlotRequest
 from bulrushflow.sidecar.target_client import TargetClient
+from bulrushflow.sidecar.target_signals import TargetSignals
 from bulrushflow.timers import Clock
 
 MAX_DEPARTED_TARGETS = 64
@@ -67,6 +70,7 @@
         self._clock = clock
         self._slots = SlotPool(1)
         self._client: TargetClient | None = None
+        self._limit = LimitTracker("", decisions)
         self._departed: collections.OrderedDict[str, tuple[int, int]] = collections.OrderedDict()
         self._running: set[asyncio.Task[CallResult]] = set()
 
@@ -80,6 +84,11 @@
         """Number of the target's slots; 0 while it accepts no calls."""
         return self._slots.capacity if self._accepts_calls() else 0
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Calls per second that the target says it accepts; ``None`` without a limit."""
+        return self._limit.limit_per_s
+
     @property
     def in_flight(self) -> int:
         """Number of calls that were sent to the target and have not ended."""
@@ -208,6 +217,7 @@
         started_at = loop.time()
         client = t.cast(TargetClient, self._client)
         seconds: float | None = None
+        self._limit.count_sent(repeated=call.attempt > 0)
         try:
             result = await client.send(call)
             seconds = loop.time() - started_at
@@ -223,6 +233,12 @@
                 self._handle_failure(client)
         return result
 
+    def _apply_signals(self, limit: LimitTracker, signals: TargetSignals, sent_at: float) -> None:
+        """Apply what a target said in a response; ``limit`` is that target's."""
+        limit.apply(signals, sent_at, asyncio.get_running_loop().time())
+        if limit is self._limit and signals.leaving and self.entry is not None:
+            self._decisions.event("target leaving", target=self.entry.target_id)
+
     def _handle_failure(self, client: TargetClient) -> None:
         if client is not self._client or self.entry is None:
             return
@@ -251,7 +267,13 @@
         if self._client is not None:
             self._client.close()
         self._slots = SlotPool(entry.slots)
-        self._client = TargetClient(endpoint, entry.target_id, self._header_names)
+        limit = self._limit = LimitTracker(entry.target_id, self._decisions)
+        self._client = TargetClient(
+            endpoint,
+            entry.target_id,
+            self._header_names,
+            functools.partial(self._apply_signals, limit),
+        )
         self.endpoint = endpoint
 
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -46,7 +46,7 @@
 
 MAX_ROUTE_LABELS = 64
 RETRY_BUDGET_UPDATE_S = 0.5
-REPLICA_METRICS_S = 1.0
+STATE_METRICS_S = 1.0
 READINESS_PROPAGATION_S = 2.8
 """Time within which callers see that a stopping node isn't ready; until then it serves calls."""
 SHUTDOWN_MARGIN_S = 0.6
@@ -187,7 +187,7 @@
         metrics = Endpoint(self.settings.address, self.settings.metrics_port)
         await self._serve_application("metrics", metrics_application(self._metrics), metrics)
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
-        self.timers.subscribe("replica metrics", REPLICA_METRICS_S, self._observe_replicas)
+        self.timers.subscribe("state metrics", STATE_METRICS_S, self._observe_state)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
 
     async def on_stop(self) -> None:
@@ -306,7 +306,8 @@
         service = self.settings.own_service
         self._retry_budget.target_count = max(1, len(self.directory.ready_peers(service)))
 
-    async def _observe_replicas(self) -> None:
+    async def _observe_state(self) -> None:
+        self._metrics.observe_target(self._admission.limit_per_s)
         for replica in self._replicas:
             self._metrics.observe_replica(replica.topic, replica.records_behind, replica.connected)
 
--- a/src/bulrushflow/sidecar/headers.py
+++ b/src/bulrushflow/sidecar/headers.py
@@ -23,6 +23,10 @@
     """Service of the instance that the call comes from."""
     target_id: str
     """Id of the target that responded."""
+    rate_limit: str
+    """Calls per second that a target accepts from all nodes together, in its responses."""
+    leaving: str
+    """Set by a target on its responses once it is about to leave."""
 
 
 HOP_BY_HOP_HEADERS = CONNECTION_HEADERS | {"expect", "proxy-connection"}
--- a/src/bulrushflow/sidecar/target_client.py
+++ b/src/bulrushflow/sidecar/target_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import typing as t
 
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
@@ -15,6 +16,8 @@
 from bulrushflow.sidecar.headers import HOP_BY_HOP_HEADERS
 from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.target_signals import SignalReader
+from bulrushflow.sidecar.target_signals import TargetSignals
 
 CONNECT_TIMEOUT_S = 0.5
 TCP_USER_TIMEOUT_MS = 1_000
@@ -33,17 +36,29 @@
 SUCCESS_STATUSES = range(200, 300)
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"server", "date"}
 
+SignalCallback = t.Callable[[TargetSignals, float], None]
+
 
 class TargetClient:
     """Sends calls to one target process.
 
     :param target_id: sent with each call; another process that took over the address refuses it.
+    :param on_signals: called with what the target says of itself in each response, and the event
+        loop time at which the call was sent.
     """
 
-    def __init__(self, endpoint: Endpoint, target_id: str, header_names: HeaderNames) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        target_id: str,
+        header_names: HeaderNames,
+        on_signals: SignalCallback,
+    ) -> None:
         self._endpoint = endpoint
         self._target_id = target_id
         self._header_names = header_names
+        self._signals = SignalReader(header_names)
+        self._on_signals = on_signals
         self._id_header = header_names.request_id.lower()
         self._signature_header = header_names.signature.lower()
         self._not_run_header = header_names.not_run.lower()
@@ -71,7 +86,8 @@
             connection = await self._connect(call.deadline)
         if connection is None:
             return not_run(f"no connection to the target at {self._endpoint}")
-        remaining_ms = int((call.deadline - loop.time()) * 1000)
+        sent_at = loop.time()
+        remaining_ms = int((call.deadline - sent_at) * 1000)
         if remaining_ms < 1:
             self._release(connection)
             return not_run(f"no time left: {remaining_ms} ms until the deadline")
@@ -89,6 +105,9 @@
         except ExchangeError as exc:
             return unknown(f"the target's connection failed: {exc}")
         self._release(connection)
+        if response.status != 421:
+            # A 421 comes from another target at the address.
+            self._on_signals(self._signals.read(response.headers), sent_at)
         return self._classify(call, response)
 
     def _classify(self, call: Call, response: RawResponse) -> CallResult:
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -20,7 +20,17 @@
 from bulrushflow.sidecar.storage import StorePage
 from bulrushflow.sidecar.storage import StoreWrite
 
-NAMES = HeaderNames("X-Id", "X-Left", "X-Sign", "X-Expect", "X-Not-Run", "X-From", "X-Target")
+NAMES = HeaderNames(
+    "X-Id",
+    "X-Left",
+    "X-Sign",
+    "X-Expect",
+    "X-Not-Run",
+    "X-From",
+    "X-Target",
+    "X-Limit",
+    "X-Leaving",
+)
 
 
 class FixedClock:
--- a/tests/sidecar/servers.py
+++ b/tests/sidecar/servers.py
@@ -29,6 +29,8 @@
         self.not_run = False
         self.signs_responses = True
         self.wrong_id = False
+        self.signals: dict[str, str] = {}
+        """Headers by which the target describes itself in each response."""
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> Endpoint:
@@ -55,6 +57,7 @@
         headers = {"X-Id": "other" if self.wrong_id else call_id}
         if self.signs_responses:
             headers["X-Sign"] = "s"
+        headers |= self.signals
         if self.not_run:
             headers["X-Not-Run"] = "1"
         return web.Response(status=self.status, headers=headers, body=b"body")
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/test_endless_responses.py
@@ -49,7 +49,9 @@
 class EndlessResponseTests(unittest.IsolatedAsyncioTestCase):
     async def start(self, script: t.Any) -> tuple[EndlessTarget, TargetClient]:
         target = EndlessTarget(script)
-        client = TargetClient(Endpoint(*await target.start()), "t-1", NAMES)
+        client = TargetClient(
+            Endpoint(*await target.start()), "t-1", NAMES, lambda signals, sent_at: None
+        )
         self.addAsyncCleanup(target.stop)
         self.addCleanup(client.close)
         return target, client
