--- /dev/null
+++ b/tests/sidecar/fleet.py
@@ -0,0 +1,153 @@
+"""Sidecars with their targets on loopback addresses, and a stand-in of the store."""
+
+import json
+import unittest
+from unittest import mock
+
+import aiohttp
+
+from bulrushflow.platform.adapter import PlatformAdapter
+from bulrushflow.platform.store import PlatformStore
+from bulrushflow.sidecar import application
+from bulrushflow.sidecar.application import Sidecar
+from bulrushflow.sidecar.settings import Endpoint
+from bulrushflow.sidecar.settings import SidecarSettings
+from tests.platform.standin import StoreStandIn
+from tests.sidecar.samples import NAMES
+from tests.sidecar.servers import FakeTarget
+from tests.sidecar.servers import free_port
+from tests.waiting import until
+
+
+class Adapter(PlatformAdapter):
+    header_names = NAMES
+
+
+def configuration(version: int, service: str = "s1") -> bytes:
+    return json.dumps(
+        {
+            "version": version,
+            "listeners": [
+                {
+                    "host": "h",
+                    "ruleSet": [
+                        {
+                            "name": "r",
+                            "kind": "safe",
+                            "targetLatency": "5s",
+                            "match": {"pathPrefix": "/a/"},
+                            "action": {"service": service, "timeout": "9s", "maxAttempts": 2},
+                        }
+                    ],
+                }
+            ],
+            "clusters": [{"name": "s1"}, {"name": "s2"}],
+        }
+    ).encode()
+
+
+class Instance:
+    """A sidecar with its target, on its own loopback address.
+
+    The system picks the ports. The one for other nodes stays the same after a restart.
+    """
+
+    def __init__(self, address: str, store: Endpoint, target: Endpoint) -> None:
+        self.target_address = str(target)
+        self.settings = SidecarSettings(
+            node_id=f"n-{address}",
+            address=address,
+            data_centre="a",
+            peer_port=free_port(address),
+            metrics_port=0,
+            callers=Endpoint(address, 0),
+            readiness=Endpoint(address, 0),
+            announcements=Endpoint(address, 0),
+            target=target,
+            own_service="s1",
+            store=store,
+        )
+        self.sidecar = self.new_sidecar()
+
+    def new_sidecar(self) -> Sidecar:
+        return Sidecar(self.settings, PlatformStore(self.settings.store), Adapter())
+
+    def url(self, setting: str, path: str) -> str:
+        """Return the URL of a path at one of the sidecar's servers."""
+        return f"http://{self.sidecar.bound_by_setting[setting]}{path}"
+
+    async def restart(self) -> None:
+        """Stop the sidecar, and start one that knows nothing of before."""
+        await self.stop()
+        self.sidecar = self.new_sidecar()
+        await self.sidecar.start()
+
+    async def stop(self) -> None:
+        await self.sidecar.stop()
+
+    async def until_serving(self, target_count: int) -> None:
+        await until(lambda: len(self.sidecar.directory.ready_peers("s1")) == target_count)
+        await until(self.sidecar.is_ready)
+
+    async def until_version(self, version: int) -> None:
+        await until(lambda: self.sidecar.routing.version == version)
+
+
+class FleetTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test case with :attr:`node_count` sidecars of service ``s1``, with four slots each."""
+
+    node_count = 2
+
+    async def asyncSetUp(self) -> None:
+        patch = mock.patch.object(application, "READINESS_PROPAGATION_S", 0.05)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.store = StoreStandIn()
+        endpoint = await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.http = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.http.close)
+        self.targets = [FakeTarget() for _ in range(self.node_count)]
+        self.instances = []
+        for number, target in enumerate(self.targets):
+            target_endpoint = await target.start()
+            self.addAsyncCleanup(target.stop)
+            instance = Instance(f"127.0.0.{number + 1}", endpoint, target_endpoint)
+            await instance.sidecar.start()
+            self.addAsyncCleanup(instance.stop)
+            self.instances.append(instance)
+
+    async def announce(self, number: int, state: str = "ready", sequence: int = 1) -> int:
+        instance = self.instances[number]
+        announcement = {
+            "service": "s1",
+            "address": instance.target_address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "seq": sequence,
+            "born": 1,
+        }
+        url = instance.url("announcements", f"/-/instances/t-{number}")
+        async with self.http.put(url, json=announcement) as response:
+            return response.status
+
+    async def call(self, number: int, call_id: str, path: str = "/a/b") -> tuple[int, bytes]:
+        headers = {"Host": "h", "X-Id": call_id, "X-Left": "9000"}
+        url = self.instances[number].url("callers", path)
+        async with self.http.get(url, headers=headers) as response:
+            return response.status, await response.read()
+
+    async def is_ready(self, number: int) -> bool:
+        url = self.instances[number].url("readiness", "/-/ready")
+        async with self.http.get(url) as response:
+            return response.status == 200
+
+    async def serve(self) -> None:
+        """Publish a configuration, announce the targets, and wait until all nodes list them."""
+        self.store.put("keyed.op", "config", configuration(1))
+        for number in range(self.node_count):
+            await self.announce(number)
+        for instance in self.instances:
+            await instance.until_serving(self.node_count)
--- a/tests/sidecar/servers.py
+++ b/tests/sidecar/servers.py
@@ -21,6 +21,8 @@
 
     def __init__(self) -> None:
         self.received: list[str] = []
+        self.received_at: list[float] = []
+        """Event loop time at which each call was received."""
         self.completed: list[str] = []
         self.cancelled: list[str] = []
         self.released = asyncio.Event()
@@ -48,6 +50,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         call_id = request.headers["X-Id"]
         self.received.append(call_id)
+        self.received_at.append(asyncio.get_running_loop().time())
         try:
             await self.released.wait()
         except asyncio.CancelledError:
