Keep the limit that a target names, at the node beside it

Cause: the admission control of the node beside a target knew slots only; nobody read the limit in the responses. Class: a statement about a resource that comes with each response, and that has no consumer.

All calls to a target pass that one node, whoever sent them, so the limit needs no message between nodes: SlotPool grants a free slot only when the rate limit admits a call, lets the others wait in its queue by priority, and refuses at once one that the limit admits too late. The load that other nodes see counts against the slots that the limit lets calls use, so that they prefer other targets.

--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -81,8 +81,8 @@
 
     @property
     def capacity(self) -> int:
-        """Number of the target's slots; 0 while it accepts no calls."""
-        return self._slots.capacity if self._accepts_calls() else 0
+        """Number of slots that calls can keep in use; 0 while the target accepts no calls."""
+        return self._slots.usable if self._accepts_calls() else 0
 
     @property
     def limit_per_s(self) -> float | None:
@@ -157,8 +157,10 @@
                 refusal = self._refusal_after_wait(call, slots)
                 if refusal is None:
                     return await self._send(call, slots)
-                slots.release(call.route, None)
-        self._decisions.refused(call, refusal, load=self.load, slots=slots.capacity)
+                slots.release_unused()
+        self._decisions.refused(
+            call, refusal, load=self.load, slots=slots.capacity, limit_per_s=self.limit_per_s
+        )
         return not_run(refusal)
 
     def close(self) -> None:
@@ -235,8 +237,12 @@
 
     def _apply_signals(self, limit: LimitTracker, signals: TargetSignals, sent_at: float) -> None:
         """Apply what a target said in a response; ``limit`` is that target's."""
-        limit.apply(signals, sent_at, asyncio.get_running_loop().time())
-        if limit is self._limit and signals.leaving and self.entry is not None:
+        changed = limit.apply(signals, sent_at, asyncio.get_running_loop().time())
+        if limit is not self._limit:
+            return
+        if changed:
+            self._slots.limit_rate(limit.limit_per_s)
+        if signals.leaving and self.entry is not None:
             self._decisions.event("target leaving", target=self.entry.target_id)
 
     def _handle_failure(self, client: TargetClient) -> None:
--- a/src/bulrushflow/sidecar/slots.py
+++ b/src/bulrushflow/sidecar/slots.py
@@ -1,4 +1,4 @@
-"""A target's concurrency slots, with a queue ordered by priority, deadline and service time.
+"""A target's concurrency slots and rate limit, with a queue by priority and service time.
 
 Calls that can still meet their latency objective are served before those that can't. Under overload
 the late calls have little left to lose, and first-come-first-served would make every other call
@@ -9,11 +9,13 @@
 import collections
 import heapq
 import itertools
+import math
 import typing as t
 from dataclasses import dataclass
 from dataclasses import field
 
 from bulrushflow.exceptions import InvariantError
+from bulrushflow.sidecar.rate_limit import RateLimit
 
 SERVICE_TIME_SMOOTHING = 0.1
 """Weight of the newest call in the exponential moving average of service times."""
@@ -58,10 +60,15 @@
 
 
 class SlotPool:
-    """Grants slots, and refuses at once a call whose response would come too late."""
+    """Grants slots, and refuses at once a call whose response would come too late.
+
+    Under a rate limit a free slot is granted only when the limit admits another call.
+    """
 
     __slots__ = (
         "_late_queue",
+        "_limit",
+        "_limit_timer",
         "_queue",
         "_sequence",
         "_service_time_by_route",
@@ -77,6 +84,15 @@
         self._late_queue: collections.deque[_QueuedRequest] = collections.deque()
         """Queued calls that miss their latency objective, in the order in which that was found."""
         self._service_time_by_route: dict[str, float] = {}
+        self._limit = RateLimit()
+        self._limit_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def usable(self) -> int:
+        """Number of slots that calls can be expected to keep in use under the rate limit."""
+        if self._limit.per_s is None:
+            return self.capacity
+        return min(self.capacity, max(1, math.ceil(self._limit.per_s * self._mean_time_s())))
 
     @property
     def queued(self) -> int:
@@ -93,6 +109,11 @@
         """Return the smoothed service time of a route's calls in seconds."""
         return self._service_time_by_route.get(route, DEFAULT_SERVICE_TIME_S)
 
+    def limit_rate(self, per_s: float | None) -> None:
+        """Set the calls per second that may start; ``None`` lifts the limit."""
+        self._limit.change(per_s, asyncio.get_running_loop().time())
+        self._grant()
+
     async def acquire(self, request: SlotRequest) -> str | None:
         """Wait for a slot.
 
@@ -106,25 +127,33 @@
         if self.active and now >= last_start:
             return "the deadline can't be met any more"
         queued = self.queued
-        if self.active < self.capacity and not queued:
-            self.active += 1
+        if self.active < self.capacity and not queued and not self._limit.wait_s(now):
+            self._start(now)
             return None
         if queued >= self.capacity * MAX_QUEUED_PER_SLOT and not self._evict_late():
             return "the queue is full"
         rank = self._rank(request)
         decision: asyncio.Future[str | None] = loop.create_future()
         queued_request = _QueuedRequest(rank, next(self._sequence), request, decision)
-        expected_wait_s = self._expected_wait_s(item for item in self._queue if item.rank <= rank)
+        ahead = [item for item in self._queue if item.rank <= rank and not item.decision.done()]
+        limit_wait_s = self._limit.wait_s(now, len(ahead))
+        if now + limit_wait_s > last_start:
+            return f"the target's limit admits the call in {limit_wait_s:.2f} s, too late"
+        expected_wait_s = self._expected_wait_s(ahead, now)
         if rank == SHORT_ROUTE_RANK or self._meets_objective(request, now + expected_wait_s):
             heapq.heappush(self._queue, queued_request)
         else:
-            expected_wait_s = self._expected_wait_s(itertools.chain(self._queue, self._late_queue))
+            expected_wait_s = self._expected_wait_s(
+                itertools.chain(self._queue, self._late_queue), now
+            )
             latest = max(request.late_after, now + (request.deadline - now) * LATE_WAIT_FRACTION)
             if now + expected_wait_s + service_time_s > latest:
                 return (
                     f"an answer is expected in {expected_wait_s + service_time_s:.2f} s, too late"
                 )
             self._late_queue.append(queued_request)
+        if self.active < self.capacity:
+            self._grant()
         try:
             # After the last useful start the deadline can't be met; refusing now still reaches the
             # caller in time.
@@ -150,6 +179,11 @@
             self._record_service_time(route, seconds)
         self._grant()
 
+    def release_unused(self) -> None:
+        """Free a slot whose call was not sent, which doesn't count against the rate limit."""
+        self._limit.refund()
+        self.release("", None)
+
     def refuse_queued(self, reason: str) -> None:
         """Refuse every queued call."""
         queue = [*self._queue, *self._late_queue]
@@ -174,16 +208,18 @@
             return SHORT_ROUTE_RANK
         return request.priority
 
-    def _expected_wait_s(self, ahead: t.Iterable[_QueuedRequest]) -> float:
+    def _expected_wait_s(self, ahead: t.Iterable[_QueuedRequest], now: float) -> float:
         """Return the expected seconds until a call behind ``ahead`` gets a slot."""
-        work_s = sum(
-            self.service_time_s(item.request.route) for item in ahead if not item.decision.done()
-        )
+        waiting = [item.request.route for item in ahead if not item.decision.done()]
+        work_s = sum(self.service_time_s(route) for route in waiting)
         # Running calls have half of their service time left on average.
-        mean_s = sum(self._service_time_by_route.values()) / max(
-            1, len(self._service_time_by_route)
-        )
-        return (work_s + mean_s / 2) / max(1, self.capacity)
+        slot_wait_s = (work_s + self._mean_time_s() / 2) / max(1, self.capacity)
+        return max(slot_wait_s, self._limit.wait_s(now, len(waiting)))
+
+    def _mean_time_s(self) -> float:
+        """Return the mean of the routes' service times; 0 before the first response."""
+        times = self._service_time_by_route.values()
+        return sum(times) / max(1, len(times))
 
     def _meets_objective(self, request: SlotRequest, start: float) -> bool:
         """Return whether a call that starts at ``start`` meets its latency objective."""
@@ -192,6 +228,10 @@
     def _grant(self) -> None:
         now = asyncio.get_running_loop().time()
         while self.active < self.capacity:
+            wait_s = self._limit.wait_s(now)
+            if wait_s:
+                self._grant_later(wait_s)
+                return
             queued_request = self._pop_next(now)
             if queued_request is None:
                 return
@@ -199,9 +239,21 @@
             if now + self.service_time_s(request.route) * MIN_SERVICE_FRACTION >= request.deadline:
                 queued_request.decision.set_result("the deadline can't be met any more")
                 continue
-            self.active += 1
+            self._start(now)
             queued_request.decision.set_result(None)
 
+    def _start(self, now: float) -> None:
+        self.active += 1
+        self._limit.consume(now)
+
+    def _grant_later(self, wait_s: float) -> None:
+        """Grant slots once the rate limit admits a call, if one is queued."""
+        if self._limit_timer is not None:
+            self._limit_timer.cancel()
+            self._limit_timer = None
+        if self._queue or self._late_queue:
+            self._limit_timer = asyncio.get_running_loop().call_later(wait_s, self._grant)
+
     def _pop_next(self, now: float) -> _QueuedRequest | None:
         """Remove and return the next call; late calls follow after all calls in time."""
         while self._queue:
@@ -231,6 +283,6 @@
     def _cancel(self, decision: asyncio.Future[str | None]) -> None:
         # The slot may have been granted in the same event loop iteration that ended the wait.
         if decision.done() and not decision.cancelled() and decision.result() is None:
-            self.release("", None)
+            self.release_unused()
         elif not decision.done():
             decision.cancel()
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/test_slots.py
@@ -3,6 +3,7 @@
 
 from bulrushflow.sidecar.slots import SlotPool
 from bulrushflow.sidecar.slots import SlotRequest
+from tests.clocks import stopped_loop_clock
 
 
 class SlotPoolTests(unittest.IsolatedAsyncioTestCase):
@@ -124,3 +125,59 @@
         waiting.cancel()
         await asyncio.gather(waiting, return_exceptions=True)
         self.assertEqual((slots.active, slots.queued), (0, 0))
+
+
+class LimitedSlotPoolTests(unittest.IsolatedAsyncioTestCase):
+    """A pool with free slots, whose target names a limit."""
+
+    async def asyncSetUp(self) -> None:
+        self.slots = SlotPool(8)
+        self.loop = asyncio.get_running_loop()
+        with stopped_loop_clock():
+            self.slots.limit_rate(10.0)
+            while self.slots.active < 3:
+                self.assertIsNone(await self.slots.acquire(self.request()))
+
+    def request(self, priority: int = 0, deadline_s: float = 5.0) -> SlotRequest:
+        now = self.loop.time()
+        return SlotRequest("r", priority, now + deadline_s, now + deadline_s)
+
+    async def test_a_call_beyond_the_limit_waits_although_slots_are_free(self) -> None:
+        waiting = asyncio.ensure_future(self.slots.acquire(self.request()))
+        await asyncio.sleep(0)
+        self.assertEqual((self.slots.active, self.slots.queued), (3, 1))
+        self.assertIsNone(await waiting)
+
+    async def test_waiting_calls_go_by_priority(self) -> None:
+        order: list[int] = []
+
+        async def run(priority: int) -> None:
+            await self.slots.acquire(self.request(priority))
+            order.append(priority)
+
+        await asyncio.gather(*(run(priority) for priority in (2, 0, 1)))
+        self.assertEqual(order, [0, 1, 2])
+
+    async def test_a_call_that_the_limit_admits_too_late_is_refused_at_once(self) -> None:
+        self.slots.limit_rate(0.5)
+        refusal = await self.slots.acquire(self.request(deadline_s=1.0))
+        self.assertRegex(str(refusal), "limit admits the call in .* s, too late")
+        self.assertEqual(self.slots.queued, 0)
+
+    async def test_lifting_the_limit_admits_the_waiting_calls(self) -> None:
+        self.slots.limit_rate(0.5)
+        waiting = [asyncio.ensure_future(self.slots.acquire(self.request())) for _ in range(2)]
+        await asyncio.sleep(0)
+        self.slots.limit_rate(None)
+        self.assertEqual(await asyncio.gather(*waiting), [None, None])
+
+    async def test_the_usable_slots_follow_from_the_limit_and_the_service_time(self) -> None:
+        self.slots.release("r", 0.25)
+        self.assertEqual(self.slots.usable, 3)
+        self.slots.limit_rate(None)
+        self.assertEqual(self.slots.usable, 8)
+
+    async def test_a_slot_that_was_not_used_does_not_count_against_the_limit(self) -> None:
+        self.slots.release_unused()
+        self.assertIsNone(await self.slots.acquire(self.request()))
+        self.assertEqual(self.slots.active, 3)
