--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -1,5 +1,6 @@
 """Sidecars with their targets on loopback addresses, and a stand-in of the store."""
 
+import asyncio
 import json
 import unittest
 from unittest import mock
@@ -114,8 +115,11 @@
             self.addAsyncCleanup(target.stop)
             instance = Instance(f"127.0.0.{number + 1}", endpoint, target_endpoint)
             await instance.sidecar.start()
-            self.addAsyncCleanup(instance.stop)
             self.instances.append(instance)
+        self.addAsyncCleanup(self.stop_instances)
+
+    async def stop_instances(self) -> None:
+        await asyncio.gather(*(instance.stop() for instance in self.instances))
 
     async def announce(self, number: int, state: str = "ready", sequence: int = 1) -> int:
         instance = self.instances[number]
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/test_slots.py
@@ -160,9 +160,13 @@
 
     async def test_a_call_that_the_limit_admits_too_late_is_refused_at_once(self) -> None:
         self.slots.limit_rate(0.5)
+        waiting = asyncio.ensure_future(self.slots.acquire(self.request()))
+        await asyncio.sleep(0)
         refusal = await self.slots.acquire(self.request(deadline_s=1.0))
         self.assertRegex(str(refusal), "limit admits the call in .* s, too late")
-        self.assertEqual(self.slots.queued, 0)
+        self.assertEqual(self.slots.queued, 1)
+        self.slots.refuse_queued("end")
+        self.assertEqual(await waiting, "end")
 
     async def test_lifting_the_limit_admits_the_waiting_calls(self) -> None:
         self.slots.limit_rate(0.5)
