Keep a target's limit when the node beside it is restarted

A node that restarts forgets the limit that its target named, while other nodes have passed it on to their callers and go on sending: until the target's first response (which may take as long as a call), as many calls reach it as it has slots.

Each node keeps the limit of the responses that it passed on, and sends it with its calls. A node whose target has not responded to it yet takes it over; from the first response on, only responses count. It needs no record in the store: the nodes whose calls count are those that know the limit. An older node ignores the new optional field, and sends none.

Considered: the limit in the node's entry in the store. It costs a write and a wake-up of every node at each change, and isn't there when the store is away.

--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -18,6 +18,7 @@
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.limit_tracker import LimitTracker
+from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.retry_budget import TargetRetryBudget
@@ -134,6 +135,20 @@
             self._on_change(entry)
         return True
 
+    def apply_named_limit(self, limit: NamedLimit) -> None:
+        """Apply the limit that the target named to another node."""
+        entry = self.entry
+        if entry is None or (entry.target_id, entry.incarnation) != (
+            limit.target_id,
+            limit.incarnation,
+        ):
+            return
+        if not limit.calls_per_s >= 0:
+            # Not a number, or below 0: no response is read as such a limit.
+            return
+        if self._limit.take_over(limit.calls_per_s, asyncio.get_running_loop().time()):
+            self._slots.limit_rate(self._limit.limit_per_s)
+
     def remove_target(self, target_id: str) -> None:
         """Remove a target that departs for good; it receives no new calls."""
         current = self.entry
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -40,6 +40,7 @@
 from bulrushflow.sidecar.settings import SidecarSettings
 from bulrushflow.sidecar.statuses import StatusLog
 from bulrushflow.sidecar.storage import Store
+from bulrushflow.sidecar.target_signals import SignalReader
 from bulrushflow.timers import SystemClock
 from bulrushflow.timers import Timers
 from bulrushflow.wire.links import Links
@@ -117,6 +118,7 @@
             self._forwarder,
             Balancer(settings.data_centre, self._rng, self._clock.wall_ms),
             self._rollouts.filter_peers,
+            SignalReader(adapter.header_names),
             self._metrics,
             self._decisions,
             self._rng,
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -3,6 +3,7 @@
 import typing as t
 from dataclasses import dataclass
 
+from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetState
 
@@ -34,6 +35,16 @@
     unreachable: bool = False
     """Whether connections to the node fail."""
     backoff_s: float = FIRST_BACKOFF_S
+    limit_per_s: float | None = None
+    """Rate limit in the target's latest response to this node; ``None`` without one."""
+
+    @property
+    def named_limit(self) -> NamedLimit | None:
+        """The limit that the target named to this node, to be sent with calls."""
+        target = self.entry.target
+        if target is None or self.limit_per_s is None:
+            return None
+        return NamedLimit(target.target_id, target.incarnation, self.limit_per_s)
 
     def load(self, now: float) -> float:
         """Return the load in calls per slot.
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -22,6 +22,7 @@
 from bulrushflow.sidecar.forwarding import PeerForwarder
 from bulrushflow.sidecar.forwarding import PeerReport
 from bulrushflow.sidecar.model import Route
+from bulrushflow.sidecar.target_signals import SignalReader
 
 MAX_REFUSALS = 4
 """Refusals by targets after which a call is not tried again."""
@@ -98,6 +99,7 @@
     A call keeps the route that it started with when the configuration changes.
 
     :param own_address: address of this node, whose own target is called through ``admission``.
+    :param signals: reads what a target says of itself in a response.
     :param filter_peers: returns those of a service's peers whose target has the version that a call
         is to go to.
     """
@@ -110,6 +112,7 @@
         forwarder: PeerForwarder,
         balancer: Balancer,
         filter_peers: PeerFilter,
+        signals: SignalReader,
         metrics: Metrics,
         decisions: DecisionLog,
         rng: random.Random,
@@ -120,6 +123,7 @@
         self._forwarder = forwarder
         self._balancer = balancer
         self._filter_peers = filter_peers
+        self._signals = signals
         self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
@@ -256,7 +260,7 @@
 
     async def _send(self, peer: Peer, call: Call) -> tuple[CallResult, PeerReport]:
         if peer.entry.address != self._own_address:
-            return await self._forwarder.send(peer.entry.endpoint, call)
+            return await self._forwarder.send(peer.entry.endpoint, call, peer.named_limit)
         result = await self._admission.run(call)
         capacity = self._admission.capacity
         return result, PeerReport(True, self._admission.load / capacity if capacity else None)
@@ -269,6 +273,7 @@
             case Ok(response):
                 peer.record_response(seconds, response.is_failure, now)
                 peer.record_load(report.load or 0.0, now)
+                peer.limit_per_s = self._signals.read(response.headers).limit_per_s
                 return
             case Err(failure):
                 pass
--- a/src/bulrushflow/sidecar/forwarding.py
+++ b/src/bulrushflow/sidecar/forwarding.py
@@ -15,8 +15,10 @@
 from bulrushflow.sidecar.admission_controller import AdmissionController
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.wire import codec
+from bulrushflow.wire import messages
 from bulrushflow.wire.links import Links
 
 CONNECT_TIMEOUT_S = 0.3
@@ -62,8 +64,13 @@
         self._rechecks: set[asyncio.Task[None]] = set()
         links.handle("call_request", self._serve)
 
-    async def send(self, endpoint: tuple[str, int], call: Call) -> tuple[CallResult, PeerReport]:
-        """Run a call through the node at ``endpoint``."""
+    async def send(
+        self, endpoint: tuple[str, int], call: Call, named_limit: NamedLimit | None = None
+    ) -> tuple[CallResult, PeerReport]:
+        """Run a call through the node at ``endpoint``.
+
+        :param named_limit: limit that the target beside that node named to this one.
+        """
         loop = asyncio.get_running_loop()
         remaining_s = call.deadline - loop.time()
         if remaining_s <= 0:
@@ -81,6 +88,7 @@
             return refused(f"no time left: {remaining_s:.4f} s"), PeerReport(True, 0.0)
         request = codec.call_to_message(call, remaining_s)
         request.read_offset = self._orders.offset
+        request.named_limit = _limit_to_message(named_limit)
         request.useful_ms = max(0, int((call.late_after - now) * 1000))
         match await link.exchange(remaining_s, call_request=request):
             case Err(error):
@@ -129,9 +137,23 @@
 
     async def _serve(self, message: t.Any) -> dict[str, t.Any]:
         self._orders.note_peer_offset(message.read_offset or 0)
+        if message.named_limit is not None:
+            self._admission.apply_named_limit(_limit_from_message(message.named_limit))
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
         result = await self._admission.run(call)
         admission = self._admission
         response = codec.result_to_message(result, admission.load, admission.capacity)
         response.read_offset = self._orders.offset
         return {"call_answer": response}
+
+
+def _limit_to_message(limit: NamedLimit | None) -> t.Any:
+    if limit is None:
+        return None
+    return messages.NamedLimit(
+        target_id=limit.target_id, incarnation=limit.incarnation, calls_per_s=limit.calls_per_s
+    )
+
+
+def _limit_from_message(message: t.Any) -> NamedLimit:
+    return NamedLimit(message.target_id, message.incarnation, message.calls_per_s)
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -106,6 +106,15 @@
         return self.incarnation, self.sequence
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """The rate limit that one target process named in a response."""
+
+    target_id: str
+    incarnation: int
+    calls_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class NodeEntry:
     """One node, its address for other nodes, and the target beside it."""
--- a/src/bulrushflow/wire/messages.py
+++ b/src/bulrushflow/wire/messages.py
@@ -42,6 +42,7 @@
 BucketRequest: t.Any = _module.BucketRequest
 Datagram: t.Any = _module.Datagram
 Header: t.Any = _module.Header
+NamedLimit: t.Any = _module.NamedLimit
 CallRequest: t.Any = _module.CallRequest
 CallAnswer: t.Any = _module.CallAnswer
 CallCancel: t.Any = _module.CallCancel
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -80,6 +80,13 @@
   2: required string value
 }
 
+// The limit that a target named in a response to the sender of the call.
+struct NamedLimit {
+  1: required string target_id
+  2: required i64 incarnation
+  3: required double calls_per_s
+}
+
 struct CallRequest {
   1: required string request_id
   2: required string tenant
@@ -99,6 +106,8 @@
   61: optional i64 read_offset
   // The latency objective that is left, in milliseconds; after it the answer counts as late.
   62: optional i32 useful_ms
+  // What the receiver's target said last, which a receiver that was restarted doesn't know.
+  63: optional NamedLimit named_limit
 }
 
 struct CallAnswer {
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -121,14 +121,16 @@
     async def stop_instances(self) -> None:
         await asyncio.gather(*(instance.stop() for instance in self.instances))
 
-    async def announce(self, number: int, state: str = "ready", sequence: int = 1) -> int:
+    async def announce(
+        self, number: int, state: str = "ready", sequence: int = 1, slots: int = 4
+    ) -> int:
         instance = self.instances[number]
         announcement = {
             "service": "s1",
             "address": instance.target_address,
             "zone": "a",
             "version": "v1",
-            "slots": 4,
+            "slots": slots,
             "state": state,
             "seq": sequence,
             "born": 1,
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -21,8 +21,11 @@
 from bulrushflow.sidecar.dispatcher import CallProgress
 from bulrushflow.sidecar.dispatcher import Dispatcher
 from bulrushflow.sidecar.forwarding import PeerReport
+from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import WeightedService
+from bulrushflow.sidecar.target_signals import SignalReader
+from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import call
 from tests.sidecar.samples import peer
 from tests.waiting import until
@@ -105,12 +108,15 @@
             peers,
             Balancer("a", rng, lambda: 0),
             lambda service, candidates: candidates,
+            SignalReader(NAMES),
             Metrics(4),
             DecisionLog(),
             rng,
         )
 
-    async def send(self, endpoint: tuple[str, int], sent: Call) -> tuple[CallResult, PeerReport]:
+    async def send(
+        self, endpoint: tuple[str, int], sent: Call, named_limit: NamedLimit | None
+    ) -> tuple[CallResult, PeerReport]:
         address = endpoint[0]
         self.sent.append((address, sent.attempt))
         self.responses[address] = asyncio.get_running_loop().create_future()
--- a/tests/sidecar/test_limit_tracker.py
+++ b/tests/sidecar/test_limit_tracker.py
@@ -37,4 +37,11 @@
         self.tracker.apply(NO_SIGNALS, 3.0, 4.0)
         line = self.decisions.inputs("target limit")[-1]
         expected = {"limit_per_s": None, "before": 5.0, "seconds": 2.0, "sent": 3, "repeated": 1}
-        self.assertEqual(line, expected | {"target": "t-1"})
+        self.assertEqual(line, expected | {"target": "t-1", "source": "a response"})
+
+    async def test_another_nodes_knowledge_counts_until_the_first_response(self) -> None:
+        self.assertTrue(self.tracker.take_over(5.0, now=1.0))
+        self.assertFalse(self.tracker.take_over(50.0, now=1.1), "one limit is known already")
+        self.assertTrue(self.tracker.apply(NO_SIGNALS, 1.2, 1.3))
+        self.assertFalse(self.tracker.take_over(5.0, now=1.4))
+        self.assertIsNone(self.tracker.limit_per_s)
--- a/tests/sidecar/test_limited_targets.py
+++ b/tests/sidecar/test_limited_targets.py
@@ -43,3 +43,23 @@
         statuses = await self.send_calls(random.Random(1), 200)
         self.assertEqual(set(statuses), {200})
         self.assert_limit_kept(0, since)
+
+    # LIMIT after a restart: nodes that know the limit sent calls to one that had forgotten it.
+    async def test_a_limit_is_kept_by_a_restarted_node_that_cannot_reach_the_store(self) -> None:
+        await self.serve()
+        self.targets[0].signals = {"X-Limit": str(LIMIT_PER_S)}
+        await self.send_calls(random.Random(2), 100)
+        self.store.status = 503
+        await self.instances[0].restart()
+        self.assertEqual(await self.announce(0, sequence=2, slots=40), 200)
+        self.targets[0].released.clear()
+        since = asyncio.get_running_loop().time()
+        rng = random.Random(3)
+        others = range(1, self.node_count)
+        pending = [
+            asyncio.ensure_future(self.call(rng.choice(others), f"d-{i}")) for i in range(240)
+        ]
+        await asyncio.sleep(1.0)
+        self.targets[0].released.set()
+        await asyncio.gather(*pending)
+        self.assert_limit_kept(0, since - LEARNING_S)
