Send a target no calls once a response says that it leaves

Callers saw: calls to a target that is about to end, up to its last moment, where it names its leave in its responses and its announcements go on saying that it is ready (DRAIN). Cause: as with the limit, nobody read the header; only announcements and departures counted. Class: a statement that has no consumer.

The node beside the target marks the process (id and incarnation) as leaving: no new calls, its queue refused, entry published as draining. The mark is part of the entry in the store, so that a restarted node reads it back; a later announcement that the target is ready doesn't lift it, and a new start of the target does. Each node also remembers the processes whose leave it passed on to a caller, and never sends them a call again, whatever becomes of the entry or of the node beside the target: that holds while either can't reach the store, or if the target's node is of the build before. 4,096 are remembered.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -55,6 +55,7 @@
         "sheds",
         "store_connected",
         "store_records_behind",
+        "target_leaving",
         "target_limit",
         "unrecorded",
     )
@@ -100,6 +101,11 @@
             "Calls per second that this node's target says it accepts; +Inf without a limit",
             registry=self.registry,
         )
+        self.target_leaving = Gauge(
+            "bulrushflow_target_leaving",
+            "1 if this node's target said in a response that it leaves, else 0",
+            registry=self.registry,
+        )
         self.admission = Gauge(
             "bulrushflow_admission", "Calls at the target by state", registry=self.registry
         )
@@ -135,8 +141,9 @@
         self.store_records_behind.set({"topic": topic}, records_behind)
         self.store_connected.set({"topic": topic}, int(connected))
 
-    def observe_target(self, limit_per_s: float | None) -> None:
-        """Record the limit that this node's target names."""
+    def observe_target(self, limit_per_s: float | None, leaving: bool) -> None:
+        """Record the limit that this node's target names, and whether it announced its leave."""
+        self.target_leaving.set({}, int(leaving))
         self.target_limit.set({}, math.inf if limit_per_s is None else limit_per_s)
 
     def count_control_bytes(self, direction: str, kind: str, count: int) -> None:
--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -7,6 +7,7 @@
 import collections
 import functools
 import typing as t
+from dataclasses import replace
 
 from result import Err
 from result import Ok
@@ -108,8 +109,10 @@
         if current is not None and entry.revision <= current.revision:
             # A delayed announcement, perhaps from a process that has ended since.
             return entry.revision == current.revision
-        replaced = current is None or current.target_id != entry.target_id
-        replaced = replaced or t.cast(TargetEntry, current).incarnation != entry.incarnation
+        if current is not None and current.leaving and _same_process(current, entry):
+            # Targets that announce their leave in responses may still announce that they are ready.
+            entry = replace(entry, state=TargetState.DRAINING, leaving=True)
+        replaced = current is None or not _same_process(current, entry)
         if replaced or endpoint != self.endpoint:
             self._replace(entry, endpoint)
         self._slots.capacity = entry.slots
@@ -149,6 +152,18 @@
         if self._limit.take_over(limit.calls_per_s, asyncio.get_running_loop().time()):
             self._slots.limit_rate(self._limit.limit_per_s)
 
+    def mark_leaving(self, target_id: str, incarnation: int) -> None:
+        """Stop sending calls to a target process that leaves, for the rest of its life."""
+        entry = self.entry
+        if entry is None or (entry.target_id, entry.incarnation) != (target_id, incarnation):
+            return
+        if entry.leaving:
+            return
+        self._decisions.event("target leaving", target=target_id, service=entry.service)
+        self.entry = replace(entry, state=TargetState.DRAINING, leaving=True)
+        self._slots.refuse_queued("the target takes no new calls")
+        self._on_change(self.entry)
+
     def remove_target(self, target_id: str) -> None:
         """Remove a target that departs for good; it receives no new calls."""
         current = self.entry
@@ -258,7 +273,7 @@
         if changed:
             self._slots.limit_rate(limit.limit_per_s)
         if signals.leaving and self.entry is not None:
-            self._decisions.event("target leaving", target=self.entry.target_id)
+            self.mark_leaving(self.entry.target_id, self.entry.incarnation)
 
     def _handle_failure(self, client: TargetClient) -> None:
         if client is not self._client or self.entry is None:
@@ -302,6 +317,11 @@
     return SlotRequest(call.route, call.priority, call.late_after, call.deadline)
 
 
+def _same_process(current: TargetEntry, entry: TargetEntry) -> bool:
+    """Return whether two entries describe one start of one target."""
+    return (current.target_id, current.incarnation) == (entry.target_id, entry.incarnation)
+
+
 def _same_for_peers(current: TargetEntry, entry: TargetEntry) -> bool:
     """Return whether two entries are equal in the fields that other nodes act on."""
     return (current.service, current.version, current.slots, current.state) == (
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -299,17 +299,23 @@
         initial_load = not self._node_replica.loaded
         self._registration.reconcile(entry)
         settings = self.settings
+        stored = entry.target if entry is not None else None
+        if stored is not None and stored.leaving:
+            self._admission.mark_leaving(stored.target_id, stored.incarnation)
         if not initial_load or self._admission.entry is not None or settings.target is None:
             return
-        if entry is not None and entry.target is not None:
-            self._admission.apply_announcement(entry.target, settings.target)
+        if stored is not None:
+            self._admission.apply_announcement(stored, settings.target)
 
     async def _update_retry_budget(self) -> None:
         service = self.settings.own_service
         self._retry_budget.target_count = max(1, len(self.directory.ready_peers(service)))
 
     async def _observe_state(self) -> None:
-        self._metrics.observe_target(self._admission.limit_per_s)
+        entry = self._admission.entry
+        self._metrics.observe_target(
+            self._admission.limit_per_s, entry is not None and entry.leaving
+        )
         for replica in self._replicas:
             self._metrics.observe_replica(replica.topic, replica.records_behind, replica.connected)
 
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -1,5 +1,6 @@
 """Service discovery: the known nodes and targets, with the statistics of calls to them."""
 
+import collections
 import typing as t
 from dataclasses import dataclass
 
@@ -18,6 +19,8 @@
 EJECTION_FAILURE_RATE = 0.4
 """Average failure rate from which a target is ejected for :data:`EJECTION_S` seconds."""
 EJECTION_S = 2.0
+MAX_LEAVING_TARGETS = 4096
+"""Leaving targets that are remembered; an entry is some 100 bytes."""
 
 
 @dataclass(slots=True)
@@ -82,12 +85,18 @@
 
 
 class Directory:
-    """Nodes by key, and peers with a ready target by service."""
+    """Nodes by key, and peers with a ready target by service.
 
-    __slots__ = ("_ready_by_service", "peers_by_key")
+    A target that announced its leave in a response to this node is never listed as ready again,
+    whatever its entry says and even if the entry is lost and comes back.
+    """
+
+    __slots__ = ("_leaving", "_ready_by_service", "peers_by_key")
 
     def __init__(self) -> None:
         self.peers_by_key: dict[str, Peer] = {}
+        self._leaving: collections.OrderedDict[tuple[str, int], None] = collections.OrderedDict()
+        """Ids and incarnations of targets that leave, oldest first."""
         self._ready_by_service: dict[str, list[Peer]] = {}
 
     def update(self, key: str, entry: NodeEntry) -> None:
@@ -101,9 +110,24 @@
         else:
             current = self.peers_by_key[key] = Peer(entry)
         target = entry.target
-        if target is not None and target.state is TargetState.READY:
+        if (
+            target is not None
+            and target.state is TargetState.READY
+            and (target.target_id, target.incarnation) not in self._leaving
+        ):
             self._ready_by_service.setdefault(target.service, []).append(current)
 
+    def mark_leaving(self, peer: Peer) -> bool:
+        """List a peer's target as ready no more; return whether it was not marked before."""
+        target = peer.entry.target
+        if target is None or (target.target_id, target.incarnation) in self._leaving:
+            return False
+        self._leaving[target.target_id, target.incarnation] = None
+        while len(self._leaving) > MAX_LEAVING_TARGETS:
+            self._leaving.popitem(last=False)
+        self._remove_from_ready(peer)
+        return True
+
     def is_current(self, peer: Peer) -> bool:
         """Return whether a peer is still listed, and not replaced by another target."""
         return any(known is peer for known in self.peers_by_key.values())
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -12,6 +12,7 @@
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
+from bulrushflow.routing import Response
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.admission_controller import AdmissionController
@@ -273,7 +274,7 @@
             case Ok(response):
                 peer.record_response(seconds, response.is_failure, now)
                 peer.record_load(report.load or 0.0, now)
-                peer.limit_per_s = self._signals.read(response.headers).limit_per_s
+                self._apply_signals(peer, response)
                 return
             case Err(failure):
                 pass
@@ -287,6 +288,14 @@
             peer.record_load(max(report.load, FULL_LOAD), now)
         self._log_failed_attempt(peer, call, failure, report.load, seconds)
 
+    def _apply_signals(self, peer: Peer, response: Response) -> None:
+        """Record what a target said of itself in a response that this node passes on."""
+        signals = self._signals.read(response.headers)
+        if signals.invalid_limit is None:
+            peer.limit_per_s = signals.limit_per_s
+        if signals.leaving and self._directory.mark_leaving(peer):
+            self._decisions.event("peer's target leaving", node=peer.entry.node_id)
+
     def _log_failed_attempt(
         self, peer: Peer, call: Call, failure: CallFailure, load: float | None, seconds: float
     ) -> None:
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -99,6 +99,8 @@
     state: TargetState
     warm_at_ms: int
     """Epoch milliseconds at which the target is expected to reach its usual speed."""
+    leaving: bool = False
+    """Whether a response of the target announced that it leaves; such a target stays draining."""
 
     @property
     def revision(self) -> tuple[int, int]:
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -122,7 +122,7 @@
         await asyncio.gather(*(instance.stop() for instance in self.instances))
 
     async def announce(
-        self, number: int, state: str = "ready", sequence: int = 1, slots: int = 4
+        self, number: int, state: str = "ready", sequence: int = 1, slots: int = 4, born: int = 1
     ) -> int:
         instance = self.instances[number]
         announcement = {
@@ -133,7 +133,7 @@
             "slots": slots,
             "state": state,
             "seq": sequence,
-            "born": 1,
+            "born": born,
         }
         url = instance.url("announcements", f"/-/instances/t-{number}")
         async with self.http.put(url, json=announcement) as response:
--- a/tests/sidecar/test_directory.py
+++ b/tests/sidecar/test_directory.py
@@ -49,3 +49,15 @@
         self.directory.retain({"node/3"})
         self.assertEqual(self.ready(), {"n-3"})
         self.assertEqual(list(self.directory.peers_by_key), ["node/3"])
+
+    # DRAIN: an entry that was lost and came back made a leaving target available again.
+    def test_a_target_that_said_it_leaves_is_never_listed_again(self) -> None:
+        self.assertTrue(self.directory.mark_leaving(self.directory.peers_by_key["node/1"]))
+        self.assertEqual(self.ready(), {"n-2", "n-3"})
+        self.directory.update("node/1", self.changed(1, sequence=9))
+        self.directory.remove("node/1")
+        self.directory.update("node/1", self.entries[0])
+        self.assertEqual(self.ready(), {"n-2", "n-3"})
+        self.assertFalse(self.directory.mark_leaving(self.directory.peers_by_key["node/1"]))
+        self.directory.update("node/1", self.changed(1, incarnation=2))
+        self.assertEqual(self.ready(), {"n-1", "n-2", "n-3"})
