Read the era of the store from its responses, and log when it changes

Nothing showed that the store came back from an older copy: 'store restored' names the topic, both eras, the offset that this node had read to and the end of the topic. No decision depends on it yet. A state that is loaded in several pages is rejected if the era changes between them.

--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -43,6 +43,7 @@
 mostly replaced already, so a reader loads the newest records instead."""
 
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+_ERA_HEADER = "Store-Era"
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
 
@@ -64,6 +65,14 @@
     end: int
 
 
+class _Response(t.NamedTuple):
+    """A complete response of the store."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 class PlatformStore:
     """Implements :class:`Store` on the first partition of each topic."""
 
@@ -84,6 +93,7 @@
         """
         records: list[KeyedRecord] = []
         end: int | None = None
+        era: int | None = None
         after: str | None = None
         while True:
             query = {"topic": topic, "part": "0"}
@@ -92,10 +102,14 @@
             match await self._call("GET", "/-/log-newest", query, CALL_TIMEOUT_S):
                 case Err(error):
                     return Err(error)
-                case Ok((status, body)):
+                case Ok((status, body, page_era)):
                     pass
+            if era is None:
+                era = page_era
+            if era != page_era:
+                return Err(StoreError(StoreErrorKind.UNKNOWN, "the store was restored meanwhile"))
             if status == 404:
-                return Ok(StorePage((), 0, 0))
+                return Ok(StorePage((), 0, 0, era))
             if status != 200:
                 return Err(_status_error(status))
             try:
@@ -107,7 +121,7 @@
                 return Err(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
             end = page.end if end is None else end
             if not page.more or not page.items:
-                return Ok(StorePage(tuple(records), end, end))
+                return Ok(StorePage(tuple(records), end, end, era))
             after = page.items[-1].key
 
     async def read(
@@ -129,17 +143,17 @@
         match await self._call("GET", "/-/log-read", query, timeout_s, on_response=on_response):
             case Err(error):
                 return Err(error)
-            case Ok((200, body)):
-                return _decode_records(body, from_offset)
-            case Ok((410, _)):
+            case Ok((200, body, era)):
+                return _decode_records(body, from_offset, era)
+            case Ok((410, _, _)):
                 return Err(
                     StoreError(StoreErrorKind.TRIMMED, f"offset {from_offset} is no longer kept")
                 )
-            case Ok((404, _)):
+            case Ok((404, _, era)):
                 # The topic doesn't exist before its first record, so the wait happens here.
                 await asyncio.sleep(wait_s)
-                return Ok(StorePage((), from_offset, from_offset))
-            case Ok((status, _)):
+                return Ok(StorePage((), from_offset, from_offset, era))
+            case Ok((status, _, _)):
                 return Err(_status_error(status))
 
     async def append(
@@ -156,15 +170,15 @@
         match await self._call("POST", "/-/log-append", query, CALL_TIMEOUT_S, body):
             case Err(error):
                 return Err(error)
-            case Ok((200, response)):
+            case Ok((200, response, _)):
                 pass
-            case Ok((412, _)):
+            case Ok((412, _, _)):
                 return Err(
                     StoreError(
                         StoreErrorKind.CONFLICT, f"the topic does not end at offset {expected_end}"
                     )
                 )
-            case Ok((status, _)):
+            case Ok((status, _, _)):
                 return Err(_status_error(status))
         try:
             return Ok(msgspec.json.decode(response, type=_Appended).offset)
@@ -179,7 +193,7 @@
         timeout_s: float,
         body: bytes = b"",
         on_response: t.Callable[[], None] | None = None,
-    ) -> Result[tuple[int, bytes], StoreError]:
+    ) -> Result[_Response, StoreError]:
         session = self._session
         if session is None:
             session = self._session = aiohttp.ClientSession(
@@ -196,7 +210,8 @@
             ):
                 if on_response is not None and response.status == 200:
                     on_response()
-                return Ok((response.status, await _read_body(response, until_response)))
+                body = await _read_body(response, until_response)
+                return Ok(_Response(response.status, body, _read_era(response)))
         except aiohttp.ClientConnectorError as exc:
             return Err(StoreError(StoreErrorKind.REFUSED, f"no connection: {exc}"))
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
@@ -210,6 +225,11 @@
         return await read_body(response, timeout, limits)
 
 
+def _read_era(response: aiohttp.ClientResponse) -> int:
+    text = response.headers.get(_ERA_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _create_socket(address_info: t.Any) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family, kind, protocol)
@@ -233,7 +253,7 @@
     return _LENGTH.pack(len(body)) + body
 
 
-def _decode_records(data: bytes, from_offset: int) -> Result[StorePage, StoreError]:
+def _decode_records(data: bytes, from_offset: int, era: int) -> Result[StorePage, StoreError]:
     if len(data) < _ENDS.size:
         return Err(
             StoreError(
@@ -254,7 +274,7 @@
         start += length
         records.append(_decode_record(body, offset))
         offset += 1
-    return Ok(StorePage(tuple(records), offset, max(end, offset)))
+    return Ok(StorePage(tuple(records), offset, max(end, offset), era))
 
 
 def _decode_record(body: bytes, offset: int) -> KeyedRecord:
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -80,6 +80,8 @@
         self._end = TopicEnd()
         self._behind_since: float | None = None
         self._restarts = 0
+        self._era: int | None = None
+        """Era of the store that the offsets are of; ``None`` before the first response."""
         self.offset: int | None = None
         """Start offset of the next read; ``None`` while the whole state has to be loaded."""
         self.loaded = False
@@ -160,6 +162,7 @@
                 return False
             case Ok(page):
                 pass
+        self._enter_era(page)
         self._mark_connected(page.next_offset)
         for record in page.records:
             self._handler.apply(record)
@@ -183,6 +186,7 @@
                 return False
             case Ok(page):
                 pass
+        self._enter_era(page)
         self._mark_connected(page.next_offset)
         self._handler.replace(page.records)
         self._advance(page)
@@ -219,6 +223,21 @@
         finally:
             self._reading = None
 
+    def _enter_era(self, page: StorePage) -> None:
+        """Record the era of a response."""
+        if page.era == self._era:
+            return
+        if self._era is not None:
+            self._decisions.event(
+                "store restored",
+                topic=self._topic,
+                era=page.era,
+                before=self._era,
+                offset=self.offset,
+                end=page.end,
+            )
+        self._era = page.era
+
     def _end_wait(self) -> None:
         self._waiting = False
 
--- a/src/bulrushflow/sidecar/storage.py
+++ b/src/bulrushflow/sidecar/storage.py
@@ -55,6 +55,9 @@
     next_offset: int
     end: int
     """Offset that the next record to be appended gets."""
+    era: int = 0
+    """Rises when the store comes back from an older copy: offsets of another era mean other
+    records. 0 if the store doesn't number its eras."""
 
 
 class Store(t.Protocol):
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -19,6 +19,8 @@
         self.records_by_topic: dict[str, list[tuple[str, bytes]]] = {}
         self.first_offset_by_topic: dict[str, int] = {}
         self.status = 200
+        self.era = 0
+        """If positive, the era that each response names."""
         self.loses_responses = False
         self.page_size = 500
         self.piece_bytes = 0
@@ -31,6 +33,7 @@
 
     async def start(self) -> Endpoint:
         app = web.Application()
+        app.on_response_prepare.append(self._name_era)
         app.router.add_post("/-/log-append", self._append)
         app.router.add_get("/-/log-read", self._read)
         app.router.add_get("/-/log-newest", self._newest)
@@ -53,6 +56,19 @@
         """Return the latest value of each key."""
         return dict(self.records_by_topic.get(topic, ()))
 
+    def restore(self, records_by_topic: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Come back from a copy: what is not in it is gone, and offsets are given out again."""
+        self.records_by_topic = {topic: list(items) for topic, items in records_by_topic.items()}
+        self.era += 1
+
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return a copy of all records, to be restored later."""
+        return {topic: list(items) for topic, items in self.records_by_topic.items()}
+
+    async def _name_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+
     async def _append(self, request: web.Request) -> web.Response:
         body = await request.read()
         if self.status != 200:
@@ -83,6 +99,8 @@
         first = self.first_offset_by_topic.get(topic, 0)
         if start < first:
             return web.json_response({"first": first}, status=410)
+        if self.era and start > len(self.records_by_topic[topic]):
+            return web.json_response({"first": first}, status=410)
         try:
             async with asyncio.timeout(int(request.query.get("waitMs", "0")) / 1000):
                 while len(self.records_by_topic.get(topic, ())) <= start:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -120,3 +120,11 @@
         self.stand_in.put("t", "a", b"1")
         await self.store.read("t", 0, 0.0, on_response=lambda: responses.append(None))
         self.assertEqual(len(responses), 1)
+
+    async def test_each_page_names_the_era_of_the_store(self) -> None:
+        self.stand_in.put("keyed.x", "a", b"1")
+        self.assertEqual((await self.store.newest("keyed.x")).unwrap().era, 0)
+        self.stand_in.era = 7
+        self.assertEqual((await self.store.newest("keyed.x")).unwrap().era, 7)
+        self.assertEqual((await self.store.read("keyed.x", 0, 0.0)).unwrap().era, 7)
+        self.assertEqual((await self.store.read("keyed.none", 0, 0.0)).unwrap().era, 7)
