Load a topic again when the store comes back from an older copy

What callers could see: a node that keeps an older configuration, or doesn't know a target, until the next change, since the record is at an offset that the node had read already, of another history. It fails when others append as many records as were lost before a node reads on.

Cause: an offset was taken to name one record for ever. Class: a position that is compared across two histories. A page names the era of the store; in a later era a replica forgets its offset and all that it knew of the end, and loads the newest record of each key; a response of an earlier era that was on its way is ignored. Nodes send the era with the offset that they have read to: an offset of an earlier era says nothing (it had made nodes count as behind, refuse with 503 in place of 404, and reject the shorter topic as 'ends before'), a later era restarts a waiting read. Older nodes name no era; their offsets count as before.

The test failed before for two and three records at offsets given out again, and passes; twenty seeded orders of writes, restores, failures and peers' offsets end with the store's state.

--- a/src/bulrushflow/sidecar/forwarding.py
+++ b/src/bulrushflow/sidecar/forwarding.py
@@ -88,6 +88,7 @@
             return refused(f"no time left: {remaining_s:.4f} s"), PeerReport(True, 0.0)
         request = codec.call_to_message(call, remaining_s)
         request.read_offset = self._orders.offset
+        request.read_era = self._orders.era
         request.named_limit = _limit_to_message(named_limit)
         request.useful_ms = max(0, int((call.late_after - now) * 1000))
         match await link.exchange(remaining_s, call_request=request):
@@ -98,7 +99,7 @@
                 response = frame.call_answer
             case _:
                 return unknown("unexpected message instead of a call answer"), PeerReport(False)
-        self._orders.note_peer_offset(response.read_offset or 0)
+        self._orders.note_peer_offset(response.read_offset or 0, response.read_era)
         load = response.in_flight / response.capacity if response.capacity else None
         return codec.result_from_message(response), PeerReport(True, load)
 
@@ -136,7 +137,7 @@
             wait_s = min(MAX_RECHECK_INTERVAL_S, wait_s * 2)
 
     async def _serve(self, message: t.Any) -> dict[str, t.Any]:
-        self._orders.note_peer_offset(message.read_offset or 0)
+        self._orders.note_peer_offset(message.read_offset or 0, message.read_era)
         if message.named_limit is not None:
             self._admission.apply_named_limit(_limit_from_message(message.named_limit))
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
@@ -144,6 +145,7 @@
         admission = self._admission
         response = codec.result_to_message(result, admission.load, admission.capacity)
         response.read_offset = self._orders.offset
+        response.read_era = self._orders.era
         return {"call_answer": response}
 
 
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -1,7 +1,8 @@
 """Replication of a store topic: loads its whole state, then follows new records by long polling.
 
 A replica that is several records behind loads the state again, since a topic's later records
-replace earlier ones of the same key.
+replace earlier ones of the same key. It does so too when the store comes back from an older copy:
+an offset then means another record than before.
 """
 
 import asyncio
@@ -82,6 +83,8 @@
         self._restarts = 0
         self._era: int | None = None
         """Era of the store that the offsets are of; ``None`` before the first response."""
+        self._peer_era = 0
+        """Latest era that another node named."""
         self.offset: int | None = None
         """Start offset of the next read; ``None`` while the whole state has to be loaded."""
         self.loaded = False
@@ -105,24 +108,45 @@
     @property
     def is_current(self) -> bool:
         """Whether the store responds and no record is known that this replica has not read."""
+        if self._peer_era > self.era:
+            return False
         return self.connected and self.offset is not None and not self.records_behind
 
-    def note_peer_offset(self, offset: int) -> None:
+    @property
+    def era(self) -> int:
+        """Era of the store that :attr:`offset` is of; 0 if the store names none."""
+        return self._era or 0
+
+    def note_peer_offset(self, offset: int, era: int | None = None) -> None:
         """Note that another node has read up to ``offset``.
 
+        :param era: era of the store that the offset is of; ``None`` if the node names none. An
+            offset of an earlier era means nothing any more. A later era restarts a waiting read as
+            a later offset does.
+
         If this replica hasn't caught up after :data:`LAG_TOLERANCE_S`, a read that still waits for
         records is restarted. One that fetches records is left to finish: it would be restarted by
         each new record, and never complete while these come faster than a response.
         """
+        if era is not None and era != self.era:
+            if era > max(self.era, self._peer_era):
+                self._peer_era = era
+                self._check_lag_later(offset, era)
+            return
         if not self._end.note(offset) or self.offset is None or offset <= self.offset:
             return
+        self._check_lag_later(offset, self.era)
+
+    def _check_lag_later(self, offset: int, era: int) -> None:
         loop = asyncio.get_running_loop()
         if self._behind_since is None:
             self._behind_since = loop.time()
-        loop.call_later(LAG_TOLERANCE_S, self._check_lag, offset)
+        loop.call_later(LAG_TOLERANCE_S, self._check_lag, offset, era)
 
-    def _check_lag(self, offset: int) -> None:
-        if self.offset is None or self.offset >= offset:
+    def _check_lag(self, offset: int, era: int) -> None:
+        if self.era > era or self.offset is None:
+            return
+        if self.era == era and self.offset >= offset:
             return
         if self._reading is None or not self._waiting:
             return
@@ -132,6 +156,8 @@
             topic=self._topic,
             offset=self.offset,
             others_have=offset,
+            era=self.era,
+            others_era=era,
             reading_for_s=round(now - self._read_started_at, 3),
         )
         self._restarts += 1
@@ -162,7 +188,8 @@
                 return False
             case Ok(page):
                 pass
-        self._enter_era(page)
+        if not self._enter_era(page):
+            return page.era == self._era
         self._mark_connected(page.next_offset)
         for record in page.records:
             self._handler.apply(record)
@@ -180,13 +207,14 @@
             case Err(error):
                 self._mark_disconnected(error.message)
                 return False
+            case Ok(page) if not self._enter_era(page) and page.era != self._era:
+                return False
             case Ok(page) if self.offset is not None and page.end < self.offset:
                 # Applied, it would take back what was read already.
                 self._mark_disconnected(f"the topic ends at {page.end}, before {self.offset}")
                 return False
             case Ok(page):
                 pass
-        self._enter_era(page)
         self._mark_connected(page.next_offset)
         self._handler.replace(page.records)
         self._advance(page)
@@ -223,11 +251,19 @@
         finally:
             self._reading = None
 
-    def _enter_era(self, page: StorePage) -> None:
-        """Record the era of a response."""
+    def _enter_era(self, page: StorePage) -> bool:
+        """Record the era of a response; return whether the current offset is of that era.
+
+        In a new era the whole state has to be loaded. A response of an earlier era, which was on
+        its way while the store was restored, is ignored.
+        """
         if page.era == self._era:
-            return
-        if self._era is not None:
+            return True
+        if self._era is not None and page.era < self._era:
+            self._mark_disconnected(f"a response of era {page.era}, which ended before {self._era}")
+            return False
+        restored = self._era is not None
+        if restored:
             self._decisions.event(
                 "store restored",
                 topic=self._topic,
@@ -237,6 +273,11 @@
                 end=page.end,
             )
         self._era = page.era
+        if restored:
+            self.offset = None
+            self._end = TopicEnd()
+            self._behind_since = None
+        return not restored
 
     def _end_wait(self) -> None:
         self._waiting = False
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -108,6 +108,8 @@
   62: optional i32 useful_ms
   // What the receiver's target said last, which a receiver that was restarted doesn't know.
   63: optional NamedLimit named_limit
+  // Era of the store that read_offset is of; offsets of different eras can't be compared.
+  64: optional i64 read_era
 }
 
 struct CallAnswer {
@@ -122,6 +124,8 @@
   61: optional i64 read_offset
   // True if the call reached the target, which refused it.
   62: optional bool arrived
+  // Era of the store that read_offset is of.
+  64: optional i64 read_era
 }
 
 struct CallCancel {
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -115,6 +115,7 @@
         self.reads: list[tuple[int, float]] = []
         self.misses_wakeups = False
         self.unavailable = False
+        self.era = 1
         self.first_offset = 0
         self.answers = asyncio.Event()
         self.answers.set()
@@ -135,17 +136,24 @@
             self._appended.set()
             self._appended = asyncio.Event()
 
+    def restore(self, count: int) -> None:
+        """Come back from a copy that has the first records only; pending reads fail."""
+        del self.records[count:]
+        self.era += 1
+        self._appended.set()
+        self._appended = asyncio.Event()
+
     async def newest(self, topic: str) -> Result[StorePage, StoreError]:
         if self.unavailable:
             return Err(StoreError(StoreErrorKind.REFUSED, "down"))
         await self.answers.wait()
         # The state is that of the request, however long the transfer takes.
-        records = self.records[: self.newest_end]
+        records, era = self.records[: self.newest_end], self.era
         newest = {record.key: record for record in records}
         self.loads_begun += 1
         await self.transfers.wait()
         self.records_sent += len(newest)
-        return Ok(StorePage(tuple(newest.values()), len(records), len(records)))
+        return Ok(StorePage(tuple(newest.values()), len(records), len(records), era))
 
     async def read(
         self,
@@ -157,12 +165,15 @@
         self.reads.append((from_offset, wait_s))
         if self.unavailable:
             return Err(StoreError(StoreErrorKind.REFUSED, "down"))
-        if from_offset < self.first_offset:
+        if from_offset < self.first_offset or from_offset > len(self.records):
             return Err(StoreError(StoreErrorKind.TRIMMED, "gone"))
+        era = self.era
         try:
             await self.answers.wait()
             if from_offset >= len(self.records) and wait_s:
                 await self._appended.wait()
+            if self.era > era:
+                return Err(StoreError(StoreErrorKind.UNKNOWN, "connection lost"))
             self.responses_begun += 1
             if on_response is not None:
                 on_response()
@@ -172,7 +183,7 @@
             raise
         page = self.records[from_offset : from_offset + self.max_page_records]
         self.records_sent += len(page)
-        return Ok(StorePage(tuple(page), from_offset + len(page), len(self.records)))
+        return Ok(StorePage(tuple(page), from_offset + len(page), len(self.records), self.era))
 
     async def append(
         self, topic: str, writes: t.Sequence[StoreWrite], expected_end: int | None = None
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/test_replica.py
@@ -25,7 +25,7 @@
         self.by_key[record.key] = record.value
 
 
-class ReplicaTests(unittest.IsolatedAsyncioTestCase):
+class ReplicaTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         for name in ("BATCH_PAUSE_S", "LAG_TOLERANCE_S", "FIRST_BACKOFF_S", "MAX_BACKOFF_S"):
             patch = mock.patch.object(replica_module, name, 0.001)
@@ -41,6 +41,8 @@
         self.addAsyncCleanup(self.replica.stop)
         await until(lambda: self.replica.loaded)
 
+
+class ReplicaTests(ReplicaTestCase):
     async def test_records_from_before_and_after_the_start_are_applied(self) -> None:
         self.store.put("a", b"1")
         await self.start()
@@ -202,3 +204,88 @@
         self.replica.note_peer_offset(9)
         await until(lambda: self.store.loads_begun > 2)
         self.assertEqual((self.replica.offset, self.handler.by_key), (3, {"a": b"3"}))
+
+
+class RestoredStoreTests(ReplicaTestCase):
+    """The store comes back from an older copy, and its offsets are given out again."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.store.put("a", b"1")
+        await self.start()
+        self.store.put("b", b"lost")
+        self.store.put("c", b"lost")
+        await until(lambda: len(self.handler.by_key) == 3)
+
+    def restore_and_write(self, count: int) -> None:
+        """Restore the store and append records up to as many as there were, or more."""
+        self.store.restore(1)
+        for number in range(count):
+            self.store.put(f"new-{number}", str(count).encode())
+
+    # CONFIG: a record at an offset that was given out again was never read.
+    async def test_records_at_offsets_that_were_given_out_again_are_read(self) -> None:
+        for count in (0, 1, 2, 3):
+            with self.subTest(count=count):
+                self.restore_and_write(count)
+                await until(lambda: self.handler.by_key == self.state())
+        self.assertTrue(self.decisions.inputs("store restored"))
+
+    # CONFIG: a node that other nodes told of a lost offset never accepted the shorter topic.
+    async def test_an_offset_that_a_peer_names_from_before_does_not_block_the_load(self) -> None:
+        self.replica.note_peer_offset(9, self.store.era)
+        self.restore_and_write(1)
+        self.replica.note_peer_offset(9, self.store.era - 1)
+        await until(lambda: set(self.handler.by_key) == {"a", "new-0"})
+        await until(lambda: self.replica.is_current)
+        self.replica.note_peer_offset(9, self.store.era - 1)
+        self.assertTrue(self.replica.is_current)
+
+    async def test_a_waiting_read_is_restarted_when_a_peer_names_a_later_era(self) -> None:
+        self.store.misses_wakeups = True
+        self.restore_and_write(2)
+        self.replica.note_peer_offset(3, self.store.era)
+        self.assertFalse(self.replica.is_current)
+        await until(lambda: set(self.handler.by_key) == {"a", "new-0", "new-1"})
+
+    async def test_a_late_response_of_an_earlier_era_is_ignored(self) -> None:
+        self.restore_and_write(1)
+        await until(lambda: set(self.handler.by_key) == {"a", "new-0"})
+        self.store.era -= 1
+        self.store.put("stale", b"3")
+        await until(lambda: bool(self.decisions.inputs("store lost")))
+        self.assertNotIn("stale", self.handler.by_key)
+        self.store.era += 1
+        await until(lambda: "stale" in self.handler.by_key)
+
+    async def test_any_order_of_writes_restores_and_failures_ends_with_the_stores_state(
+        self,
+    ) -> None:
+        for seed in range(20):
+            rng = random.Random(seed)
+            with self.subTest(seed=seed):
+                for step in range(rng.randrange(1, 12)):
+                    self.disturb(rng, f"{seed}-{step}")
+                    await asyncio.sleep(rng.choice((0.0, 0.002, 0.01)))
+                self.store.unavailable = False
+                self.store.misses_wakeups = False
+                self.store.put("end", str(seed).encode())
+                self.replica.note_peer_offset(len(self.store.records), self.store.era)
+                await until(lambda: self.handler.by_key == self.state())
+
+    def disturb(self, rng: random.Random, value: str) -> None:
+        kind = rng.choice(("write", "write", "restore", "down", "up", "silent", "peer"))
+        if kind == "write":
+            self.store.put(rng.choice("abcdef"), value.encode())
+        elif kind == "restore":
+            self.store.restore(rng.randrange(len(self.store.records) + 1))
+        elif kind == "peer":
+            offset = rng.randrange(len(self.store.records) + 4)
+            self.replica.note_peer_offset(offset, rng.randrange(self.store.era + 1))
+        elif kind == "silent":
+            self.store.misses_wakeups = not self.store.misses_wakeups
+        else:
+            self.store.unavailable = kind == "down"
+
+    def state(self) -> dict[str, bytes]:
+        return {record.key: record.value for record in self.store.records}
