Log after how long and at which nodes a caller disconnected

Now each attempt that is cancelled before any succeeded logs 'attempt failed' with its node and seconds, and 'call failed' has seconds; a hedged attempt that lost to another stays unlogged. The new test failed before (no line with a node).

--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -139,7 +139,7 @@
             case Ok(body):
                 pass
         call = self._build_call(request, route, body, started_at, deadline)
-        result = await self._dispatch(route, call)
+        result = await self._dispatch(route, call, started_at)
         seconds = asyncio.get_running_loop().time() - started_at
         self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
         return self._result_response(call, result, routing.version, seconds)
@@ -165,12 +165,15 @@
             reason += ", which may be outdated"
         return self._error_response(request_id, status, reason)
 
-    async def _dispatch(self, route: Route, call: Call) -> CallResult:
+    async def _dispatch(self, route: Route, call: Call, started_at: float) -> CallResult:
         try:
             return await self._dispatcher.dispatch(route, call)
         except asyncio.CancelledError:
-            self._metrics.observe_call(route.name, call.service, "cancelled", 0.0)
-            self._decisions.failed(call, "cancelled", reason="the caller disconnected")
+            seconds = asyncio.get_running_loop().time() - started_at
+            self._metrics.observe_call(route.name, call.service, "cancelled", seconds)
+            self._decisions.failed(
+                call, "cancelled", reason="the caller disconnected", seconds=round(seconds, 3)
+            )
             raise
 
     def _timeout_s(self, request: web.BaseRequest, route: Route) -> float:
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -250,8 +250,11 @@
             result, report = await self._send(peer, attempt)
         except asyncio.CancelledError:
             progress.abandoned = True
-            if loop.time() >= call.deadline:
-                failure = CallFailure(Outcome.UNKNOWN, "no answer by the deadline")
+            # An attempt that is cancelled because another one succeeded has not failed.
+            if not progress.succeeded:
+                late = loop.time() >= call.deadline
+                reason = "no answer by the deadline" if late else "the caller disconnected"
+                failure = CallFailure(Outcome.UNKNOWN, reason)
                 self._log_failed_attempt(peer, attempt, failure, None, loop.time() - started_at)
             raise
         finally:
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -1,6 +1,7 @@
 import asyncio
 import logging
 import random
+import typing as t
 import unittest
 from unittest import mock
 
@@ -182,6 +183,29 @@
         self.assertEqual(len(self.cancelled), 1)
         self.assertIn("attempt failed", "".join(logs.output))
 
+    # A failed request whose caller left could not be traced to a node.
+    async def test_a_call_whose_caller_disconnects_is_logged_with_each_node_it_ran_at(self) -> None:
+        lines: list[dict[str, t.Any]] = []
+        handler = logger.add(lambda message: lines.append(message.record["extra"]))
+        self.addCleanup(logger.remove, handler)
+        running = self.start()
+        await until(lambda: len(self.sent) == 2)
+        running.cancel()
+        await until(lambda: len(self.cancelled) == 2)
+        found = {(line["node"], line["reason"]) for line in lines if "node" in line}
+        self.assertEqual(found, {(f"n-{i}", "the caller disconnected") for i in (1, 2)})
+        self.assertTrue(all(line["seconds"] >= 0 for line in lines if "node" in line))
+
+    async def test_an_attempt_that_lost_to_another_is_not_logged_as_failed(self) -> None:
+        lines: list[str] = []
+        handler = logger.add(lambda message: lines.append(message.record["message"]))
+        self.addCleanup(logger.remove, handler)
+        running = self.start()
+        await until(lambda: len(self.sent) == 2)
+        self.responses[self.sent[1][0]].set_result(response_with(200).as_result())
+        await running
+        self.assertNotIn("attempt failed", lines)
+
     async def test_few_targets_are_tried_if_all_are_fully_loaded(self) -> None:
         for number in (3, 4, 5):
             self.directory.update(f"node/{number}", peer(number).entry)
