--- a/tests/sidecar/test_limited_targets.py
+++ b/tests/sidecar/test_limited_targets.py
@@ -14,7 +14,7 @@
 CALL_INTERVAL_S = 0.01
 
 
-class LimitedTargetTests(FleetTestCase):
+class LimitedTargetTestCase(FleetTestCase):
     """Four nodes, each with a target that can serve far more calls than the limits allow."""
 
     node_count = 4
@@ -35,6 +35,8 @@
             allowed = LIMIT_PER_S * ALLOWED_FACTOR * (end - start) + ALLOWED_CALLS
             self.assertLessEqual(j - i + 1, allowed, f"calls within {end - start:.3f} s")
 
+
+class LimitedTargetTests(LimitedTargetTestCase):
     # LIMIT: targets got what their slots could carry, whatever limit their responses named.
     async def test_all_nodes_together_keep_the_limit_that_a_target_names(self) -> None:
         await self.serve()
