Write a rollout's status again when the store comes back without it

A node that starts meanwhile doesn't know that the version is bad.

Cause: the status was written 0.2 s before the store came back from a copy that lacks it, and nodes take a status that they saw in the store as recorded for ever. A reload now compares the steps that the store was known to have with those that it has; the nodes of the service write a lost status again, in the order in which they drive. Tests of the handler and of two drivers failed before (no such status, nothing written).

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -139,7 +139,9 @@
         nodes = NodeEntryHandler(
             self.directory, self._own_node_key, self._on_own_entry, self._decisions
         )
-        statuses = RolloutStatusHandler(adapter.decode_status, self._apply_status, self._decisions)
+        statuses = RolloutStatusHandler(
+            adapter.decode_status, self._apply_status, self._rollouts.reconcile, self._decisions
+        )
         self._operator_replica = Replica(
             store, topics.orders, adapter.operator_record_handler(self), self._decisions, self._rng
         )
--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -68,6 +68,8 @@
         """Order id and number of the due step, and since when it is due."""
         self._sending: set[asyncio.Task[None]] = set()
         self._unwritten: dict[str, RolloutStatus] = {}
+        self._lost_since: float | None = None
+        """Time since which a status that the store lost has to be written again."""
         self._writing = False
         """Whether :meth:`check` waits for the store."""
         links.handle("evidence_report", self._on_evidence_report)
@@ -83,10 +85,20 @@
         now = asyncio.get_running_loop().time()
         if rollout.phase is RolloutPhase.RUNNING and not self._analyse(rollout, now):
             await self._advance(rollout, now)
-        unwritten = self._unwritten.get(rollout.order.service)
+        unwritten = self._unwritten.get(rollout.order.service) or self._lost_status(rollout, now)
         if unwritten is not None:
             await self._write(rollout, unwritten)
 
+    def _lost_status(self, rollout: Rollout, now: float) -> RolloutStatus | None:
+        """Return the status that this node has to write again, after the nodes that precede it."""
+        lost = self._rollouts.lost_status(rollout.order.service)
+        if lost is None or lost.order_id != rollout.order.order_id:
+            self._lost_since = None
+            return None
+        if self._lost_since is None:
+            self._lost_since = now
+        return lost if now - self._lost_since >= self._rank() * RANK_DELAY_S else None
+
     async def check_during_write(self) -> None:
         """Analyse the rollout if :meth:`check` waits for the store, which can take seconds."""
         rollout = self._rollouts.by_service.get(self._own_service())
--- a/src/bulrushflow/sidecar/record_handlers.py
+++ b/src/bulrushflow/sidecar/record_handlers.py
@@ -84,29 +84,41 @@
 
     :param decode: decodes a record, whose key format depends on the platform.
     :param on_status: called with each decoded status.
+    :param on_reload: called with all statuses that the store has, after each of them was passed on.
     """
 
     def __init__(
         self,
         decode: t.Callable[[KeyedRecord], Result[RolloutStatus, str]],
         on_status: t.Callable[[RolloutStatus], None],
+        on_reload: t.Callable[[t.Sequence[RolloutStatus]], None],
         decisions: DecisionLog,
     ) -> None:
         self._decode = decode
         self._on_status = on_status
+        self._on_reload = on_reload
         self._decisions = decisions
 
     def replace(self, records: t.Sequence[KeyedRecord]) -> None:
         """See :meth:`RecordHandler.replace`."""
-        for record in records:
-            self.apply(record)
+        statuses = [status for record in records if (status := self._read(record)) is not None]
+        for status in statuses:
+            self._on_status(status)
+        self._on_reload(statuses)
 
     def apply(self, record: KeyedRecord) -> None:
         """See :meth:`RecordHandler.apply`."""
+        status = self._read(record)
+        if status is not None:
+            self._on_status(status)
+
+    def _read(self, record: KeyedRecord) -> RolloutStatus | None:
+        """Return the status in a record, or ``None`` if it is empty or unreadable."""
         if not record.value:
-            return
+            return None
         match self._decode(record):
             case Err(reason):
                 self._decisions.event("record unreadable", key=record.key, reason=reason)
+                return None
             case Ok(status):
-                self._on_status(status)
+                return status
--- a/src/bulrushflow/sidecar/rollouts.py
+++ b/src/bulrushflow/sidecar/rollouts.py
@@ -75,6 +75,10 @@
         self._evidence = EvidenceStore(own_id, incarnation)
         self._statuses_by_service: dict[str, RolloutStatus] = {}
         self._recorded_by_service: dict[str, int] = {}
+        self._stored_step_by_service: dict[str, tuple[int, int]] = {}
+        """Order id and step of the latest status that the store is known to have had."""
+        self._lost_services: set[str] = set()
+        """Services whose status the store had, and lost."""
         self._decisions = decisions
         self._rng = rng
         self._limits = limits
@@ -114,6 +118,31 @@
         """Return whether the store already has a final status of the same order."""
         return self._recorded_by_service.get(status.service) == status.order_id
 
+    def lost_status(self, service: str) -> RolloutStatus | None:
+        """Return the status of a service that has to be written again, if the store lost it."""
+        return self._statuses_by_service.get(service) if service in self._lost_services else None
+
+    def reconcile(self, stored: t.Sequence[RolloutStatus]) -> None:
+        """Find the statuses that the store lacks, given all that it has.
+
+        It loses them when it comes back from an older copy.
+        """
+        steps = {(status.service, status.order_id): status.step for status in stored}
+        for service, (order_id, step) in list(self._stored_step_by_service.items()):
+            stored_step = steps.get((service, order_id), 0)
+            if stored_step >= step:
+                continue
+            del self._stored_step_by_service[service]
+            self._recorded_by_service.pop(service, None)
+            self._lost_services.add(service)
+            self._decisions.event(
+                "move status lost",
+                service=service,
+                order=order_id,
+                step=step,
+                stored_step=stored_step,
+            )
+
     def apply_status(self, status: RolloutStatus, now: float, recorded: bool = False) -> bool:
         """Apply a status; return whether the rollout changed.
 
@@ -121,6 +150,8 @@
             one takes precedence, since operators act on it.
         """
         known = self._statuses_by_service.get(status.service)
+        if recorded:
+            self._note_stored(status, known)
         newly_recorded_end = recorded and status.phase is not RolloutPhase.RUNNING
         newly_recorded_end = newly_recorded_end and not self.is_recorded(status)
         if newly_recorded_end:
@@ -137,6 +168,13 @@
         self._set_status(rollout, status, now)
         return True
 
+    def _note_stored(self, status: RolloutStatus, known: RolloutStatus | None) -> None:
+        stored = (status.order_id, status.step)
+        current = self._stored_step_by_service.get(status.service, stored)
+        self._stored_step_by_service[status.service] = max(stored, current)
+        if known is None or stored >= (known.order_id, known.step):
+            self._lost_services.discard(status.service)
+
     def _set_status(self, rollout: Rollout, status: RolloutStatus, now: float) -> None:
         before = rollout.share_permille
         rollout.status = status
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -34,6 +34,7 @@
 from tests.waiting import until
 
 ORDER = RolloutOrder("statements", "v2", 15.0, 7)
+END = RolloutPhase.ROLLED_BACK
 STATUS = RolloutStatus("statements", "v2", 7, 1, 100, RolloutPhase.RUNNING, 0, 15_000)
 
 
@@ -129,7 +130,12 @@
         for other in (1, 2):
             directory.update(f"node/{other}", peer(other).entry)
         directory.update("node/3", peer(3, "v2").entry)
-        handler = RolloutStatusHandler(decode, lambda status: self._apply_status(status), decisions)
+        handler = RolloutStatusHandler(
+            decode,
+            lambda status: self._apply_status(status),
+            lambda statuses: self.rollouts.reconcile(statuses),
+            decisions,
+        )
         self.replica = Replica(store, "statuses", handler, decisions, rng)
         self.driver = RolloutDriver(
             f"node/{number}",
@@ -294,6 +300,24 @@
         self.assertTrue(self.first.rollouts.is_forbidden("statements", "v2"))
         await until(lambda: len(self.first.links.bodies("state_notice")) == 2)
 
+    # Operators never saw that a rollout ended if the store lost the record of its end.
+    async def test_one_node_writes_a_rollback_again_that_the_store_lost(self) -> None:
+        self.first.driver.roll_back(self.first.rollouts.by_service["statements"], "errors")
+        await self.first.driver.check()
+        await self.second.read()
+        self.store.restore(0)
+        for node in (self.first, self.second):
+            node.replica.offset = 0
+            node.rollouts.reconcile([])
+        await self.second.driver.check()
+        self.assertEqual(self.store.records, [], "the first node precedes it")
+        await self.first.driver.check()
+        self.assertEqual([decode(record).unwrap().phase for record in self.store.records], [END])
+        for node in (self.first, self.second):
+            await node.read()
+            await node.driver.check()
+        self.assertEqual(len(self.store.records), 1)
+
     async def test_a_recorded_final_status_overrides_an_unrecorded_one(self) -> None:
         self.store.put(
             "statements",
--- a/tests/sidecar/test_record_handlers.py
+++ b/tests/sidecar/test_record_handlers.py
@@ -25,6 +25,7 @@
         self.handler = RolloutStatusHandler(
             lambda record: decode_rollout_status(record.value),
             lambda status: self.apply_status(status),
+            self.rollouts.reconcile,
             decisions,
         )
         self.handler.replace([self.record(ROLLED_BACK)])
@@ -51,3 +52,19 @@
         running = replace(ROLLED_BACK, step=1, share_permille=100, phase=RolloutPhase.RUNNING)
         self.handler.replace([self.record(running)])
         self.assertTrue(self.rollouts.is_forbidden("statements", "v2"))
+
+    # A rollback that the store lost was never written again: operators didn't see that it ended.
+    async def test_a_status_that_the_store_lost_has_to_be_written_again(self) -> None:
+        self.assertIsNone(self.rollouts.lost_status("statements"))
+        self.assertTrue(self.rollouts.is_recorded(ROLLED_BACK))
+        self.handler.replace([])
+        self.assertEqual(self.rollouts.lost_status("statements"), ROLLED_BACK)
+        self.assertFalse(self.rollouts.is_recorded(ROLLED_BACK))
+        self.handler.apply(self.record(ROLLED_BACK))
+        self.assertIsNone(self.rollouts.lost_status("statements"))
+        self.assertTrue(self.rollouts.is_recorded(ROLLED_BACK))
+
+    async def test_an_older_step_in_a_restored_copy_is_a_lost_status(self) -> None:
+        running = replace(ROLLED_BACK, step=1, share_permille=100, phase=RolloutPhase.RUNNING)
+        self.handler.replace([self.record(running)])
+        self.assertEqual(self.rollouts.lost_status("statements"), ROLLED_BACK)
--- a/tests/sidecar/test_statuses.py
+++ b/tests/sidecar/test_statuses.py
@@ -55,7 +55,10 @@
         self.store = BusyStore()
         decisions = RecordingDecisions()
         handler = RolloutStatusHandler(
-            lambda record: decode_rollout_status(record.value), lambda status: None, decisions
+            lambda record: decode_rollout_status(record.value),
+            lambda status: None,
+            lambda statuses: None,
+            decisions,
         )
         self.replica = Replica(self.store, "statuses", handler, decisions, random.Random(1))
         self.replica.offset = 0
