Split the queueing of a call from the wait for its slot

SlotPool.acquire had grown with the rate limit; what decides whether a call may queue is a function of its own that returns the reason as a value. No behaviour changes.

--- a/src/bulrushflow/sidecar/slots.py
+++ b/src/bulrushflow/sidecar/slots.py
@@ -14,6 +14,10 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from result import Err
+from result import Ok
+from result import Result
+
 from bulrushflow.exceptions import InvariantError
 from bulrushflow.sidecar.rate_limit import RateLimit
 
@@ -121,24 +125,49 @@
         """
         loop = asyncio.get_running_loop()
         now = loop.time()
-        service_time_s = self.service_time_s(request.route)
-        last_start = request.deadline - service_time_s * MIN_SERVICE_FRACTION
+        last_start = request.deadline - self.service_time_s(request.route) * MIN_SERVICE_FRACTION
         # Not checked on an idle target, which may be faster than its smoothed service time.
         if self.active and now >= last_start:
             return "the deadline can't be met any more"
-        queued = self.queued
-        if self.active < self.capacity and not queued and not self._limit.wait_s(now):
+        if self.active < self.capacity and not self.queued and not self._limit.wait_s(now):
             self._start(now)
             return None
-        if queued >= self.capacity * MAX_QUEUED_PER_SLOT and not self._evict_late():
-            return "the queue is full"
+        match self._enqueue(request, now, last_start):
+            case Err(reason):
+                return reason
+            case Ok(decision):
+                pass
+        if self.active < self.capacity:
+            self._grant()
+        try:
+            # After the last useful start the deadline can't be met; refusing now still reaches the
+            # caller in time.
+            async with asyncio.timeout_at(last_start):
+                return await decision
+        except TimeoutError:
+            self._cancel(decision)
+            return "the deadline can't be met any more"
+        except asyncio.CancelledError:
+            self._cancel(decision)
+            raise
+
+    def _enqueue(
+        self, request: SlotRequest, now: float, last_start: float
+    ) -> Result[asyncio.Future[str | None], str]:
+        """Queue a call and return its decision, or why its response would come too late.
+
+        :param last_start: event loop time after which the call is of no use any more.
+        """
+        if self.queued >= self.capacity * MAX_QUEUED_PER_SLOT and not self._evict_late():
+            return Err("the queue is full")
         rank = self._rank(request)
-        decision: asyncio.Future[str | None] = loop.create_future()
+        service_time_s = self.service_time_s(request.route)
+        decision: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
         queued_request = _QueuedRequest(rank, next(self._sequence), request, decision)
         ahead = [item for item in self._queue if item.rank <= rank and not item.decision.done()]
         limit_wait_s = self._limit.wait_s(now, len(ahead))
         if now + limit_wait_s > last_start:
-            return f"the target's limit admits the call in {limit_wait_s:.2f} s, too late"
+            return Err(f"the target's limit admits the call in {limit_wait_s:.2f} s, too late")
         expected_wait_s = self._expected_wait_s(ahead, now)
         if rank == SHORT_ROUTE_RANK or self._meets_objective(request, now + expected_wait_s):
             heapq.heappush(self._queue, queued_request)
@@ -148,23 +177,11 @@
             )
             latest = max(request.late_after, now + (request.deadline - now) * LATE_WAIT_FRACTION)
             if now + expected_wait_s + service_time_s > latest:
-                return (
+                return Err(
                     f"an answer is expected in {expected_wait_s + service_time_s:.2f} s, too late"
                 )
             self._late_queue.append(queued_request)
-        if self.active < self.capacity:
-            self._grant()
-        try:
-            # After the last useful start the deadline can't be met; refusing now still reaches the
-            # caller in time.
-            async with asyncio.timeout_at(last_start):
-                return await decision
-        except TimeoutError:
-            self._cancel(decision)
-            return "the deadline can't be met any more"
-        except asyncio.CancelledError:
-            self._cancel(decision)
-            raise
+        return Ok(decision)
 
     def release(self, route: str, seconds: float | None) -> None:
         """Free a slot, and grant it to the next call.
