--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -189,6 +189,7 @@
             case Ok(page):
                 pass
         if not self._enter_era(page):
+            # A new era is loaded at once. After a response of an earlier one the read is repeated.
             return page.era == self._era
         self._mark_connected(page.next_offset)
         for record in page.records:
