--- a/src/bulrushflow/sidecar/rate_limit.py
+++ b/src/bulrushflow/sidecar/rate_limit.py
@@ -6,6 +6,8 @@
 """Time for which calls may run ahead of an even spacing."""
 MIN_RATE_PER_S = 0.25
 """Rate that is kept up below it too: only the response to a call can lift a target's limit."""
+ROUNDING_S = 1e-9
+"""Shorter waits are errors of the arithmetic with the clock's times."""
 
 
 class RateLimit:
@@ -35,7 +37,8 @@
         """Return the seconds until a call may start behind others that wait."""
         if self.per_s is None:
             return 0.0
-        return max(0.0, self._due_at - BURST_S + calls_ahead / self.per_s - now)
+        wait_s = self._due_at - BURST_S + calls_ahead / self.per_s - now
+        return wait_s if wait_s > ROUNDING_S else 0.0
 
     def consume(self, now: float) -> None:
         """Count a call that starts."""
--- a/tests/sidecar/test_rate_limit.py
+++ b/tests/sidecar/test_rate_limit.py
@@ -29,6 +29,15 @@
         self.limit.change(50.0, 0.0)
         self.assertEqual(self.start_calls(1000.0), 50 * BURST_S + 1)
 
+    # With some times of the clock the last call of a burst waited for a rounding error.
+    def test_a_burst_has_as_many_calls_at_any_time(self) -> None:
+        for second in range(1, 2000):
+            now = second * 1.0307
+            with self.subTest(now=now):
+                limit = self.limit = RateLimit()
+                limit.change(10.0, now)
+                self.assertEqual(self.start_calls(now), 3)
+
     def test_the_wait_grows_with_the_calls_ahead(self) -> None:
         self.limit.change(10.0, 0.0)
         self.start_calls(0.0)
