Read an era of thousands of digits as none

A 'Store-Era' of more than 4,300 digits raised ValueError in the store's client, which ended the read of a topic for good: the node would have kept its configuration. Found by reading the change once more; the same conversions elsewhere (the caller's time limit, the keep-alive time-out) are bounded or take decimals. Eras above 18 digits count as none, since nodes send them in 64 bits. The test failed before.

--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -44,6 +44,8 @@
 
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 _ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = 18
+"""Digits of an era that fits into the 64 bits in which nodes send it."""
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
 
@@ -226,8 +228,10 @@
 
 
 def _read_era(response: aiohttp.ClientResponse) -> int:
+    """Return the era that a response names; 0 if it names none that can be read."""
     text = response.headers.get(_ERA_HEADER, "")
-    return int(text) if text.isascii() and text.isdigit() else 0
+    readable = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if readable else 0
 
 
 def _create_socket(address_info: t.Any) -> socket.socket:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -21,6 +21,8 @@
         self.status = 200
         self.era = 0
         """If positive, the era that each response names."""
+        self.era_text = ""
+        """If not empty, named in place of the era."""
         self.loses_responses = False
         self.page_size = 500
         self.piece_bytes = 0
@@ -66,8 +68,8 @@
         return {topic: list(items) for topic, items in self.records_by_topic.items()}
 
     async def _name_era(self, request: web.Request, response: web.StreamResponse) -> None:
-        if self.era:
-            response.headers["Store-Era"] = str(self.era)
+        if self.era or self.era_text:
+            response.headers["Store-Era"] = self.era_text or str(self.era)
 
     async def _append(self, request: web.Request) -> web.Response:
         body = await request.read()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -128,3 +128,11 @@
         self.assertEqual((await self.store.newest("keyed.x")).unwrap().era, 7)
         self.assertEqual((await self.store.read("keyed.x", 0, 0.0)).unwrap().era, 7)
         self.assertEqual((await self.store.read("keyed.none", 0, 0.0)).unwrap().era, 7)
+
+    # Converting thousands of digits raises an error, which ended the reads of the topic.
+    async def test_an_era_that_cannot_be_read_counts_as_none(self) -> None:
+        self.stand_in.put("keyed.x", "a", b"1")
+        for text in ("9" * 5000, "-1", "1.5", "x"):
+            with self.subTest(text=text[:10]):
+                self.stand_in.era_text = text
+                self.assertEqual((await self.store.newest("keyed.x")).unwrap().era, 0)
