Name the process of a target once, and decide on an era without side effects in a guard

Read as a newcomer: id and incarnation were compared pair by pair in five places (TargetEntry.process now); the check of a page's era recorded it inside a match guard.

--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -109,10 +109,10 @@
         if current is not None and entry.revision <= current.revision:
             # A delayed announcement, perhaps from a process that has ended since.
             return entry.revision == current.revision
-        if current is not None and current.leaving and _same_process(current, entry):
+        replaced = current is None or current.process != entry.process
+        if current is not None and current.leaving and not replaced:
             # Targets that announce their leave in responses may still announce that they are ready.
             entry = replace(entry, state=TargetState.DRAINING, leaving=True)
-        replaced = current is None or not _same_process(current, entry)
         if replaced or endpoint != self.endpoint:
             self._replace(entry, endpoint)
         self._slots.capacity = entry.slots
@@ -141,10 +141,7 @@
     def apply_named_limit(self, limit: NamedLimit) -> None:
         """Apply the limit that the target named to another node."""
         entry = self.entry
-        if entry is None or (entry.target_id, entry.incarnation) != (
-            limit.target_id,
-            limit.incarnation,
-        ):
+        if entry is None or entry.process != limit.process:
             return
         if not limit.calls_per_s >= 0:
             # Not a number, or below 0: no response is read as such a limit.
@@ -152,14 +149,15 @@
         if self._limit.take_over(limit.calls_per_s, asyncio.get_running_loop().time()):
             self._slots.limit_rate(self._limit.limit_per_s)
 
-    def mark_leaving(self, target_id: str, incarnation: int) -> None:
-        """Stop sending calls to a target process that leaves, for the rest of its life."""
+    def mark_leaving(self, process: tuple[str, int]) -> None:
+        """Send no more calls to a target that leaves.
+
+        :param process: id and incarnation of the target; another one is not marked.
+        """
         entry = self.entry
-        if entry is None or (entry.target_id, entry.incarnation) != (target_id, incarnation):
-            return
-        if entry.leaving:
+        if entry is None or entry.process != process or entry.leaving:
             return
-        self._decisions.event("target leaving", target=target_id, service=entry.service)
+        self._decisions.event("target leaving", target=entry.target_id, service=entry.service)
         self.entry = replace(entry, state=TargetState.DRAINING, leaving=True)
         self._slots.refuse_queued("the target takes no new calls")
         self._on_change(self.entry)
@@ -273,7 +271,7 @@
         if changed:
             self._slots.limit_rate(limit.limit_per_s)
         if signals.leaving and self.entry is not None:
-            self.mark_leaving(self.entry.target_id, self.entry.incarnation)
+            self.mark_leaving(self.entry.process)
 
     def _handle_failure(self, client: TargetClient) -> None:
         if client is not self._client or self.entry is None:
@@ -317,11 +315,6 @@
     return SlotRequest(call.route, call.priority, call.late_after, call.deadline)
 
 
-def _same_process(current: TargetEntry, entry: TargetEntry) -> bool:
-    """Return whether two entries describe one start of one target."""
-    return (current.target_id, current.incarnation) == (entry.target_id, entry.incarnation)
-
-
 def _same_for_peers(current: TargetEntry, entry: TargetEntry) -> bool:
     """Return whether two entries are equal in the fields that other nodes act on."""
     return (current.service, current.version, current.slots, current.state) == (
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -303,7 +303,7 @@
         settings = self.settings
         stored = entry.target if entry is not None else None
         if stored is not None and stored.leaving:
-            self._admission.mark_leaving(stored.target_id, stored.incarnation)
+            self._admission.mark_leaving(stored.process)
         if not initial_load or self._admission.entry is not None or settings.target is None:
             return
         if stored is not None:
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -113,16 +113,16 @@
         if (
             target is not None
             and target.state is TargetState.READY
-            and (target.target_id, target.incarnation) not in self._leaving
+            and target.process not in self._leaving
         ):
             self._ready_by_service.setdefault(target.service, []).append(current)
 
     def mark_leaving(self, peer: Peer) -> bool:
         """List a peer's target as ready no more; return whether it was not marked before."""
         target = peer.entry.target
-        if target is None or (target.target_id, target.incarnation) in self._leaving:
+        if target is None or target.process in self._leaving:
             return False
-        self._leaving[target.target_id, target.incarnation] = None
+        self._leaving[target.process] = None
         while len(self._leaving) > MAX_LEAVING_TARGETS:
             self._leaving.popitem(last=False)
         self._remove_from_ready(peer)
@@ -160,5 +160,4 @@
 def _same_target(current: NodeEntry, entry: NodeEntry) -> bool:
     if current.target is None or entry.target is None or current.endpoint != entry.endpoint:
         return False
-    same_id = current.target.target_id == entry.target.target_id
-    return same_id and current.target.incarnation == entry.target.incarnation
+    return current.target.process == entry.target.process
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -102,6 +102,11 @@
     leaving: bool = False
     """Whether a response of the target announced that it leaves; such a target stays draining."""
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Id and incarnation, which together identify one run of the target."""
+        return self.target_id, self.incarnation
+
     @property
     def revision(self) -> tuple[int, int]:
         """Sort key of the announcements of targets at one address; the highest is the newest."""
@@ -116,6 +121,11 @@
     incarnation: int
     calls_per_s: float
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Id and incarnation of the target that named the limit."""
+        return self.target_id, self.incarnation
+
 
 @dataclass(frozen=True, slots=True)
 class NodeEntry:
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -188,9 +188,11 @@
                 return False
             case Ok(page):
                 pass
-        if not self._enter_era(page):
-            # A new era is loaded at once. After a response of an earlier one the read is repeated.
-            return page.era == self._era
+        if self._rejects_era(page):
+            return False
+        if self._enter_era(page):
+            # The offset is of the era before, so the next read loads the topic.
+            return True
         self._mark_connected(page.next_offset)
         for record in page.records:
             self._handler.apply(record)
@@ -208,14 +210,15 @@
             case Err(error):
                 self._mark_disconnected(error.message)
                 return False
-            case Ok(page) if not self._enter_era(page) and page.era != self._era:
-                return False
-            case Ok(page) if self.offset is not None and page.end < self.offset:
-                # Applied, it would take back what was read already.
-                self._mark_disconnected(f"the topic ends at {page.end}, before {self.offset}")
-                return False
             case Ok(page):
                 pass
+        if self._rejects_era(page):
+            return False
+        self._enter_era(page)
+        if self.offset is not None and page.end < self.offset:
+            # Applied, it would take back what was read already.
+            self._mark_disconnected(f"the topic ends at {page.end}, before {self.offset}")
+            return False
         self._mark_connected(page.next_offset)
         self._handler.replace(page.records)
         self._advance(page)
@@ -252,18 +255,19 @@
         finally:
             self._reading = None
 
+    def _rejects_era(self, page: StorePage) -> bool:
+        """Return whether a response was on its way while the store was restored."""
+        if self._era is None or page.era >= self._era:
+            return False
+        self._mark_disconnected(f"a response of era {page.era}, which ended before {self._era}")
+        return True
+
     def _enter_era(self, page: StorePage) -> bool:
-        """Record the era of a response; return whether the current offset is of that era.
+        """Record the era of a response; return whether the store was restored since the last one.
 
-        In a new era the whole state has to be loaded. A response of an earlier era, which was on
-        its way while the store was restored, is ignored.
+        In a new era nothing is known of the topic, and its whole state has to be loaded.
         """
-        if page.era == self._era:
-            return True
-        if self._era is not None and page.era < self._era:
-            self._mark_disconnected(f"a response of era {page.era}, which ended before {self._era}")
-            return False
-        restored = self._era is not None
+        restored = self._era is not None and page.era != self._era
         if restored:
             self._decisions.event(
                 "store restored",
@@ -273,12 +277,11 @@
                 offset=self.offset,
                 end=page.end,
             )
-        self._era = page.era
-        if restored:
             self.offset = None
             self._end = TopicEnd()
             self._behind_since = None
-        return not restored
+        self._era = page.era
+        return restored
 
     def _end_wait(self) -> None:
         self._waiting = False
