Evict no late call for one that the limit refuses

With a full queue a call evicted the one that was late the longest, and was then refused itself because the target's limit would admit it only after its deadline: a caller lost its place for nothing. Found by reading; the limit is checked first now. The test failed before (3 calls left of 4).

--- a/src/bulrushflow/sidecar/slots.py
+++ b/src/bulrushflow/sidecar/slots.py
@@ -158,16 +158,17 @@
 
         :param last_start: event loop time after which the call is of no use any more.
         """
+        rank = self._rank(request)
+        ahead = [item for item in self._queue if item.rank <= rank and not item.decision.done()]
+        limit_wait_s = self._limit.wait_s(now, len(ahead))
+        # Checked first, so that no late call is evicted for one that can't be served.
+        if limit_wait_s and now + limit_wait_s > last_start:
+            return Err(f"the target's limit admits the call in {limit_wait_s:.2f} s, too late")
         if self.queued >= self.capacity * MAX_QUEUED_PER_SLOT and not self._evict_late():
             return Err("the queue is full")
-        rank = self._rank(request)
         service_time_s = self.service_time_s(request.route)
         decision: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
         queued_request = _QueuedRequest(rank, next(self._sequence), request, decision)
-        ahead = [item for item in self._queue if item.rank <= rank and not item.decision.done()]
-        limit_wait_s = self._limit.wait_s(now, len(ahead))
-        if now + limit_wait_s > last_start:
-            return Err(f"the target's limit admits the call in {limit_wait_s:.2f} s, too late")
         expected_wait_s = self._expected_wait_s(ahead, now)
         if rank == SHORT_ROUTE_RANK or self._meets_objective(request, now + expected_wait_s):
             heapq.heappush(self._queue, queued_request)
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/test_slots.py
@@ -185,3 +185,17 @@
         self.slots.release_unused()
         self.assertIsNone(await self.slots.acquire(self.request()))
         self.assertEqual(self.slots.active, 3)
+
+    # A late call gave its place in the full queue to one that was refused all the same.
+    async def test_a_call_that_the_limit_refuses_evicts_no_late_call(self) -> None:
+        self.slots.limit_rate(0.5)
+        self.slots.capacity = 1
+        late = SlotRequest("r", 0, self.loop.time(), self.loop.time() + 500.0)
+        queued = [asyncio.ensure_future(self.slots.acquire(late)) for _ in range(4)]
+        await asyncio.sleep(0)
+        self.assertEqual(self.slots.queued, 4)
+        refusal = await self.slots.acquire(self.request(deadline_s=0.1))
+        self.assertRegex(str(refusal), "limit admits the call in .* s, too late")
+        self.assertEqual(self.slots.queued, 4)
+        self.slots.refuse_queued("end")
+        self.assertEqual(await asyncio.gather(*queued), ["end"] * 4)
