Know routes for uploads, whose calls aren't idempotent

Change: `upload` is known and not idempotent. Test: test_idempotency_follows_from_the_kind_of_route failed before for `upload`.

--- a/src/bulrushflow/platform/documents.py
+++ b/src/bulrushflow/platform/documents.py
@@ -23,7 +23,7 @@
 CONFIGURATION_KEY = "config"
 ROLLOUT_KEY_PREFIX = "rollout/"
 """Prefix of the keys of orders, and of statuses in their own topic."""
-IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "keyed": False}
+IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "keyed": False, "upload": False}
 """Whether calls of a kind of route may be retried after they may have run."""
 STATE_BY_PHASE = {
     RolloutPhase.RUNNING: "running",
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -60,11 +60,13 @@
             self.assertIsNone(routing.match(host, path))
 
     def test_idempotency_follows_from_the_kind_of_route(self) -> None:
-        for kind, idempotent in (("safe", True), ("unsafe", False), ("keyed", False)):
-            routing = decode_configuration(document(rule(kind=kind))).unwrap()
-            route = routing.match("h.example", "/a/x")
-            assert route is not None
-            self.assertEqual(route.idempotent, idempotent)
+        kinds = (("safe", True), ("unsafe", False), ("keyed", False), ("upload", False))
+        for kind, idempotent in kinds:
+            with self.subTest(kind):
+                routing = decode_configuration(document(rule(kind=kind))).unwrap()
+                route = routing.match("h.example", "/a/x")
+                assert route is not None
+                self.assertEqual(route.idempotent, idempotent)
 
     def test_a_traffic_split_keeps_its_weights(self) -> None:
         action = {
