Carry out an order at an offset that a restored store gives out again

Cause: an order's identity and its place in time were its offset alone. After a restore from an older copy an order of another version stood at a lower or the same offset, and was taken for an older order; so were its statuses. Ruled out: an identity with the era in which an order was read. Nodes that start after the restore read an order that the copy still has in the later era, those before in the earlier one, and would restart a rollout that is done. Change: offset and version identify an order; records, orders and statuses carry the era in which the order was read, and a later era goes before a higher offset. A status without an era, of a build before, is ordered by offset as before. A rollback that is still to be written is dropped once another order replaced its own (found while reading the driver: it would have been written over the new order's status).

--- a/src/bulrushflow/platform/adapter.py
+++ b/src/bulrushflow/platform/adapter.py
@@ -60,7 +60,7 @@
         if not record.value:
             self._withdraw_rollout(record.key.removeprefix(documents.ROLLOUT_KEY_PREFIX))
             return
-        match documents.decode_rollout_order(record.key, record.value, record.offset):
+        match documents.decode_rollout_order(record):
             case Ok(order):
                 self._ordered_services.add(order.service)
                 self._orders.order_rollout(order)
--- a/src/bulrushflow/platform/documents.py
+++ b/src/bulrushflow/platform/documents.py
@@ -19,6 +19,7 @@
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.model import WeightedService
+from bulrushflow.sidecar.storage import KeyedRecord
 
 CONFIGURATION_KEY = "config"
 ROLLOUT_KEY_PREFIX = "rollout/"
@@ -114,19 +115,24 @@
         return Err(f"configuration: {exc}")
 
 
-def decode_rollout_order(key: str, data: bytes, offset: int) -> Result[RolloutOrder, str]:
+def decode_rollout_order(record: KeyedRecord) -> Result[RolloutOrder, str]:
     """Decode the operator's order to roll out a version of a service.
 
-    :param offset: offset of the record; becomes the order's id.
+    The offset of the record becomes the order's id.
     """
+    key = record.key
     try:
-        document = msgspec.json.decode(data, type=_Rollout)
+        document = msgspec.json.decode(record.value, type=_Rollout)
         duration_s = parse_duration(document.duration)
     except (msgspec.MsgspecError, ValueError) as exc:
         return Err(f"{key}: {exc}")
     if key != ROLLOUT_KEY_PREFIX + document.service:
         return Err(f"{key}: names service {document.service}")
-    return Ok(RolloutOrder(document.service, document.targetVersion, duration_s, offset))
+    return Ok(
+        RolloutOrder(
+            document.service, document.targetVersion, duration_s, record.offset, record.era
+        )
+    )
 
 
 def encode_status(status: RolloutStatus) -> bytes:
--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -118,7 +118,7 @@
                 page = msgspec.json.decode(body, type=_Newest)
                 for item in page.items:
                     value = base64.b64decode(item.value)
-                    records.append(KeyedRecord(item.key, value, item.offset))
+                    records.append(KeyedRecord(item.key, value, item.offset, era))
             except ValueError as exc:
                 return Err(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
             end = page.end if end is None else end
@@ -276,12 +276,12 @@
         if len(body) < length:
             break
         start += length
-        records.append(_decode_record(body, offset))
+        records.append(_decode_record(body, offset, era))
         offset += 1
     return Ok(StorePage(tuple(records), offset, max(end, offset), era))
 
 
-def _decode_record(body: bytes, offset: int) -> KeyedRecord:
+def _decode_record(body: bytes, offset: int, era: int) -> KeyedRecord:
     size = body[0] if body else 0
     key = body[1 : 1 + size].decode(errors="replace")
-    return KeyedRecord(key, body[1 + size :], offset)
+    return KeyedRecord(key, body[1 + size :], offset, era)
--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -15,6 +15,7 @@
 
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Directory
+from bulrushflow.sidecar.model import OrderKey
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.records import ROLLOUT_KEY_PREFIX
@@ -64,8 +65,8 @@
         self._statuses = statuses
         self._clock = clock
         self._decisions = decisions
-        self._due: tuple[tuple[int, int], float] | None = None
-        """Order id and number of the due step, and since when it is due."""
+        self._due: tuple[tuple[OrderKey, int], float] | None = None
+        """Order and number of the due step, and since when it is due."""
         self._sending: set[asyncio.Task[None]] = set()
         self._unwritten: dict[str, RolloutStatus] = {}
         self._lost_since: float | None = None
@@ -85,14 +86,22 @@
         now = asyncio.get_running_loop().time()
         if rollout.phase is RolloutPhase.RUNNING and not self._analyse(rollout, now):
             await self._advance(rollout, now)
-        unwritten = self._unwritten.get(rollout.order.service) or self._lost_status(rollout, now)
+        unwritten = self._unwritten_status(rollout) or self._lost_status(rollout, now)
         if unwritten is not None:
             await self._write(rollout, unwritten)
 
+    def _unwritten_status(self, rollout: Rollout) -> RolloutStatus | None:
+        """Return the rollback that is still to be written; one of an earlier order is dropped."""
+        status = self._unwritten.get(rollout.order.service)
+        if status is not None and status.key != rollout.order.key:
+            del self._unwritten[rollout.order.service]
+            return None
+        return status
+
     def _lost_status(self, rollout: Rollout, now: float) -> RolloutStatus | None:
         """Return the status that this node has to write again, after the nodes that precede it."""
         lost = self._rollouts.lost_status(rollout.order.service)
-        if lost is None or lost.order_id != rollout.order.order_id:
+        if lost is None or lost.key != rollout.order.key:
             self._lost_since = None
             return None
         if self._lost_since is None:
@@ -145,7 +154,7 @@
         step = self._due_step(rollout, now)
         if step is None:
             return
-        key = (rollout.order.order_id, step.step)
+        key = (rollout.order.key, step.step)
         if self._due is None or self._due[0] != key:
             self._due = (key, now)
         rank = self._rank()
@@ -186,6 +195,7 @@
                 phase=phase,
                 reason=reason,
                 decided_by=self._own_id,
+                era=rollout.order.era,
             )
         now = asyncio.get_running_loop().time()
         order = rollout.order
@@ -201,6 +211,7 @@
             finish_by_ms=stated_at_ms + int(order.duration_s * 1000),
             reason=reason,
             decided_by=self._own_id,
+            era=order.era,
         )
 
     async def _write(self, rollout: Rollout, status: RolloutStatus) -> None:
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -151,6 +151,33 @@
     ROLLED_BACK = "taken back"
 
 
+class OrderKey(t.NamedTuple):
+    """Identifies an order of a service.
+
+    A restored store gives offsets out again, so an order of another version may have the same one.
+    """
+
+    offset: int
+    to_version: str
+
+
+class OrderPosition(t.NamedTuple):
+    """Where an order stands in the store's history."""
+
+    era: int
+    """Era of the store in which the order was read last; 0 if it isn't known."""
+    offset: int
+
+    def is_after(self, other: "OrderPosition") -> bool:
+        """Return whether an order here replaces one of the same service at ``other``.
+
+        Offsets of different eras can't be compared; the order that the later era has is in force.
+        """
+        if not self.era or not other.era:
+            return self.offset > other.offset
+        return self > other
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutOrder:
     """The operator's order to shift a service's traffic to a version within a duration."""
@@ -159,7 +186,19 @@
     to_version: str
     duration_s: float
     order_id: int
-    """Offset of the order in the store; later orders of a service have higher ones."""
+    """Offset of the order in the store; within an era, later orders have higher ones."""
+    era: int = 0
+    """Era of the store in which the order was read; 0 if it isn't known."""
+
+    @property
+    def key(self) -> OrderKey:
+        """Identity of the order among those of its service."""
+        return OrderKey(self.order_id, self.to_version)
+
+    @property
+    def position(self) -> OrderPosition:
+        """Where the order stands in the store's history."""
+        return OrderPosition(self.era, self.order_id)
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,3 +218,21 @@
     finish_by_ms: int
     reason: str = ""
     decided_by: str = ""
+    era: int = 0
+    """Era of the store in which the deciding node read the order; 0 if it isn't known."""
+
+    @property
+    def key(self) -> OrderKey:
+        """Identity of the order among those of its service."""
+        return OrderKey(self.order_id, self.to_version)
+
+    @property
+    def position(self) -> OrderPosition:
+        """Where the order stands in the store's history."""
+        return OrderPosition(self.era, self.order_id)
+
+    def is_after(self, other: "RolloutStatus") -> bool:
+        """Return whether this is a later step than ``other``, or one of a later order."""
+        if self.key == other.key:
+            return self.step > other.step
+        return self.position.is_after(other.position)
--- a/src/bulrushflow/sidecar/rollouts.py
+++ b/src/bulrushflow/sidecar/rollouts.py
@@ -13,6 +13,7 @@
 from bulrushflow.routing import Call
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.model import OrderKey
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
@@ -74,9 +75,9 @@
         self.by_service: dict[str, Rollout] = {}
         self._evidence = EvidenceStore(own_id, incarnation)
         self._statuses_by_service: dict[str, RolloutStatus] = {}
-        self._recorded_by_service: dict[str, int] = {}
-        self._stored_step_by_service: dict[str, tuple[int, int]] = {}
-        """Order id and step of the latest status that the store is known to have had."""
+        self._recorded_by_service: dict[str, OrderKey] = {}
+        self._stored_by_service: dict[str, RolloutStatus] = {}
+        """Latest status that the store is known to have had."""
         self._lost_services: set[str] = set()
         """Services whose status the store had, and lost."""
         self._decisions = decisions
@@ -90,7 +91,11 @@
     def apply_order(self, order: RolloutOrder, now: float) -> None:
         """Apply the operator's order; a later one for a service replaces an earlier one."""
         current = self.by_service.get(order.service)
-        if current is not None and current.order.order_id >= order.order_id:
+        if current is not None and not order.position.is_after(current.order.position):
+            return
+        if current is not None and order.key == current.order.key:
+            # The store was restored, and still has the order.
+            current.order = order
             return
         rollout = Rollout(order, now, self._limits)
         self.by_service[order.service] = rollout
@@ -103,7 +108,7 @@
             duration_s=order.duration_s,
         )
         status = self._statuses_by_service.get(order.service)
-        if status is not None and status.order_id == order.order_id:
+        if status is not None and status.key == order.key:
             self._set_status(rollout, status, now)
 
     def remove_order(self, service: str) -> None:
@@ -116,7 +121,7 @@
 
     def is_recorded(self, status: RolloutStatus) -> bool:
         """Return whether the store already has a final status of the same order."""
-        return self._recorded_by_service.get(status.service) == status.order_id
+        return self._recorded_by_service.get(status.service) == status.key
 
     def lost_status(self, service: str) -> RolloutStatus | None:
         """Return the status of a service that has to be written again, if the store lost it."""
@@ -127,19 +132,19 @@
 
         It loses them when it comes back from an older copy.
         """
-        steps = {(status.service, status.order_id): status.step for status in stored}
-        for service, (order_id, step) in list(self._stored_step_by_service.items()):
-            stored_step = steps.get((service, order_id), 0)
-            if stored_step >= step:
+        steps = {(status.service, status.key): status.step for status in stored}
+        for service, status in list(self._stored_by_service.items()):
+            stored_step = steps.get((service, status.key), 0)
+            if stored_step >= status.step:
                 continue
-            del self._stored_step_by_service[service]
+            del self._stored_by_service[service]
             self._recorded_by_service.pop(service, None)
             self._lost_services.add(service)
             self._decisions.event(
                 "move status lost",
                 service=service,
-                order=order_id,
-                step=step,
+                order=status.order_id,
+                step=status.step,
                 stored_step=stored_step,
             )
 
@@ -155,24 +160,22 @@
         newly_recorded_end = recorded and status.phase is not RolloutPhase.RUNNING
         newly_recorded_end = newly_recorded_end and not self.is_recorded(status)
         if newly_recorded_end:
-            self._recorded_by_service[status.service] = status.order_id
+            self._recorded_by_service[status.service] = status.key
         supersedes = known is None or _supersedes(status, known)
-        if not supersedes and not (
-            newly_recorded_end and known and known.order_id == status.order_id
-        ):
+        if not supersedes and not (newly_recorded_end and known and known.key == status.key):
             return False
         self._statuses_by_service[status.service] = status
         rollout = self.by_service.get(status.service)
-        if rollout is None or rollout.order.order_id != status.order_id:
+        if rollout is None or rollout.order.key != status.key:
             return False
         self._set_status(rollout, status, now)
         return True
 
     def _note_stored(self, status: RolloutStatus, known: RolloutStatus | None) -> None:
-        stored = (status.order_id, status.step)
-        current = self._stored_step_by_service.get(status.service, stored)
-        self._stored_step_by_service[status.service] = max(stored, current)
-        if known is None or stored >= (known.order_id, known.step):
+        current = self._stored_by_service.get(status.service)
+        if current is None or status.is_after(current):
+            self._stored_by_service[status.service] = status
+        if known is None or not known.is_after(status):
             self._lost_services.discard(status.service)
 
     def _set_status(self, rollout: Rollout, status: RolloutStatus, now: float) -> None:
@@ -255,8 +258,8 @@
 
 
 def _supersedes(status: RolloutStatus, known: RolloutStatus) -> bool:
-    if status.order_id != known.order_id:
-        return status.order_id > known.order_id
+    if status.key != known.key:
+        return status.is_after(known)
     if known.phase is not RolloutPhase.RUNNING:
         return False
     return status.phase is not RolloutPhase.RUNNING or status.step > known.step
--- a/src/bulrushflow/sidecar/storage.py
+++ b/src/bulrushflow/sidecar/storage.py
@@ -37,6 +37,8 @@
     key: str
     value: bytes
     offset: int
+    era: int = 0
+    """Era of the store that the offset is of; 0 if the store doesn't number its eras."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -13,6 +13,7 @@
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.storage import KeyedRecord
 
 
 def rule(**changes: t.Any) -> dict[str, t.Any]:
@@ -99,7 +100,7 @@
         self, data: bytes
     ) -> None:
         decode_configuration(data)
-        decode_rollout_order("rollout/s1", data, 1)
+        decode_rollout_order(KeyedRecord("rollout/s1", data, 1))
         decode_announcement("i", data)
         decode_status(data)
 
@@ -135,9 +136,10 @@
 class RolloutDocumentTests(unittest.TestCase):
     def test_an_order_is_decoded(self) -> None:
         data = b'{"service":"s1","targetVersion":"v2","duration":"12s"}'
-        order = decode_rollout_order("rollout/s1", data, 5).unwrap()
+        order = decode_rollout_order(KeyedRecord("rollout/s1", data, 5, era=2)).unwrap()
         self.assertEqual((order.to_version, order.duration_s, order.order_id), ("v2", 12.0, 5))
-        self.assertTrue(decode_rollout_order("rollout/other", data, 5).is_err())
+        self.assertEqual(order.era, 2)
+        self.assertTrue(decode_rollout_order(KeyedRecord("rollout/other", data, 5)).is_err())
 
     def test_a_status_round_trips_and_has_the_operators_state_names(self) -> None:
         states = {
--- a/tests/sidecar/test_rollouts.py
+++ b/tests/sidecar/test_rollouts.py
@@ -74,6 +74,30 @@
         self.rollouts.apply_order(ORDER, 2.0)
         self.assertEqual(self.rollouts.by_service["statements"].order.to_version, "v3")
 
+    async def test_an_order_of_a_later_era_replaces_one_at_a_higher_offset(self) -> None:
+        self.rollouts.apply_order(replace(ORDER, era=1), 0.0)
+        self.rollouts.apply_status(replace(STATUS, era=1, phase=RolloutPhase.COMPLETED), 0.0)
+        restored = replace(ORDER, to_version="v3", order_id=4, era=2)
+        self.rollouts.apply_order(restored, 1.0)
+        self.assertEqual(self.rollouts.by_service["statements"].order, restored)
+        status = replace(STATUS, to_version="v3", order_id=4, era=2)
+        self.assertTrue(self.rollouts.apply_status(status, 1.0))
+        self.assertEqual(self.rollouts.by_service["statements"].status, status)
+        self.rollouts.apply_order(replace(ORDER, era=1), 2.0)
+        self.assertEqual(self.rollouts.by_service["statements"].order, restored)
+
+    async def test_an_order_that_the_restored_store_still_has_keeps_its_status(self) -> None:
+        self.rollouts.apply_order(replace(ORDER, era=1), 0.0)
+        self.rollouts.apply_status(replace(STATUS, era=1, phase=RolloutPhase.ROLLED_BACK), 0.0)
+        self.rollouts.apply_order(replace(ORDER, era=2), 1.0)
+        self.assertTrue(self.rollouts.is_forbidden("statements", "v2"))
+        self.assertEqual(self.rollouts.by_service["statements"].order.era, 2)
+
+    async def test_a_status_of_a_build_that_names_no_era_is_ordered_by_its_offset(self) -> None:
+        self.rollouts.apply_status(replace(STATUS, era=1), 0.0)
+        self.rollouts.apply_order(replace(ORDER, order_id=9, era=1), 0.0)
+        self.assertTrue(self.rollouts.apply_status(replace(STATUS, order_id=9), 0.0))
+
     def evidence(self, order_id: int) -> Evidence:
         evidence = Evidence(order_id, "n-2", incarnation=1)
         evidence.observe("v2", "r", True, 0.1)
