Have the store's records from one node of each data centre, which reads them

Weighed: pushing pages down a tree (needs subscriptions and repair of gaps at the sender); readers by lease or election (a lease's safety would rest on clocks). Chosen: a long poll between nodes. A request names the positions in all topics and is answered when there is more, or after 0.6 s, which shows that the node lives. A node that is asked for records reads the store as long as it is asked, so there is no election, and no record passes through more than one node. All nodes rank the nodes of their data centre alike, by rendezvous hashing weighted with the bandwidth of their links; one that fails, lags, or says that it doesn't reach the store is passed over, then a node of another data centre, then the store, of which a node without any source probes one topic with random pauses. A reader that is cut off from the store alone would not notice for seconds: it compares its offsets with nodes of two other data centres, and says that it isn't current when it can't catch up. Updates hold the newest record of each key, compressed. Replica keeps the state, StoreReader reads the store; records that a later one in the same page replaces are no longer decoded. A read of a topic that doesn't exist yet is repeated after 1 s instead of 10 s, and the writer of a status says what it wrote: the first status of a rollout was read up to 10 s late.

--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -47,6 +47,10 @@
     canarySlack: float = 50.0  # noqa: N815  calls beyond that fraction
 
 
+class _Limits(msgspec.Struct):
+    linkMbps: float = 1.0  # noqa: N815  bandwidth of the instance's link
+
+
 class _Platform(msgspec.Struct):
     address: str  # of the store
 
@@ -61,6 +65,7 @@
     appAddr: str = ""  # noqa: N815  address of this node's target
     service: str = ""  # service of that target
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def settings_path() -> pathlib.Path:
@@ -103,6 +108,7 @@
         target=parse_endpoint(file.appAddr) if file.appAddr else None,
         own_service=file.service,
         store=parse_endpoint(file.platform.address),
+        link_mbps=file.limits.linkMbps,
         bounds=Bounds(
             grace_s=parse_duration(bounds.grace),
             retry_window_s=parse_duration(bounds.budgetWindow),
--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -38,6 +38,8 @@
 KEEP_ALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
 """A connection is closed when data stays unacknowledged for so long."""
+MISSING_TOPIC_WAIT_S = 1.0
+"""Time after which a topic that doesn't exist yet is read again."""
 MAX_READ_KB = 260
 """Size of a read's response: a record of the greatest size. What is left of a longer history is
 mostly replaced already, so a reader loads the newest records instead."""
@@ -153,7 +155,7 @@
                 )
             case Ok((404, _, era)):
                 # The topic doesn't exist before its first record, so the wait happens here.
-                await asyncio.sleep(wait_s)
+                await asyncio.sleep(min(wait_s, MISSING_TOPIC_WAIT_S))
                 return Ok(StorePage((), from_offset, from_offset, era))
             case Ok((status, _, _)):
                 return Err(_status_error(status))
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -32,6 +32,7 @@
 from bulrushflow.sidecar.record_handlers import RolloutStatusHandler
 from bulrushflow.sidecar.records import node_key
 from bulrushflow.sidecar.registration import Registration
+from bulrushflow.sidecar.relay import RecordRelay
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.rollouts import Rollouts
@@ -40,7 +41,10 @@
 from bulrushflow.sidecar.settings import SidecarSettings
 from bulrushflow.sidecar.statuses import StatusLog
 from bulrushflow.sidecar.storage import Store
+from bulrushflow.sidecar.store_reader import StoreReader
 from bulrushflow.sidecar.target_signals import SignalReader
+from bulrushflow.sidecar.update_server import UpdateServer
+from bulrushflow.sidecar.upstreams import Upstreams
 from bulrushflow.timers import SystemClock
 from bulrushflow.timers import Timers
 from bulrushflow.wire.links import Links
@@ -143,11 +147,25 @@
             adapter.decode_status, self._apply_status, self._rollouts.reconcile, self._decisions
         )
         self._operator_replica = Replica(
-            store, topics.orders, adapter.operator_record_handler(self), self._decisions, self._rng
+            topics.orders, adapter.operator_record_handler(self), self._decisions
         )
-        self._node_replica = Replica(store, topics.nodes, nodes, self._decisions, self._rng)
-        self._status_replica = Replica(store, topics.statuses, statuses, self._decisions, self._rng)
+        self._node_replica = Replica(topics.nodes, nodes, self._decisions)
+        self._status_replica = Replica(topics.statuses, statuses, self._decisions)
         self._replicas = (self._operator_replica, self._node_replica, self._status_replica)
+        self._readers = [
+            StoreReader(store, replica, self._decisions, self._rng) for replica in self._replicas
+        ]
+        settings = self.settings
+        self.relay = RecordRelay(
+            self._links,
+            Upstreams(self._own_node_key, settings.data_centre, self.directory.peers_by_key),
+            self._readers,
+            self._readers[1],
+            self.directory.entry,
+            self._decisions,
+            self._rng,
+        )
+        self._update_server = UpdateServer(self._links, self._replicas, self.relay.note_request)
 
     async def on_start(self) -> None:
         await self.timers.start()
@@ -170,8 +188,9 @@
             self._decisions,
         )
         await self._registration.start()
-        for replica in self._replicas:
-            await replica.start()
+        await self.relay.start()
+        for reader in self._readers:
+            await reader.start()
         application = announcement_application(
             self._adapter.paths,
             self._adapter.decode_announcement,
@@ -205,6 +224,7 @@
         deadline = started_at + self.settings.bounds.grace_s - SHUTDOWN_MARGIN_S
         self._stopping = True
         self._callers.stopping = True
+        self._update_server.close()
         logger.bind(in_flight=self._callers.in_flight).info("stopping")
         await asyncio.sleep(READINESS_PROPAGATION_S)
         # Callers with too few other nodes keep sending; reject them while there is time left.
@@ -224,7 +244,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
         for runner in reversed(self._runners):
             await runner.cleanup()
-        for service in (*self._replicas, self._registration):
+        for service in (self.relay, *self._readers, self._registration):
             await service.stop()
         await self.timers.stop()
         self._forwarder.close()
@@ -287,7 +307,13 @@
     def _publish_target(self, entry: TargetEntry | None) -> None:
         settings = self.settings
         own = NodeEntry(
-            settings.node_id, settings.data_centre, settings.address, self._links.port, entry
+            settings.node_id,
+            settings.data_centre,
+            settings.address,
+            self._links.port,
+            entry,
+            relays_records=True,
+            link_mbps=settings.link_mbps,
         )
         self.directory.update(self._own_node_key, own)
         self._registration.publish(own)
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -128,6 +128,11 @@
         self._remove_from_ready(peer)
         return True
 
+    def entry(self, key: str) -> NodeEntry | None:
+        """Return a node's entry, or ``None`` if the node isn't known."""
+        peer = self.peers_by_key.get(key)
+        return peer.entry if peer is not None else None
+
     def is_current(self, peer: Peer) -> bool:
         """Return whether a peer is still listed, and not replaced by another target."""
         return any(known is peer for known in self.peers_by_key.values())
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -136,6 +136,10 @@
     address: str
     peer_port: int
     target: TargetEntry | None
+    relays_records: bool = False
+    """Whether other nodes may request the store's records from the node."""
+    link_mbps: float = 1.0
+    """Bandwidth of the node's link in megabits per second."""
 
     @property
     def endpoint(self) -> tuple[str, int]:
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -1,42 +1,23 @@
-"""Replication of a store topic: loads its whole state, then follows new records by long polling.
+"""The replicated state of a store topic, fed from the store or by another node.
 
-A replica that is several records behind loads the state again, since a topic's later records
-replace earlier ones of the same key. It does so too when the store comes back from an older copy:
-an offset then means another record than before.
+The topic's whole state is loaded first, then new records are applied. It is loaded again when the
+store comes back from an older copy: an offset then means another record than before.
 """
 
 import asyncio
-import random
 import typing as t
 
-from result import Err
-from result import Ok
-from result import Result
-
-from bulrushflow.background import BackgroundService
-from bulrushflow.sidecar.backoff import Backoff
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import Store
-from bulrushflow.sidecar.storage import StoreError
-from bulrushflow.sidecar.storage import StoreErrorKind
 from bulrushflow.sidecar.storage import StorePage
+from bulrushflow.sidecar.storage import TopicUpdate
+from bulrushflow.sidecar.topic_cache import TopicCache
 from bulrushflow.sidecar.topic_end import TopicEnd
 
-SHORT_POLL_S = 1.0
-"""Long-poll timeout of the first read after records arrived. Changes often come in series, and an
-append that overlaps with a read may not wake it."""
-LONG_POLL_S = 10.0
-"""Long-poll timeout of later reads. A silent connection is noticed only when the read times out."""
-BATCH_PAUSE_S = 0.5
-"""Pause after records arrived, so that the next read returns several at once."""
 LAG_TOLERANCE_S = 0.3
-"""Time that a waiting read may lag behind another node's offset before it is restarted."""
-MAX_HISTORY_RECORDS = 1
-"""Number of missing records up to which they are read one by one. Beyond it the newest record of
-each key is loaded, which leaves out those that later ones replaced."""
-FIRST_BACKOFF_S = 0.05
-MAX_BACKOFF_S = 0.8
+"""Time that a replica may lag behind another node's offset before its reader is told."""
+STALE_AFTER_S = 0.5
+"""Time after which a replica that still lags counts as stale, since its reader didn't catch up."""
 
 
 class RecordHandler(t.Protocol):
@@ -53,51 +34,63 @@
         """Apply one new record; an empty value deletes its key."""
 
 
-class Replica(BackgroundService):
-    """Replicates one topic into a record handler.
+LagObserver = t.Callable[[int, int], None]
+"""Called with an offset that another node has read up to, and its era."""
+
+
+class Replica:
+    """Applies the records of one topic to a record handler, and keeps the newest of each key.
 
-    While the store is unavailable the handler keeps its state, and reads are retried with backoff.
+    While the store is unavailable the handler keeps its state.
     """
 
-    def __init__(
-        self,
-        store: Store,
-        topic: str,
-        handler: RecordHandler,
-        decisions: DecisionLog,
-        rng: random.Random,
-    ) -> None:
-        super().__init__()
-        self._store = store
-        self._topic = topic
+    __slots__ = (
+        "_behind_since",
+        "_cache",
+        "_confirmed_at",
+        "_connected",
+        "_decisions",
+        "_end",
+        "_era",
+        "_handler",
+        "_lag_observers",
+        "_observers",
+        "_peer_era",
+        "_restarts",
+        "loaded",
+        "offset",
+        "stale",
+        "topic",
+    )
+
+    def __init__(self, topic: str, handler: RecordHandler, decisions: DecisionLog) -> None:
+        self.topic = topic
         self._handler = handler
         self._decisions = decisions
-        self._backoff = Backoff(FIRST_BACKOFF_S, MAX_BACKOFF_S, rng)
         self._connected: bool | None = None
-        self._poll_timeout_s = SHORT_POLL_S
-        self._reading: asyncio.Task[t.Any] | None = None
-        self._read_started_at = 0.0
-        self._waiting = False
         self._end = TopicEnd()
         self._behind_since: float | None = None
         self._restarts = 0
+        """Reads that were restarted since the replica lags."""
         self._era: int | None = None
         """Era of the store that the offsets are of; ``None`` before the first response."""
         self._peer_era = 0
         """Latest era that another node named."""
+        self._cache = TopicCache()
+        self.stale = False
+        """Whether other nodes have named a later offset for over :data:`STALE_AFTER_S`."""
+        self._observers: list[t.Callable[[], None]] = []
+        self._lag_observers: list[LagObserver] = []
+        self._confirmed_at: float | None = None
+        """When the store confirmed the state last, directly or through another node."""
         self.offset: int | None = None
         """Start offset of the next read; ``None`` while the whole state has to be loaded."""
         self.loaded = False
         """Whether the whole state was loaded at least once since the start."""
 
-    @property
-    def topic(self) -> str:
-        """Name of the replicated topic."""
-        return self._topic
-
     @property
     def connected(self) -> bool:
-        """Whether the latest call to the store succeeded."""
+        """Whether the store was reached at last, directly or by the node that feeds the replica."""
         return bool(self._connected)
 
     @property
@@ -117,16 +110,114 @@
         """Era of the store that :attr:`offset` is of; 0 if the store names none."""
         return self._era or 0
 
+    @property
+    def known_end(self) -> int:
+        """Offset at which the topic is known to end."""
+        return max(self._end.offset, self.offset or 0)
+
+    @property
+    def confirmed_s_ago(self) -> float:
+        """Age of the store's latest confirmation of the state; infinite before the first one."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return asyncio.get_running_loop().time() - self._confirmed_at
+
+    def subscribe(self, observer: t.Callable[[], None]) -> None:
+        """Call ``observer`` whenever the offset or the connection to the store changes."""
+        self._observers.append(observer)
+
+    def subscribe_lag(self, observer: LagObserver) -> None:
+        """Call ``observer`` when the replica lags for :data:`LAG_TOLERANCE_S`."""
+        self._lag_observers.append(observer)
+
+    def begin_request(self) -> None:
+        """Note that a request for the topic's records is sent to the store."""
+        self._end.begin_request()
+
+    def apply_state(self, page: StorePage) -> bool:
+        """Replace the state by a page of the store with the newest record of each key.
+
+        :return: whether the page was applied; one that ends before what was read already is not.
+        """
+        if self._rejects_era(page):
+            return False
+        self._enter_era(page)
+        if self.offset is not None and page.end < self.offset:
+            # Applied, it would take back what was read already.
+            self.mark_disconnected(f"the topic ends at {page.end}, before {self.offset}")
+            return False
+        self._replace(page)
+        self._confirm()
+        return True
+
+    def apply_page(self, page: StorePage) -> bool:
+        """Apply a page of the store with the records that follow; return whether it was applied.
+
+        A page of a later era isn't, since the offset is of the era before; the topic's whole state
+        has to be loaded.
+        """
+        if self._rejects_era(page) or self._enter_era(page):
+            return False
+        self._apply_records(page)
+        self._confirm()
+        return True
+
+    def count_restart(self) -> None:
+        """Count a read that was restarted since the replica lags."""
+        self._restarts += 1
+
+    def drop_offset(self) -> None:
+        """Have the whole state loaded again, since the store no longer keeps the next records."""
+        self._decisions.event("store trimmed", topic=self.topic, offset=self.offset)
+        self.offset = None
+
+    def update_since(self, offset: int | None, era: int) -> TopicUpdate:
+        """Return what was read beyond a position, or the whole state if that isn't possible.
+
+        :param offset: offset of the position; ``None`` for the whole state.
+        :param era: era of the store that the offset is of.
+        """
+        records = None if offset is None or era != self.era else self._cache.since(offset)
+        return TopicUpdate(
+            topic=self.topic,
+            era=self.era,
+            start_offset=None if records is None else offset,
+            end_offset=self.offset or 0,
+            records=self._cache.state() if records is None else records,
+            current=self.connected and self.offset is not None,
+            confirmed_s_ago=self.confirmed_s_ago,
+        )
+
+    def apply_update(self, update: TopicUpdate) -> bool:
+        """Apply what another node has read; return whether it continues this replica's state.
+
+        An update of another position or of an earlier state is ignored.
+        """
+        if self._era is not None and update.era < self._era:
+            return False
+        if update.era == self.era and update.end_offset < (self.offset or 0):
+            return False
+        page = StorePage(
+            update.records,
+            update.end_offset,
+            max(update.end_offset, self._end.offset if update.era == self.era else 0),
+            update.era,
+        )
+        if update.start_offset is None:
+            self._enter_era(page)
+            self._replace(page)
+        else:
+            if update.era != self.era or update.start_offset != self.offset:
+                return False
+            self._apply_records(page)
+        self._confirmed_at = asyncio.get_running_loop().time() - update.confirmed_s_ago
+        return True
+
     def note_peer_offset(self, offset: int, era: int | None = None) -> None:
         """Note that another node has read up to ``offset``.
 
         :param era: era of the store that the offset is of; ``None`` if the node names none. An
-            offset of an earlier era means nothing any more. A later era restarts a waiting read as
-            a later offset does.
-
-        If this replica hasn't caught up after :data:`LAG_TOLERANCE_S`, a read that still waits for
-        records is restarted. One that fetches records is left to finish: it would be restarted by
-        each new record, and never complete while these come faster than a response.
+            offset of an earlier era means nothing any more. A later era counts as a later offset.
         """
         if era is not None and era != self.era:
             if era > max(self.era, self._peer_era):
@@ -141,125 +232,47 @@
         loop = asyncio.get_running_loop()
         if self._behind_since is None:
             self._behind_since = loop.time()
+            loop.call_later(STALE_AFTER_S, self._check_stale, self._behind_since)
         loop.call_later(LAG_TOLERANCE_S, self._check_lag, offset, era)
 
+    def _check_stale(self, behind_since: float) -> None:
+        if self._behind_since == behind_since:
+            self.stale = True
+            self._notify()
+
     def _check_lag(self, offset: int, era: int) -> None:
         if self.era > era or self.offset is None:
             return
         if self.era == era and self.offset >= offset:
             return
-        if self._reading is None or not self._waiting:
-            return
-        now = asyncio.get_running_loop().time()
-        self._decisions.event(
-            "read lags behind",
-            topic=self._topic,
-            offset=self.offset,
-            others_have=offset,
-            era=self.era,
-            others_era=era,
-            reading_for_s=round(now - self._read_started_at, 3),
-        )
-        self._restarts += 1
-        self._reading.cancel()
-
-    async def run(self) -> None:
-        """See :meth:`BackgroundService.run`."""
-        while True:
-            if await self._read_once():
-                self._backoff.reset()
-                continue
-            await asyncio.sleep(self._backoff.next_s())
-
-    async def _read_once(self) -> bool:
-        """Load the state or read new records once; return whether the store responded."""
-        if self.offset is None or self.records_behind > MAX_HISTORY_RECORDS:
-            return await self._load()
-        result = await self._read(self.offset)
-        if result is None:
-            return True
-        match result:
-            case Err(error):
-                if error.kind is StoreErrorKind.TRIMMED:
-                    self._decisions.event("store trimmed", topic=self._topic, offset=self.offset)
-                    self.offset = None
-                    return True
-                self._mark_disconnected(error.message)
-                return False
-            case Ok(page):
-                pass
-        if self._rejects_era(page):
-            return False
-        if self._enter_era(page):
-            # The offset is of the era before, so the next read loads the topic.
-            return True
-        self._mark_connected(page.next_offset)
-        for record in page.records:
-            self._handler.apply(record)
-        self._advance(page)
-        if page.next_offset < page.end and not page.records:
-            # The next record doesn't fit into a response.
-            return await self._load()
-        await self._pace(page, received=bool(page.records))
-        return True
+        for observer in self._lag_observers:
+            observer(offset, era)
 
-    async def _load(self) -> bool:
-        """Load the newest record of each key; return whether the store responded."""
-        self._end.begin_request()
-        match await self._store.newest(self._topic):
-            case Err(error):
-                self._mark_disconnected(error.message)
-                return False
-            case Ok(page):
-                pass
-        if self._rejects_era(page):
-            return False
-        self._enter_era(page)
-        if self.offset is not None and page.end < self.offset:
-            # Applied, it would take back what was read already.
-            self._mark_disconnected(f"the topic ends at {page.end}, before {self.offset}")
-            return False
+    def _replace(self, page: StorePage) -> None:
         self._mark_connected(page.next_offset)
         self._handler.replace(page.records)
+        self._cache.replace(page.records, page.next_offset)
         self._advance(page)
-        if self.loaded:
-            await self._pace(page, received=True)
         self.loaded = True
-        return True
 
-    async def _pace(self, page: StorePage, received: bool) -> None:
-        """Choose the next poll timeout, and pause after records, unless the page left some out."""
-        self._poll_timeout_s = SHORT_POLL_S if received else LONG_POLL_S
-        if received and page.next_offset >= page.end:
-            await asyncio.sleep(BATCH_PAUSE_S)
+    def _apply_records(self, page: StorePage) -> None:
+        """Apply the records of a page, leaving out those that later ones in it replace."""
+        self._mark_connected(page.next_offset)
+        newest = {record.key: record for record in page.records}
+        for record in page.records:
+            if newest[record.key] is record:
+                self._cache.add(record)
+                self._handler.apply(record)
+        self._advance(page)
 
-    async def _read(self, offset: int) -> Result[StorePage, StoreError] | None:
-        """Wait for records; return ``None`` if the read was cancelled to be restarted."""
-        loop = asyncio.get_running_loop()
-        self._end.begin_request()
-        self._read_started_at = loop.time()
-        wait_s = 0.0 if self.records_behind else self._poll_timeout_s
-        self._waiting = wait_s > 0
-        reading = loop.create_task(
-            self._store.read(self._topic, offset, wait_s, on_response=self._end_wait)
-        )
-        self._reading = reading
-        try:
-            return await reading
-        except asyncio.CancelledError:
-            current = asyncio.current_task()
-            if current is not None and current.cancelling():
-                reading.cancel()
-                raise
-            return None
-        finally:
-            self._reading = None
+    def _confirm(self) -> None:
+        self._confirmed_at = asyncio.get_running_loop().time()
 
     def _rejects_era(self, page: StorePage) -> bool:
         """Return whether a response was on its way while the store was restored."""
         if self._era is None or page.era >= self._era:
             return False
-        self._mark_disconnected(f"a response of era {page.era}, which ended before {self._era}")
+        self.mark_disconnected(f"a response of era {page.era}, which ended before {self._era}")
         return True
 
     def _enter_era(self, page: StorePage) -> bool:
@@ -271,7 +284,7 @@
         if restored:
             self._decisions.event(
                 "store restored",
-                topic=self._topic,
+                topic=self.topic,
                 era=page.era,
                 before=self._era,
                 offset=self.offset,
@@ -280,36 +293,42 @@
             self.offset = None
             self._end = TopicEnd()
             self._behind_since = None
+            self.stale = False
         self._era = page.era
         return restored
 
-    def _end_wait(self) -> None:
-        self._waiting = False
-
     def _advance(self, page: StorePage) -> None:
         """Move on to the end of a page."""
+        moved = self.offset != page.next_offset
         self.offset = page.next_offset
+        if moved:
+            self._notify()
         self._end.update(page.end)
         if self._behind_since is None or self.records_behind:
             return
         self._decisions.event(
             "caught up",
-            topic=self._topic,
+            topic=self.topic,
             offset=self.offset,
             seconds=round(asyncio.get_running_loop().time() - self._behind_since, 3),
             restarted_reads=self._restarts,
         )
-        self._behind_since = None
         self._restarts = 0
+        self._behind_since = None
+        self.stale = False
 
-    def _mark_disconnected(self, reason: str) -> None:
-        # The read after an error doesn't wait, so that its answer shows that the store is back.
-        self._poll_timeout_s = 0.0
+    def mark_disconnected(self, reason: str) -> None:
+        """Note that the store can't be reached; the state stays."""
         if self._connected is not False:
             self._connected = False
-            self._decisions.event("store lost", topic=self._topic, reason=reason)
+            self._notify()
+            self._decisions.event("store lost", topic=self.topic, reason=reason)
+
+    def _notify(self) -> None:
+        for observer in self._observers:
+            observer()
 
     def _mark_connected(self, offset: int) -> None:
         if not self._connected:
             self._connected = True
-            self._decisions.event("store reached", topic=self._topic, offset=offset)
+            self._decisions.event("store reached", topic=self.topic, offset=offset)
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -46,4 +46,6 @@
     target: Endpoint | None
     own_service: str
     store: Endpoint
+    link_mbps: float = 1.0
+    """Bandwidth of this instance's link in megabits per second."""
     bounds: Bounds = Bounds()
--- a/src/bulrushflow/sidecar/statuses.py
+++ b/src/bulrushflow/sidecar/statuses.py
@@ -81,7 +81,11 @@
         return result
 
     async def _append(self, write: StoreWrite, offset: int) -> Result[int, StoreError]:
-        return await self._store.append(self._topic, [write], offset)
+        result = await self._store.append(self._topic, [write], offset)
+        if result.is_ok():
+            # A read that waits isn't always woken by an append, and not at all by a topic's first.
+            self._replica.note_peer_offset(result.unwrap() + 1, self._replica.era)
+        return result
 
     async def _read_others(self, key: str, offset: int) -> Result[StorePage, StoreError]:
         """Read the records from an offset on; fails with a conflict if one of them has the key."""
--- a/src/bulrushflow/sidecar/storage.py
+++ b/src/bulrushflow/sidecar/storage.py
@@ -62,6 +62,23 @@
     records. 0 if the store doesn't number its eras."""
 
 
+@dataclass(frozen=True, slots=True)
+class TopicUpdate:
+    """What another node has read of a topic beyond a position, or the topic's whole state."""
+
+    topic: str
+    era: int
+    start_offset: int | None
+    """Offset from which on the records are complete; ``None`` if they are the whole state."""
+    end_offset: int
+    records: tuple[KeyedRecord, ...]
+    """Newest record of each key; a later one of its key replaced those that are missing."""
+    current: bool
+    """Whether that node reaches the store and knows of no record that it hasn't read."""
+    confirmed_s_ago: float
+    """Age of the store's latest response to that node."""
+
+
 class Store(t.Protocol):
     """Client of the store."""
 
--- /dev/null
+++ b/src/bulrushflow/sidecar/store_reader.py
@@ -0,0 +1,190 @@
+"""Feeds a replica from the store: loads the topic's whole state, then long-polls for new records.
+
+A replica that is several records behind loads the state again, since a topic's later records
+replace earlier ones of the same key.
+"""
+
+import asyncio
+import random
+import typing as t
+
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.background import BackgroundService
+from bulrushflow.sidecar.backoff import Backoff
+from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.sidecar.replica import Replica
+from bulrushflow.sidecar.storage import Store
+from bulrushflow.sidecar.storage import StoreError
+from bulrushflow.sidecar.storage import StoreErrorKind
+from bulrushflow.sidecar.storage import StorePage
+
+SHORT_POLL_S = 1.0
+"""Long-poll timeout of the first read after records arrived. Changes often come in series, and an
+append that overlaps with a read may not wake it."""
+LONG_POLL_S = 5.0
+"""Long-poll timeout of later reads. A silent connection is noticed only when the read times out."""
+BATCH_PAUSE_S = 0.5
+"""Pause after records arrived, so that the next read returns several at once."""
+MAX_HISTORY_RECORDS = 1
+"""Number of missing records up to which they are read one by one. Beyond it the newest record of
+each key is loaded, which leaves out those that later ones replaced."""
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.8
+
+
+class StoreReader(BackgroundService):
+    """Reads one topic while it is enabled; failed reads are repeated with backoff."""
+
+    def __init__(
+        self, store: Store, replica: Replica, decisions: DecisionLog, rng: random.Random
+    ) -> None:
+        super().__init__()
+        self.replica = replica
+        self._store = store
+        self._decisions = decisions
+        self._backoff = Backoff(FIRST_BACKOFF_S, MAX_BACKOFF_S, rng)
+        self._enabled = asyncio.Event()
+        self._enabled.set()
+        self._poll_timeout_s = SHORT_POLL_S
+        self._reading: asyncio.Task[t.Any] | None = None
+        self._read_started_at = 0.0
+        self._waiting = False
+        replica.subscribe_lag(self._restart_read)
+
+    @property
+    def enabled(self) -> bool:
+        """Whether the topic is read."""
+        return self._enabled.is_set()
+
+    def enable(self) -> None:
+        """Read the topic from now on."""
+        if self.enabled:
+            return
+        # The first read doesn't wait, so that its answer shows that the store is reached.
+        self._poll_timeout_s = 0.0
+        self._enabled.set()
+
+    def disable(self) -> None:
+        """Read the topic no longer; a read that fetches records is left to finish."""
+        self._enabled.clear()
+        self.interrupt_wait()
+
+    def interrupt_wait(self) -> None:
+        """End a read that waits for records."""
+        if self._reading is not None and self._waiting:
+            self._reading.cancel()
+
+    async def run(self) -> None:
+        """See :meth:`BackgroundService.run`."""
+        while True:
+            await self._enabled.wait()
+            if await self._read_once():
+                self._backoff.reset()
+                continue
+            # The read after an error doesn't wait, so that its answer shows that the store is back.
+            self._poll_timeout_s = 0.0
+            await asyncio.sleep(self._backoff.next_s())
+
+    async def _read_once(self) -> bool:
+        """Load the state or read new records once; return whether the store responded."""
+        replica = self.replica
+        offset = replica.offset
+        if offset is None or replica.records_behind > MAX_HISTORY_RECORDS:
+            return await self._load()
+        result = await self._read(offset)
+        if result is None or replica.offset != offset:
+            # Restarted, or overtaken by what another node has read.
+            return True
+        match result:
+            case Err(error) if error.kind is StoreErrorKind.TRIMMED:
+                replica.drop_offset()
+                return True
+            case Err(error):
+                replica.mark_disconnected(error.message)
+                return False
+            case Ok(page):
+                pass
+        if not replica.apply_page(page):
+            # Without an offset, the next read loads the topic.
+            return replica.offset is None
+        if page.next_offset < page.end and not page.records:
+            # The next record doesn't fit into a response.
+            return await self._load()
+        await self._pace(page, received=bool(page.records))
+        return True
+
+    async def _load(self) -> bool:
+        """Load the newest record of each key; return whether the store responded."""
+        replica = self.replica
+        replica.begin_request()
+        before = replica.offset
+        loaded_before = replica.loaded
+        match await self._store.newest(replica.topic):
+            case Err(error):
+                replica.mark_disconnected(error.message)
+                return False
+            case Ok(page):
+                pass
+        if replica.offset not in {None, before} and page.end < (replica.offset or 0):
+            # Overtaken by what another node has read.
+            return True
+        if not replica.apply_state(page):
+            return False
+        if loaded_before:
+            await self._pace(page, received=True)
+        return True
+
+    async def _pace(self, page: StorePage, received: bool) -> None:
+        """Choose the next poll timeout, and pause after records, unless the page left some out."""
+        self._poll_timeout_s = SHORT_POLL_S if received else LONG_POLL_S
+        if received and page.next_offset >= page.end:
+            await asyncio.sleep(BATCH_PAUSE_S)
+
+    async def _read(self, offset: int) -> Result[StorePage, StoreError] | None:
+        """Wait for records; return ``None`` if the read was cancelled to be restarted."""
+        loop = asyncio.get_running_loop()
+        self.replica.begin_request()
+        self._read_started_at = loop.time()
+        wait_s = 0.0 if self.replica.records_behind else self._poll_timeout_s
+        self._waiting = wait_s > 0
+        reading = loop.create_task(
+            self._store.read(self.replica.topic, offset, wait_s, on_response=self._end_wait)
+        )
+        self._reading = reading
+        try:
+            return await reading
+        except asyncio.CancelledError:
+            current = asyncio.current_task()
+            if current is not None and current.cancelling():
+                reading.cancel()
+                raise
+            return None
+        finally:
+            self._reading = None
+
+    def _end_wait(self) -> None:
+        self._waiting = False
+
+    def _restart_read(self, offset: int, era: int) -> None:
+        """Restart a read that still waits though another node has later records.
+
+        One that fetches records is left to finish: it would be restarted by each new record, and
+        never complete while these come faster than a response.
+        """
+        if self._reading is None or not self._waiting:
+            return
+        now = asyncio.get_running_loop().time()
+        self._decisions.event(
+            "read lags behind",
+            topic=self.replica.topic,
+            offset=self.replica.offset,
+            others_have=offset,
+            era=self.replica.era,
+            others_era=era,
+            reading_for_s=round(now - self._read_started_at, 3),
+        )
+        self.replica.count_restart()
+        self._reading.cancel()
--- a/src/bulrushflow/wire/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -34,7 +34,7 @@
 """
 
 _LENGTH = struct.Struct(">I")
-_RESPONSE_FIELDS = ("call_answer", "records", "members", "pong", "failure")
+_RESPONSE_FIELDS = ("call_answer", "records", "members", "pong", "failure", "updates")
 _REQUEST_FIELDS = (
     "call_request",
     "records_request",
@@ -42,6 +42,7 @@
     "evidence_report",
     "records_push",
     "state_notice",
+    "updates_request",
 )
 
 Handler = t.Callable[[t.Any], t.Awaitable[dict[str, t.Any] | None]]
--- a/src/bulrushflow/wire/messages.py
+++ b/src/bulrushflow/wire/messages.py
@@ -58,6 +58,12 @@
 ExchangeFailure: t.Any = _module.ExchangeFailure
 Goodbye: t.Any = _module.Goodbye
 StateNotice: t.Any = _module.StateNotice
+TopicPosition: t.Any = _module.TopicPosition
+UpdatesRequest: t.Any = _module.UpdatesRequest
+StoreRecord: t.Any = _module.StoreRecord
+StoreRecords: t.Any = _module.StoreRecords
+TopicUpdate: t.Any = _module.TopicUpdate
+Updates: t.Any = _module.Updates
 Frame: t.Any = _module.Frame
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -219,6 +219,55 @@
   2: required binary value
 }
 
+// How far the sender has replicated a topic of the store.
+struct TopicPosition {
+  1: required string topic
+  // Offset of the next record; absent before the topic was loaded.
+  2: optional i64 offset
+  // Era of the store that the offset is of.
+  3: required i64 era
+  // Offset at which the topic is known to end, which may be later.
+  4: required i64 known_end
+}
+
+// Requests what a node has read of the store beyond the positions, and waits if there is nothing.
+struct UpdatesRequest {
+  1: required list<TopicPosition> positions
+  2: required i32 wait_ms
+  // Only the offsets are wanted, not the records.
+  3: required bool offsets_only
+}
+
+struct StoreRecord {
+  1: required string key
+  // Empty if the key was deleted.
+  2: required binary value
+  3: required i64 offset
+}
+
+struct StoreRecords {
+  1: required list<StoreRecord> records
+}
+
+// The newest records of a topic's keys between two offsets, or of all keys.
+struct TopicUpdate {
+  1: required string topic
+  2: required i64 era
+  // Offset from which on the records are complete; absent if they are the whole state.
+  3: optional i64 start_offset
+  4: required i64 end_offset
+  // StoreRecords in zlib's format; absent without records.
+  5: optional binary records
+  // Whether the sender knows of no later record and reaches the store.
+  6: required bool current
+  // Age of the store's latest response to the sender.
+  7: required i32 confirmed_ms_ago
+}
+
+struct Updates {
+  1: required list<TopicUpdate> updates
+}
+
 // One message on a connection between nodes. A response has its request's exchange number.
 struct Frame {
   1: required i64 exchange
@@ -236,4 +285,6 @@
   50: optional ExchangeFailure failure
   51: optional Goodbye goodbye
   60: optional StateNotice state_notice
+  70: optional UpdatesRequest updates_request
+  71: optional Updates updates
 }
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -23,6 +23,8 @@
         """If positive, the era that each response names."""
         self.era_text = ""
         """If not empty, named in place of the era."""
+        self.reads = 0
+        """Number of reads of any kind."""
         self.loses_responses = False
         self.page_size = 500
         self.piece_bytes = 0
@@ -92,6 +94,7 @@
         return web.json_response({"offset": offset, "end": len(records)})
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
+        self.reads += 1
         if self.status != 200:
             return web.Response(status=self.status)
         topic = request.query["topic"]
@@ -117,6 +120,7 @@
         return await self._send(request, body)
 
     async def _newest(self, request: web.Request) -> web.StreamResponse:
+        self.reads += 1
         if self.status != 200:
             return web.Response(status=self.status)
         records = self.records_by_topic.get(request.query["topic"], [])
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -136,7 +136,7 @@
             lambda statuses: self.rollouts.reconcile(statuses),
             decisions,
         )
-        self.replica = Replica(store, "statuses", handler, decisions, rng)
+        self.replica = Replica("statuses", handler, decisions)
         self.driver = RolloutDriver(
             f"node/{number}",
             f"n-{number}",
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -20,7 +20,6 @@
 from tests.clocks import stopped_loop_clock
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import FixedClock
-from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import call
 from tests.sidecar.samples import peer
 from tests.sidecar.samples import target
@@ -48,9 +47,7 @@
             decisions,
             FixedClock(1_000),
         )
-        store = MemoryStore()
-        follower = mock.Mock()
-        orders = Replica(store, "orders", follower, decisions, random.Random(1))
+        orders = Replica("orders", mock.Mock(), decisions)
         self.forwarder = PeerForwarder(
             self.links, self.admission, orders, self.directory.is_current, decisions
         )
--- /dev/null
+++ b/tests/sidecar/test_relay.py
@@ -0,0 +1,193 @@
+"""Several nodes of one data centre that have the store's records from one of them."""
+
+import asyncio
+import random
+import typing as t
+from unittest import mock
+
+from bulrushflow.sidecar import relay
+from tests.sidecar.fleet import FleetTestCase
+from tests.sidecar.fleet import Instance
+from tests.sidecar.fleet import configuration
+from tests.waiting import until
+
+
+async def hang(*_: t.Any, **__: t.Any) -> t.Any:
+    await asyncio.Event().wait()
+
+
+class RelayTestCase(FleetTestCase):
+    node_count = 4
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.store.era = 1
+        await self.serve()
+
+    def readers(self) -> list[Instance]:
+        return [item for item in self.instances if item.sidecar.relay.source is None]
+
+    async def until_one_reads(self) -> Instance:
+        """Wait until one node reads the store, and return it."""
+        await until(lambda: len(self.readers()) == 1)
+        return self.readers()[0]
+
+    def others(self, instance: Instance) -> list[Instance]:
+        return [item for item in self.instances if item is not instance]
+
+    async def until_in_force(self, instances: list[Instance], version: int) -> None:
+        await asyncio.gather(*(item.until_version(version) for item in instances))
+
+
+class RelayTests(RelayTestCase):
+    async def test_one_node_of_the_data_centre_reads_the_store(self) -> None:
+        reader = await self.until_one_reads()
+        before = self.store.reads
+        for version in (2, 3, 4):
+            self.store.put("keyed.op", "config", configuration(version))
+            await self.until_in_force(self.instances, version)
+        # Three topics, of which the one with records is read again after each.
+        self.assertLess(self.store.reads - before, 3 * 3 * self.node_count)
+        for instance in self.others(reader):
+            self.assertEqual(instance.sidecar.relay.source, reader.settings.node_id)
+            self.assertTrue(instance.sidecar.is_configuration_current())
+
+    async def test_a_change_comes_into_force_though_the_reader_is_frozen(self) -> None:
+        reader = await self.until_one_reads()
+        reader.sidecar._links._handlers["updates_request"] = hang
+        reader.sidecar.relay.note_request()
+        self.store.put("keyed.op", "config", configuration(2))
+        await self.until_in_force(self.others(reader), 2)
+
+    async def test_a_change_comes_into_force_though_the_reader_does_not_reach_the_store(
+        self,
+    ) -> None:
+        reader = await self.until_one_reads()
+        with (
+            mock.patch.object(reader.sidecar._store, "read", hang),
+            mock.patch.object(reader.sidecar._store, "newest", hang),
+        ):
+            for item in reader.sidecar._readers:
+                item.interrupt_wait()
+            self.store.put("keyed.op", "config", configuration(2))
+            # Nodes of other data centres learn of it, and a call brings their offset.
+            reader.sidecar._operator_replica.note_peer_offset(2, 1)
+            await self.until_in_force(self.others(reader), 2)
+
+    async def test_a_change_comes_into_force_though_the_store_refuses_the_reader(self) -> None:
+        reader = await self.until_one_reads()
+        reader.sidecar._store._base = "http://127.0.0.1:1"  # type: ignore[attr-defined]
+        for item in reader.sidecar._readers:
+            item.interrupt_wait()
+        self.store.put("keyed.op", "config", configuration(2))
+        await self.until_in_force(self.others(reader), 2)
+
+    async def test_a_change_comes_into_force_after_the_reader_stopped(self) -> None:
+        reader = await self.until_one_reads()
+        others = self.others(reader)
+        await reader.stop()
+        self.instances = others
+        self.store.put("keyed.op", "config", configuration(2))
+        await self.until_in_force(others, 2)
+
+    async def test_a_leaving_target_is_known_to_all_though_the_reader_stops(self) -> None:
+        reader = await self.until_one_reads()
+        leaving = self.instances.index(self.others(reader)[0])
+        stopping = asyncio.create_task(reader.stop())
+        await self.announce(leaving, state="draining", sequence=2)
+        self.instances = self.others(reader)
+        for instance in self.instances:
+            directory = instance.sidecar.directory
+            address = self.instances[0].settings.address
+            await until(
+                lambda directory=directory, address=address: (  # type: ignore[misc]
+                    address not in {p.entry.address for p in directory.ready_peers("s1")}
+                )
+            )
+        await stopping
+
+    async def test_nodes_that_all_restart_at_once_come_back_to_one_reader(self) -> None:
+        await self.until_one_reads()
+        await asyncio.gather(*(instance.restart() for instance in self.instances))
+        for instance in self.instances:
+            await instance.until_serving(self.node_count)
+        await self.until_one_reads()
+        self.store.put("keyed.op", "config", configuration(2))
+        await self.until_in_force(self.instances, 2)
+
+    async def test_all_nodes_follow_a_store_that_comes_back_from_an_older_copy(self) -> None:
+        copy = self.store.copy()
+        for version in (2, 3, 4):
+            self.store.put("keyed.op", "config", configuration(version))
+        await self.until_in_force(self.instances, 4)
+        self.store.restore(copy)
+        self.store.put("keyed.op", "config", configuration(5))
+        await self.until_in_force(self.instances, 5)
+        for instance in self.instances:
+            await until(
+                lambda instance=instance: (  # type: ignore[misc]
+                    instance.sidecar._operator_replica.era == 2
+                )
+            )
+
+    async def test_an_outage_of_the_store_ends_for_all_nodes(self) -> None:
+        with (
+            mock.patch.object(relay, "MIN_PROBE_PAUSE_S", 0.05),
+            mock.patch.object(relay, "MAX_PROBE_PAUSE_S", 0.1),
+        ):
+            await self.until_one_reads()
+            self.store.status = 503
+            for instance in self.instances:
+                for item in instance.sidecar._readers:
+                    item.interrupt_wait()
+            for instance in self.instances:
+                sidecar = instance.sidecar
+                await until(
+                    lambda sidecar=sidecar: (  # type: ignore[misc]
+                        not sidecar.is_configuration_current()
+                    )
+                )
+            self.store.put("keyed.op", "config", configuration(2))
+            self.store.status = 200
+            await self.until_in_force(self.instances, 2)
+
+
+class SeededRelayTests(RelayTestCase):
+    async def test_changes_reach_all_nodes_in_a_seeded_order_of_faults(self) -> None:
+        rng = random.Random(7)
+        version = 1
+        for _ in range(12):
+            event = rng.choice(["restart", "cut", "restore", "trim", "none"])
+            victim = rng.choice(self.instances)
+            with self.subTest(event=event, version=version):
+                if event == "restart":
+                    await victim.restart()
+                elif event == "restore":
+                    self.store.restore(self.store.copy())
+                elif event == "trim":
+                    topic = "keyed.op"
+                    end = len(self.store.records_by_topic[topic])
+                    self.store.first_offset_by_topic[topic] = end
+                base = victim.sidecar._store._base  # type: ignore[attr-defined]
+                if event == "cut":
+                    victim.sidecar._store._base = "http://127.0.0.1:1"  # type: ignore[attr-defined]
+                version += rng.randint(1, 3)
+                self.store.put("keyed.op", "config", configuration(version))
+                others = self.others(victim) if event == "cut" else self.instances
+                await self.until_in_force(others, version)
+                victim.sidecar._store._base = base  # type: ignore[attr-defined]
+        await self.until_in_force(self.instances, version)
+
+
+class EarlierBuildTests(FleetTestCase):
+    node_count = 3
+
+    async def test_nodes_of_a_build_that_relays_nothing_read_for_themselves(self) -> None:
+        await self.serve()
+        await until(lambda: sum(i.sidecar.relay.source is None for i in self.instances) == 1)
+        [reader] = [i for i in self.instances if i.sidecar.relay.source is None]
+        # An earlier build ignores requests that it doesn't know.
+        reader.sidecar._links._handlers.pop("updates_request")
+        self.store.put("keyed.op", "config", configuration(2))
+        for instance in self.instances:
+            await instance.until_version(2)
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/test_replica.py
@@ -5,8 +5,10 @@
 from unittest import mock
 
 from bulrushflow.sidecar import replica as replica_module
+from bulrushflow.sidecar import store_reader
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.store_reader import StoreReader
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import until
@@ -27,18 +29,24 @@
 
 class ReplicaTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        for name in ("BATCH_PAUSE_S", "LAG_TOLERANCE_S", "FIRST_BACKOFF_S", "MAX_BACKOFF_S"):
-            patch = mock.patch.object(replica_module, name, 0.001)
+        for module, name in (
+            (replica_module, "LAG_TOLERANCE_S"),
+            (store_reader, "BATCH_PAUSE_S"),
+            (store_reader, "FIRST_BACKOFF_S"),
+            (store_reader, "MAX_BACKOFF_S"),
+        ):
+            patch = mock.patch.object(module, name, 0.001)
             patch.start()
             self.addCleanup(patch.stop)
         self.store = MemoryStore()
         self.handler = RecordingHandler()
         self.decisions = RecordingDecisions()
-        self.replica = Replica(self.store, "x", self.handler, self.decisions, random.Random(1))
+        self.replica = Replica("x", self.handler, self.decisions)
+        self.reader = StoreReader(self.store, self.replica, self.decisions, random.Random(1))
 
     async def start(self) -> None:
-        await self.replica.start()
-        self.addAsyncCleanup(self.replica.stop)
+        await self.reader.start()
+        self.addAsyncCleanup(self.reader.stop)
         await until(lambda: self.replica.loaded)
 
 
@@ -150,7 +158,7 @@
         await until(lambda: self.store.loads_begun == 2)
         self.store.put("a", b"3")
         self.replica.note_peer_offset(3)
-        with mock.patch.object(replica_module, "BATCH_PAUSE_S", 1000.0):
+        with mock.patch.object(store_reader, "BATCH_PAUSE_S", 1000.0):
             self.store.transfers.set()
             await until(lambda: self.replica.offset == 2)
             self.assertFalse(self.replica.is_current)
--- a/tests/sidecar/test_statuses.py
+++ b/tests/sidecar/test_statuses.py
@@ -1,4 +1,3 @@
-import random
 import typing as t
 import unittest
 
@@ -60,7 +59,7 @@
             lambda statuses: None,
             decisions,
         )
-        self.replica = Replica(self.store, "statuses", handler, decisions, random.Random(1))
+        self.replica = Replica("statuses", handler, decisions)
         self.replica.offset = 0
         self.statuses = StatusLog(
             self.store,
