Reuse the routes of hosts that a new configuration leaves as they are

Cause: each configuration was converted as a whole, some 600 routes, though most changes concern one host. Ruled out: decoding lazily, by route, since one invalid part rejects the whole configuration, and that must be known when it arrives. Change: a decoder keeps the routes of each host by the bytes of its part of the document. The configuration's decoding has a module of its own; the services that reused routes name are checked against each document. Tests: test_routes_of_a_host_that_did_not_change_are_reused fails without the cache; the others of ReuseTests guard against routes of an earlier configuration.

--- a/scripts/builds/sidecar_design.py
+++ b/scripts/builds/sidecar_design.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from bulrushflow.platform.documents import CONFIGURATION_KEY
+from bulrushflow.platform.configuration import CONFIGURATION_KEY
 from bulrushflow.platform.documents import ROLLOUT_KEY_PREFIX
 from scripts.builds.reporting import Build
 from scripts.builds.reporting import Builds
--- a/src/bulrushflow/platform/adapter.py
+++ b/src/bulrushflow/platform/adapter.py
@@ -7,6 +7,8 @@
 from result import Result
 
 from bulrushflow.platform import documents
+from bulrushflow.platform.configuration import CONFIGURATION_KEY
+from bulrushflow.platform.configuration import ConfigurationDecoder
 from bulrushflow.platform.headers import HEADER_NAMES
 from bulrushflow.platform.settings import parse_endpoint
 from bulrushflow.sidecar.adapter import OrderSink
@@ -30,6 +32,7 @@
 
     def __init__(self, orders: OrderSink) -> None:
         self._orders = orders
+        self._configurations = ConfigurationDecoder()
         self._ordered_services: set[str] = set()
         """Services whose order was passed on and not withdrawn since."""
 
@@ -44,13 +47,13 @@
 
     def apply(self, record: KeyedRecord) -> None:
         """See :meth:`RecordHandler.apply`."""
-        if record.key == documents.CONFIGURATION_KEY:
+        if record.key == CONFIGURATION_KEY:
             self._apply_configuration(record)
         elif record.key.startswith(documents.ROLLOUT_KEY_PREFIX):
             self._apply_rollout_order(record)
 
     def _apply_configuration(self, record: KeyedRecord) -> None:
-        match documents.decode_configuration(record.value):
+        match self._configurations.decode(record.value):
             case Ok(routing):
                 self._orders.apply_configuration(routing)
             case Err(reason):
--- /dev/null
+++ b/src/bulrushflow/platform/configuration.py
@@ -0,0 +1,191 @@
+"""Decoding of the operator's configuration into the project's types."""
+
+import typing as t
+from dataclasses import dataclass
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from bulrushflow.platform.settings import parse_duration
+from bulrushflow.sidecar.model import Limits
+from bulrushflow.sidecar.model import Route
+from bulrushflow.sidecar.model import Routing
+from bulrushflow.sidecar.model import ServiceSettings
+from bulrushflow.sidecar.model import WeightedService
+
+CONFIGURATION_KEY = "config"
+IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "keyed": False, "upload": False}
+"""Whether calls of a kind of route may be retried after they may have run."""
+
+
+class _SplitPart(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Action(msgspec.Struct):
+    timeout: str
+    maxAttempts: int  # noqa: N815  targets that a call may be sent to
+    service: str | None = None
+    trafficSplit: list[_SplitPart] = []  # noqa: N815  instead of ``service``
+
+
+class _Match(msgspec.Struct):
+    pathPrefix: str  # noqa: N815
+
+
+class _Rule(msgspec.Struct):
+    name: str
+    kind: str
+    match: _Match
+    action: _Action
+    targetLatency: str = "1s"  # noqa: N815  later responses count as late
+    priority: int = 0
+
+
+class _Listener(msgspec.Struct):
+    host: str
+    ruleSet: list[_Rule]  # noqa: N815
+
+
+class _Cluster(msgspec.Struct):
+    name: str
+    healthPath: str = "/health"  # noqa: N815
+    maxConnections: int = 100  # noqa: N815  to one target, from all nodes
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int = 16384  # noqa: N815
+    maxBodyBytes: int = 67108864  # noqa: N815
+    headerTimeout: str = "3s"  # noqa: N815
+    idleTimeout: str = "15s"  # noqa: N815
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    listeners: list[msgspec.Raw]
+    clusters: list[_Cluster]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+@dataclass(frozen=True, slots=True)
+class _HostRoutes:
+    """The decoded routes of one host."""
+
+    host: str
+    routes_by_prefix: t.Mapping[str, Route]
+    services: t.Mapping[str, str]
+    """A route for each service that the routes name."""
+
+
+class ConfigurationDecoder:
+    """Decodes configurations, and reuses the routes of hosts that didn't change since the last one.
+
+    The operator sends the whole configuration with each change, which mostly concerns one host.
+    """
+
+    __slots__ = ("_hosts_by_document",)
+
+    def __init__(self) -> None:
+        self._hosts_by_document: dict[bytes, _HostRoutes] = {}
+
+    def decode(self, data: bytes) -> Result[Routing, str]:
+        """Decode a configuration; one invalid part rejects all of it."""
+        try:
+            document = msgspec.json.decode(data, type=_Configuration)
+            return self._convert(document)
+        except (msgspec.MsgspecError, ValueError) as exc:
+            return Err(f"configuration: {exc}")
+
+    def _convert(self, document: _Configuration) -> Result[Routing, str]:
+        services = {
+            c.name: ServiceSettings(c.name, c.healthPath, c.maxConnections)
+            for c in document.clusters
+        }
+        hosts_by_document: dict[bytes, _HostRoutes] = {}
+        for raw in document.listeners:
+            match self._host_routes(bytes(raw)):
+                case Err(reason):
+                    return Err(f"configuration {document.version}: {reason}")
+                case Ok(host):
+                    hosts_by_document[bytes(raw)] = host
+            for service, route in host.services.items():
+                if service not in services:
+                    return Err(
+                        f"configuration {document.version}: route {route}: service {service!r} "
+                        "isn't defined"
+                    )
+        self._hosts_by_document = hosts_by_document
+        limits = document.limits
+        return Ok(
+            Routing(
+                document.version,
+                _merge_hosts(hosts_by_document.values()),
+                services,
+                Limits(
+                    limits.maxHeaderBytes,
+                    limits.maxBodyBytes,
+                    parse_duration(limits.headerTimeout),
+                    parse_duration(limits.idleTimeout),
+                ),
+            )
+        )
+
+    def _host_routes(self, document: bytes) -> Result[_HostRoutes, str]:
+        known = self._hosts_by_document.get(document)
+        if known is not None:
+            return Ok(known)
+        listener = msgspec.json.decode(document, type=_Listener)
+        routes: dict[str, Route] = {}
+        services: dict[str, str] = {}
+        for rule in listener.ruleSet:
+            match _convert_rule(listener.host, rule):
+                case Err(reason):
+                    return Err(f"route {rule.name}: {reason}")
+                case Ok(route):
+                    routes[route.prefix] = route
+                    services |= {part.service: route.name for part in route.services}
+        return Ok(_HostRoutes(listener.host, routes, services))
+
+
+def _merge_hosts(hosts: t.Iterable[_HostRoutes]) -> dict[str, t.Mapping[str, Route]]:
+    routes_by_host: dict[str, t.Mapping[str, Route]] = {}
+    for item in hosts:
+        earlier = routes_by_host.get(item.host)
+        routes = item.routes_by_prefix
+        routes_by_host[item.host] = routes if earlier is None else {**earlier, **routes}
+    return routes_by_host
+
+
+def _convert_rule(host: str, rule: _Rule) -> Result[Route, str]:
+    action = rule.action
+    weighted = [WeightedService(part.service, part.weight) for part in action.trafficSplit]
+    if action.service is not None:
+        weighted = [WeightedService(action.service, 1.0)]
+    if not weighted:
+        return Err("names no service")
+    if sum(part.weight for part in weighted) <= 0 or any(part.weight < 0 for part in weighted):
+        return Err("weights must not be negative and their sum must be positive")
+    if rule.kind not in IDEMPOTENT_BY_KIND:
+        return Err(f"unknown kind {rule.kind!r}")
+    prefix = rule.match.pathPrefix
+    if not (prefix.startswith("/") and prefix.endswith("/")) or action.maxAttempts < 1:
+        return Err(
+            f"prefix {prefix!r} must begin and end with a slash, and maxAttempts "
+            f"{action.maxAttempts} must be at least 1"
+        )
+    return Ok(
+        Route(
+            name=rule.name,
+            host=host,
+            prefix=prefix,
+            services=tuple(weighted),
+            idempotent=IDEMPOTENT_BY_KIND[rule.kind],
+            timeout_s=parse_duration(action.timeout),
+            latency_objective_s=parse_duration(rule.targetLatency),
+            max_attempts=action.maxAttempts,
+            priority=rule.priority,
+        )
+    )
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,119 @@
+import json
+import typing as t
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Result
+
+from bulrushflow.platform.configuration import ConfigurationDecoder
+from bulrushflow.sidecar.model import Routing
+
+
+def rule(**changes: t.Any) -> dict[str, t.Any]:
+    return {
+        "name": "r",
+        "kind": "safe",
+        "targetLatency": "600ms",
+        "priority": 2,
+        "match": {"pathPrefix": "/a/"},
+        "action": {"service": "s1", "timeout": "1200ms", "maxAttempts": 2},
+    } | changes
+
+
+def document(*rules: dict[str, t.Any], **changes: t.Any) -> bytes:
+    default = {
+        "version": 7,
+        "listeners": [{"host": "h.example", "ruleSet": list(rules)}],
+        "clusters": [{"name": "s1"}, {"name": "s2", "maxConnections": 9}],
+    }
+    return json.dumps(default | changes).encode()
+
+
+def decode(data: bytes) -> Result[Routing, str]:
+    return ConfigurationDecoder().decode(data)
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_routes_match_by_host_and_longest_prefix(self) -> None:
+        longer = rule(name="longer", match={"pathPrefix": "/a/b/"})
+        routing = decode(document(rule(), longer)).unwrap()
+        for path, name in (("/a/x?b=/a/b/c", "r"), ("/a/b/c", "longer"), ("/a/b", "r")):
+            found = routing.match("h.example", path)
+            assert found is not None
+            self.assertEqual(found.name, name)
+        for host, path in (("h.example", "/b/"), ("other", "/a/x"), ("h.example", "*")):
+            self.assertIsNone(routing.match(host, path))
+
+    def test_idempotency_follows_from_the_kind_of_route(self) -> None:
+        kinds = (("safe", True), ("unsafe", False), ("keyed", False), ("upload", False))
+        for kind, idempotent in kinds:
+            with self.subTest(kind):
+                routing = decode(document(rule(kind=kind))).unwrap()
+                route = routing.match("h.example", "/a/x")
+                assert route is not None
+                self.assertEqual(route.idempotent, idempotent)
+
+    def test_a_traffic_split_keeps_its_weights(self) -> None:
+        action = {
+            "trafficSplit": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "timeout": "1s",
+            "maxAttempts": 2,
+        }
+        routing = decode(document(rule(action=action))).unwrap()
+        route = routing.match("h.example", "/a/x")
+        assert route is not None
+        self.assertEqual([(p.service, p.weight) for p in route.services], [("s1", 90), ("s2", 10)])
+
+    def test_an_invalid_document_is_rejected_as_a_whole(self) -> None:
+        invalid = {
+            "unknown service": document(rule(action=rule()["action"] | {"service": "nobody"})),
+            "unknown kind": document(rule(kind="odd")),
+            "no attempts": document(rule(action=rule()["action"] | {"maxAttempts": 0})),
+            "prefix": document(rule(match={"pathPrefix": "/a"})),
+            "no time": document(rule(targetLatency="soon")),
+            "version": document(rule(), version="7"),
+            "cut short": document(rule())[:-20],
+            "empty": b"",
+        }
+        for name, data in invalid.items():
+            with self.subTest(name):
+                self.assertTrue(decode(data).is_err())
+
+    @given(st.binary(max_size=200))
+    def test_arbitrary_bytes_are_decoded_or_rejected_without_an_exception(
+        self, data: bytes
+    ) -> None:
+        decode(data)
+
+
+def listener(host: str, **changes: t.Any) -> dict[str, t.Any]:
+    return {"host": host, "ruleSet": [rule(**changes)]}
+
+
+class ReuseTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.decoder = ConfigurationDecoder()
+
+    def decode(self, *listeners: dict[str, t.Any], **changes: t.Any) -> Result[Routing, str]:
+        return self.decoder.decode(document(listeners=list(listeners), **changes))
+
+    def test_routes_of_a_host_that_did_not_change_are_reused(self) -> None:
+        first = self.decode(listener("a"), listener("b")).unwrap()
+        second = self.decode(listener("a"), listener("b", priority=1), version=8).unwrap()
+        self.assertIs(second.routes_by_host["a"], first.routes_by_host["a"])
+        self.assertEqual(second.routes_by_host["b"]["/a/"].priority, 1)
+        self.assertEqual(first.routes_by_host["b"]["/a/"].priority, 2)
+
+    def test_a_host_that_is_gone_has_no_routes_any_more(self) -> None:
+        self.decode(listener("a"), listener("b"))
+        self.assertEqual(self.decode(listener("b")).unwrap().routes_by_host.keys(), {"b"})
+
+    def test_a_reused_route_whose_service_is_gone_rejects_the_configuration(self) -> None:
+        self.decode(listener("a"))
+        self.assertTrue(self.decode(listener("a"), clusters=[{"name": "s2"}]).is_err())
+
+    def test_routes_of_a_host_that_is_listed_twice_are_merged(self) -> None:
+        other = listener("a", name="other", match={"pathPrefix": "/b/"})
+        routing = self.decode(listener("a"), other).unwrap()
+        self.assertEqual(routing.routes_by_host["a"].keys(), {"/a/", "/b/"})
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,7 +6,6 @@
 from hypothesis import strategies as st
 
 from bulrushflow.platform.documents import decode_announcement
-from bulrushflow.platform.documents import decode_configuration
 from bulrushflow.platform.documents import decode_rollout_order
 from bulrushflow.platform.documents import decode_status
 from bulrushflow.platform.documents import encode_status
@@ -15,27 +14,6 @@
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.storage import KeyedRecord
 
-
-def rule(**changes: t.Any) -> dict[str, t.Any]:
-    return {
-        "name": "r",
-        "kind": "safe",
-        "targetLatency": "600ms",
-        "priority": 2,
-        "match": {"pathPrefix": "/a/"},
-        "action": {"service": "s1", "timeout": "1200ms", "maxAttempts": 2},
-    } | changes
-
-
-def document(*rules: dict[str, t.Any], **changes: t.Any) -> bytes:
-    default = {
-        "version": 7,
-        "listeners": [{"host": "h.example", "ruleSet": list(rules)}],
-        "clusters": [{"name": "s1"}, {"name": "s2", "maxConnections": 9}],
-    }
-    return json.dumps(default | changes).encode()
-
-
 ANNOUNCEMENT = {
     "service": "s1",
     "address": "10.1.0.8:8301",
@@ -49,57 +27,11 @@
 }
 
 
-class ConfigurationDocumentTests(unittest.TestCase):
-    def test_routes_match_by_host_and_longest_prefix(self) -> None:
-        longer = rule(name="longer", match={"pathPrefix": "/a/b/"})
-        routing = decode_configuration(document(rule(), longer)).unwrap()
-        for path, name in (("/a/x?b=/a/b/c", "r"), ("/a/b/c", "longer"), ("/a/b", "r")):
-            found = routing.match("h.example", path)
-            assert found is not None
-            self.assertEqual(found.name, name)
-        for host, path in (("h.example", "/b/"), ("other", "/a/x"), ("h.example", "*")):
-            self.assertIsNone(routing.match(host, path))
-
-    def test_idempotency_follows_from_the_kind_of_route(self) -> None:
-        kinds = (("safe", True), ("unsafe", False), ("keyed", False), ("upload", False))
-        for kind, idempotent in kinds:
-            with self.subTest(kind):
-                routing = decode_configuration(document(rule(kind=kind))).unwrap()
-                route = routing.match("h.example", "/a/x")
-                assert route is not None
-                self.assertEqual(route.idempotent, idempotent)
-
-    def test_a_traffic_split_keeps_its_weights(self) -> None:
-        action = {
-            "trafficSplit": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
-            "timeout": "1s",
-            "maxAttempts": 2,
-        }
-        routing = decode_configuration(document(rule(action=action))).unwrap()
-        route = routing.match("h.example", "/a/x")
-        assert route is not None
-        self.assertEqual([(p.service, p.weight) for p in route.services], [("s1", 90), ("s2", 10)])
-
-    def test_an_invalid_document_is_rejected_as_a_whole(self) -> None:
-        invalid = {
-            "unknown service": document(rule(action=rule()["action"] | {"service": "nobody"})),
-            "unknown kind": document(rule(kind="odd")),
-            "no attempts": document(rule(action=rule()["action"] | {"maxAttempts": 0})),
-            "prefix": document(rule(match={"pathPrefix": "/a"})),
-            "no time": document(rule(targetLatency="soon")),
-            "version": document(rule(), version="7"),
-            "cut short": document(rule())[:-20],
-            "empty": b"",
-        }
-        for name, data in invalid.items():
-            with self.subTest(name):
-                self.assertTrue(decode_configuration(data).is_err())
-
+class DocumentTests(unittest.TestCase):
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_are_decoded_or_rejected_without_an_exception(
         self, data: bytes
     ) -> None:
-        decode_configuration(data)
         decode_rollout_order(KeyedRecord("rollout/s1", data, 1))
         decode_announcement("i", data)
         decode_status(data)
