Generate the classes of the messages between nodes, instead of reading the thrift file at each start

Ruled out: a cache of the parsed file, since a node writes no file. Change: make messages generates the classes; they are committed, so a build needs no generator.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format reference
+.PHONY: demo test lint format reference messages
 
 $(BIN)/bulrushflow: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,5 +25,9 @@
 reference: $(BIN)/bulrushflow
 	PYTHONPATH=src:. $(BIN)/python -m scripts.reference
 
+messages: $(BIN)/bulrushflow
+	PYTHONPATH=src:. $(BIN)/python -m scripts.messages
+	$(BIN)/black --quiet src/bulrushflow/wire/generated_messages.py
+
 test: lint
 	PYTHONPATH=src:. $(BIN)/python -m tests
--- a/src/bulrushflow/wire/messages.py
+++ b/src/bulrushflow/wire/messages.py
@@ -1,10 +1,8 @@
 """The thrift messages between nodes, and their binary encoding with a checksum."""
 
-import pathlib
 import struct
 import typing as t
 
-import thriftpy2
 import xxhash
 from result import Err
 from result import Ok
@@ -13,9 +11,7 @@
 from thriftpy2.thrift import TType
 from thriftpy2.transport import TCyMemoryBuffer
 
-_module = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("messages.thrift")), module_name="messages_thrift"
-)
+from bulrushflow.wire import generated_messages
 
 _CHECKSUM = struct.Struct(">I")
 CHECKSUM_BYTES = _CHECKSUM.size
@@ -31,40 +27,40 @@
 
 _fields_by_kind: dict[t.Any, _Fields] = {}
 
-Target: t.Any = _module.Target
-Member: t.Any = _module.Member
-MoveState: t.Any = _module.MoveState
-Gossip: t.Any = _module.Gossip
-Ping: t.Any = _module.Ping
-Ack: t.Any = _module.Ack
-PingRequest: t.Any = _module.PingRequest
-BucketDigests: t.Any = _module.BucketDigests
-BucketRequest: t.Any = _module.BucketRequest
-Datagram: t.Any = _module.Datagram
-Header: t.Any = _module.Header
-NamedLimit: t.Any = _module.NamedLimit
-CallRequest: t.Any = _module.CallRequest
-CallAnswer: t.Any = _module.CallAnswer
-CallCancel: t.Any = _module.CallCancel
-Record: t.Any = _module.Record
-RecordsRequest: t.Any = _module.RecordsRequest
-Records: t.Any = _module.Records
-RecordsPush: t.Any = _module.RecordsPush
-MembersRequest: t.Any = _module.MembersRequest
-Members: t.Any = _module.Members
-RouteEvidence: t.Any = _module.RouteEvidence
-EvidenceReport: t.Any = _module.EvidenceReport
-Heartbeat: t.Any = _module.Heartbeat
-ExchangeFailure: t.Any = _module.ExchangeFailure
-Goodbye: t.Any = _module.Goodbye
-StateNotice: t.Any = _module.StateNotice
-TopicPosition: t.Any = _module.TopicPosition
-UpdatesRequest: t.Any = _module.UpdatesRequest
-StoreRecord: t.Any = _module.StoreRecord
-StoreRecords: t.Any = _module.StoreRecords
-TopicUpdate: t.Any = _module.TopicUpdate
-Updates: t.Any = _module.Updates
-Frame: t.Any = _module.Frame
+Target: t.Any = generated_messages.Target
+Member: t.Any = generated_messages.Member
+MoveState: t.Any = generated_messages.MoveState
+Gossip: t.Any = generated_messages.Gossip
+Ping: t.Any = generated_messages.Ping
+Ack: t.Any = generated_messages.Ack
+PingRequest: t.Any = generated_messages.PingRequest
+BucketDigests: t.Any = generated_messages.BucketDigests
+BucketRequest: t.Any = generated_messages.BucketRequest
+Datagram: t.Any = generated_messages.Datagram
+Header: t.Any = generated_messages.Header
+NamedLimit: t.Any = generated_messages.NamedLimit
+CallRequest: t.Any = generated_messages.CallRequest
+CallAnswer: t.Any = generated_messages.CallAnswer
+CallCancel: t.Any = generated_messages.CallCancel
+Record: t.Any = generated_messages.Record
+RecordsRequest: t.Any = generated_messages.RecordsRequest
+Records: t.Any = generated_messages.Records
+RecordsPush: t.Any = generated_messages.RecordsPush
+MembersRequest: t.Any = generated_messages.MembersRequest
+Members: t.Any = generated_messages.Members
+RouteEvidence: t.Any = generated_messages.RouteEvidence
+EvidenceReport: t.Any = generated_messages.EvidenceReport
+Heartbeat: t.Any = generated_messages.Heartbeat
+ExchangeFailure: t.Any = generated_messages.ExchangeFailure
+Goodbye: t.Any = generated_messages.Goodbye
+StateNotice: t.Any = generated_messages.StateNotice
+TopicPosition: t.Any = generated_messages.TopicPosition
+UpdatesRequest: t.Any = generated_messages.UpdatesRequest
+StoreRecord: t.Any = generated_messages.StoreRecord
+StoreRecords: t.Any = generated_messages.StoreRecords
+TopicUpdate: t.Any = generated_messages.TopicUpdate
+Updates: t.Any = generated_messages.Updates
+Frame: t.Any = generated_messages.Frame
 
 
 def encode(message: t.Any) -> bytes:
