Collect no garbage while a node starts

Cause: the imports triggered collections that find nothing, and the start ended with a full one. Change: collection is off until the node has started; what exists by then is frozen without a collection.

--- a/src/bulrushflow/platform/command.py
+++ b/src/bulrushflow/platform/command.py
@@ -45,8 +45,9 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, sidecar)
     await sidecar.start()
     sidecar.timers.subscribe("settings", SETTINGS_POLL_S, SettingsWatcher(sidecar).check)
-    gc.collect()
+    # What exists by now mostly stays; a collection first would find little and delay the start.
     gc.freeze()
+    gc.enable()
     gc.set_threshold(GC_THRESHOLD, GC_GENERATIONS, GC_GENERATIONS)
     await stopping.wait()
     await sidecar.stop()
