Say on the readiness check and in a gauge that a configuration was rejected

Change: the readiness check answers with a report in JSON, two gauges show the version in force and whether the newest one was rejected, and the 503 names the reason. Tests: test_a_node_says_why_it_has_no_configuration failed before; its twin shows that a valid configuration ends the report.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -46,6 +46,8 @@
         "applied_offset",
         "call_seconds",
         "calls",
+        "configuration_rejected",
+        "configuration_version",
         "control_bytes",
         "log_behind",
         "members",
@@ -79,6 +81,17 @@
         self.applied_offset = Gauge(
             "bulrushflow_applied_offset", "Configuration version in force", registry=self.registry
         )
+        self.configuration_version = Gauge(
+            "bulrushflow_configuration_version",
+            "Version of the operator's configuration in force on a sidecar; 0 for none",
+            registry=self.registry,
+        )
+        self.configuration_rejected = Gauge(
+            "bulrushflow_configuration_rejected",
+            "1 if the newest configuration was rejected as invalid, so an older one or none is in "
+            "force, else 0",
+            registry=self.registry,
+        )
         self.members = Gauge("bulrushflow_members", "Members by status", registry=self.registry)
         self.ready = Gauge(
             "bulrushflow_ready", "1 while the node takes calls, else 0", registry=self.registry
@@ -136,6 +149,11 @@
         self.admission.set({"state": "lingering"}, lingering)
         self.admission.set({"state": "capacity"}, capacity)
 
+    def observe_configuration(self, version: int, rejected: bool) -> None:
+        """Record the configuration in force, and whether the newest one was rejected."""
+        self.configuration_version.set({}, version)
+        self.configuration_rejected.set({}, int(rejected))
+
     def observe_replica(self, topic: str, records_behind: int, connected: bool) -> None:
         """Record how far the replica of a store topic lags, and whether it reaches the store."""
         self.store_records_behind.set({"topic": topic}, records_behind)
--- a/src/bulrushflow/platform/adapter.py
+++ b/src/bulrushflow/platform/adapter.py
@@ -58,6 +58,7 @@
                 self._orders.apply_configuration(routing)
             case Err(reason):
                 self._orders.report_unreadable(record.key, reason)
+                self._orders.reject_configuration(reason)
 
     def _apply_rollout_order(self, record: KeyedRecord) -> None:
         if not record.value:
--- a/src/bulrushflow/sidecar/adapter.py
+++ b/src/bulrushflow/sidecar/adapter.py
@@ -57,6 +57,9 @@
     def apply_configuration(self, routing: Routing) -> None:
         """Apply a configuration."""
 
+    def reject_configuration(self, reason: str) -> None:
+        """Report the newest configuration as invalid; the one in force stays."""
+
     def order_rollout(self, order: RolloutOrder) -> None:
         """Apply the order of a rollout."""
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -19,6 +19,7 @@
 from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.dispatcher import Dispatcher
 from bulrushflow.sidecar.driver import RolloutDriver
+from bulrushflow.sidecar.endpoints import ReadinessReport
 from bulrushflow.sidecar.endpoints import announcement_application
 from bulrushflow.sidecar.endpoints import metrics_application
 from bulrushflow.sidecar.endpoints import readiness_application
@@ -79,6 +80,8 @@
         self._metrics = Metrics(MAX_ROUTE_LABELS)
         self._own_node_key = node_key(settings.address)
         self._stopping = False
+        self.rejected_configuration: str | None = None
+        """Why the newest configuration was rejected; ``None`` if it is in force."""
         self._runners: list[web.AppRunner | web.ServerRunner] = []
         self.bound_by_setting: dict[str, Endpoint] = {}
         """Endpoints of the servers that were started; a port of 0 in the settings lets the system
@@ -130,6 +133,7 @@
         self._callers = CallerServer(
             adapter.header_names,
             lambda: self.routing,
+            lambda: self.rejected_configuration,
             self._operator_replica,
             lambda: self.settings.own_service,
             self._dispatcher,
@@ -205,7 +209,7 @@
             web.ServerRunner(self._callers.server(), shutdown_timeout=CONNECTION_CLOSE_TIMEOUT_S),
             self.settings.callers,
         )
-        readiness = readiness_application(self._adapter.paths.readiness, self.is_ready)
+        readiness = readiness_application(self._adapter.paths.readiness, self._readiness_report)
         await self._serve_application("readiness", readiness, self.settings.readiness)
         metrics = Endpoint(self.settings.address, self.settings.metrics_port)
         await self._serve_application("metrics", metrics_application(self._metrics), metrics)
@@ -257,6 +261,9 @@
         """Return whether callers should use this node."""
         return not self._stopping and bool(self.routing.version) and self._node_replica.loaded
 
+    def _readiness_report(self) -> ReadinessReport:
+        return ReadinessReport(self.is_ready(), self.routing.version, self.rejected_configuration)
+
     def is_configuration_current(self) -> bool:
         """Return whether the store responds and no newer configuration is known to exist."""
         return self._operator_replica.is_current
@@ -277,6 +284,7 @@
 
     def apply_configuration(self, routing: Routing) -> None:
         """See :meth:`OrderSink.apply_configuration`; ignores a version that isn't newer."""
+        self.rejected_configuration = None
         if routing.version <= self.routing.version:
             return
         self._decisions.event(
@@ -284,6 +292,10 @@
         )
         self.routing = routing
 
+    def reject_configuration(self, reason: str) -> None:
+        """See :meth:`OrderSink.reject_configuration`."""
+        self.rejected_configuration = reason
+
     def order_rollout(self, order: RolloutOrder) -> None:
         """See :meth:`OrderSink.order_rollout`."""
         self._rollouts.apply_order(order, asyncio.get_running_loop().time())
@@ -344,6 +356,9 @@
         self._metrics.observe_target(
             self._admission.limit_per_s, entry is not None and entry.leaving
         )
+        self._metrics.observe_configuration(
+            self.routing.version, self.rejected_configuration is not None
+        )
         for replica in self._replicas:
             self._metrics.observe_replica(replica.topic, replica.records_behind, replica.connected)
 
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -47,6 +47,7 @@
     """Accepts HTTP requests as calls, dispatches them, and returns their outcomes as responses.
 
     :param routing: returns the configuration in force.
+    :param rejected_configuration: returns why the newest configuration was rejected, or ``None``.
     :param orders: replica of the operator's records, which the configuration is one of.
     :param own_service: returns the service of this instance.
     """
@@ -55,6 +56,7 @@
         self,
         header_names: HeaderNames,
         routing: t.Callable[[], Routing],
+        rejected_configuration: t.Callable[[], str | None],
         orders: Replica,
         own_service: t.Callable[[], str],
         dispatcher: Dispatcher,
@@ -70,6 +72,7 @@
             header_names.expected_target.lower(),
         }
         self._routing = routing
+        self._rejected_configuration = rejected_configuration
         self._orders = orders
         self._own_service = own_service
         self._dispatcher = dispatcher
@@ -124,7 +127,7 @@
         request_id = request.headers.get(self._header_names.request_id, "")
         routing = self._routing()
         if not routing.version:
-            return self._error_response(request_id, 503, "no configuration received yet")
+            return self._error_response(request_id, 503, self._missing_configuration_reason())
         route = routing.match(request.headers.get("Host", "").lower(), request.raw_path)
         if route is None:
             return self._missing_route_response(request, request_id, routing.version)
@@ -144,6 +147,12 @@
         self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
         return self._result_response(call, result, routing.version, seconds)
 
+    def _missing_configuration_reason(self) -> str:
+        rejected = self._rejected_configuration()
+        if rejected is None:
+            return "no configuration received yet"
+        return f"the only configuration received was rejected: {rejected}"
+
     def _missing_route_response(
         self, request: web.BaseRequest, request_id: str, version: int
     ) -> web.Response:
--- a/src/bulrushflow/sidecar/endpoints.py
+++ b/src/bulrushflow/sidecar/endpoints.py
@@ -1,6 +1,8 @@
 """HTTP applications for the target's registration, readiness checks and metrics."""
 
 import typing as t
+from dataclasses import asdict
+from dataclasses import dataclass
 
 from aiohttp import web
 from result import Err
@@ -30,6 +32,18 @@
     readiness: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReadinessReport:
+    """What the readiness check says of this node."""
+
+    ready: bool
+    """Whether callers should use the node."""
+    configuration: int
+    """Version of the configuration in force; 0 for none."""
+    rejected_configuration: str | None
+    """Why the newest configuration was rejected; ``None`` if it is in force."""
+
+
 def announcement_application(
     paths: AnnouncementPaths,
     decode: AnnouncementDecoder,
@@ -80,11 +94,15 @@
     return app
 
 
-def readiness_application(path: str, is_ready: t.Callable[[], bool]) -> web.Application:
-    """Return the readiness check: status 200 while this node accepts calls, else 503."""
+def readiness_application(path: str, report: t.Callable[[], ReadinessReport]) -> web.Application:
+    """Return the readiness check: status 200 while this node accepts calls, else 503.
+
+    The body is the report in JSON.
+    """
 
     async def ready(_: web.Request) -> web.Response:
-        return web.Response(status=200 if is_ready() else 503)
+        current = report()
+        return web.json_response(asdict(current), status=200 if current.ready else 503)
 
     app = web.Application()
     app.router.add_get(path, ready)
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -150,6 +150,10 @@
         async with self.http.get(url) as response:
             return response.status == 200
 
+    async def metrics(self, number: int) -> str:
+        async with self.http.get(self.instances[number].url("metrics", "/metrics")) as response:
+            return await response.text()
+
     async def serve(self) -> None:
         """Publish a configuration, announce the targets, and wait until all nodes list them."""
         self.store.put("keyed.op", "config", configuration(1))
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -82,6 +82,35 @@
         for instance in self.instances:
             await instance.until_version(6)
 
+    async def test_a_node_says_why_it_has_no_configuration(self) -> None:
+        self.store.put("keyed.op", "config", configuration(1).replace(b'"safe"', b'"odd"'))
+        sidecar = self.instances[0].sidecar
+        await until(lambda: sidecar.rejected_configuration is not None)
+        url = self.instances[0].url("readiness", "/-/ready")
+        async with self.http.get(url) as response:
+            self.assertEqual(response.status, 503)
+            answer = await response.json()
+        self.assertIn("unknown kind 'odd'", answer["rejected_configuration"])
+        self.assertEqual(answer["configuration"], 0)
+        await sidecar._observe_state()
+        metrics = await self.metrics(0)
+        self.assertIn("bulrushflow_configuration_rejected 1", metrics)
+        status, body = await self.call(0, "c-1")
+        self.assertEqual(status, 503)
+        self.assertIn(b"rejected", body)
+
+    async def test_a_valid_configuration_ends_the_report_of_a_rejected_one(self) -> None:
+        self.store.put("keyed.op", "config", b"cut short")
+        sidecar = self.instances[0].sidecar
+        await until(lambda: sidecar.rejected_configuration is not None)
+        await self.serve()
+        self.assertIsNone(sidecar.rejected_configuration)
+        await sidecar._observe_state()
+        metrics = await self.metrics(0)
+        self.assertIn("bulrushflow_configuration_rejected 0", metrics)
+        self.assertIn("bulrushflow_configuration_version 1", metrics)
+        self.assertTrue(await self.is_ready(0))
+
     async def test_a_restarted_node_restores_its_target_from_the_store(self) -> None:
         await self.serve()
         await self.instances[1].restart()
