--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -14,6 +14,7 @@
         self.configurations: list[int] = []
         self.version_by_service: dict[str, str] = {}
         self.unreadable: list[str] = []
+        self.rejected: list[str] = []
 
     def apply_configuration(self, routing: Routing) -> None:
         self.configurations.append(routing.version)
@@ -24,6 +25,9 @@
     def withdraw_rollout(self, service: str) -> None:
         self.version_by_service.pop(service, None)
 
+    def reject_configuration(self, reason: str) -> None:
+        self.rejected.append(reason)
+
     def report_unreadable(self, key: str, reason: str) -> None:
         self.unreadable.append(key)
 
@@ -60,6 +64,7 @@
         self.handler.replace([KeyedRecord("rollout/s1", b"cut short", 3), order("s2", "v7", 2)])
         self.assertEqual(self.sink.version_by_service, {"s1": "v2", "s2": "v7"})
         self.assertEqual(self.sink.unreadable, ["rollout/s1"])
+        self.assertEqual(self.sink.rejected, [])
 
     def test_an_order_with_an_empty_record_is_withdrawn(self) -> None:
         self.handler.apply(KeyedRecord("rollout/s1", b"", 3))
