Bound the request bodies that a node holds at once, at its callers and for other nodes

Cause: each call's body was read and kept whole, up to the configuration's own bound (64 MB if it names none), with no bound on all of them together; uploads of 360 KB on nodes of 200 MB would end the process. Ruled out: to stop reading beyond the bound, since callers would wait for a node that has no space while others have; the call is refused at once, unread, as not run. Frames that are still arriving on links are bounded by one frame a link only. Change: one budget a role, reserved from the first byte to the call's outcome; a length beyond the configuration's bound is refused before the body is read; errors of bodies are a type with their status. The log design uses the same reservation, and a body without a length now takes space as it arrives there too. Tests: test_request_bodies; its three tests of the bounds failed before, as did the one of a length beyond the bound, which was read to its end first.

--- a/src/bulrushflow/callers/server.py
+++ b/src/bulrushflow/callers/server.py
@@ -10,9 +10,8 @@
 from result import Ok
 from result import Result
 
-from bulrushflow.bodies import expected_bytes
+from bulrushflow.bodies import BodyReservation
 from bulrushflow.bodies import read_body
-from bulrushflow.bodies import refusal_status
 from bulrushflow.callers.dispatcher import Dispatcher
 from bulrushflow.callers.responses import refusal_response
 from bulrushflow.callers.responses import to_http_response
@@ -147,44 +146,29 @@
             return refusal_response(404, f"no route for {request.path}")
         if not _is_utf8(request):
             return refusal_response(400, "the path and the headers must be UTF-8")
-        max_bytes = self._settings.max_body_bytes
-        reserved = expected_bytes(request, max_bytes)
-        if reserved > max_bytes:
-            return refusal_response(
-                413,
-                f"the body is too large: {reserved} bytes, at most {max_bytes} are accepted",
-                close=True,
-            )
-        if not self._byte_budget.reserve(reserved):
-            return refusal_response(
-                503,
-                f"no buffer space at this node for a body of up to {reserved} bytes: "
-                f"{self._byte_budget.used_bytes} bytes are in use",
-                close=True,
-            )
-        try:
-            match await self._read_body(request, route, started_at):
+        with BodyReservation(self._byte_budget) as reservation:
+            match await self._read_body(request, route, started_at, reservation):
                 case Err(response):
                     return response
                 case Ok(body):
                     call = _build_call(request, route, body, started_at)
                     return await self._run(configuration, call, started_at)
-        finally:
-            self._byte_budget.release(reserved)
 
     async def _read_body(
-        self, request: web.BaseRequest, route: Route, started_at: float
+        self,
+        request: web.BaseRequest,
+        route: Route,
+        started_at: float,
+        reservation: BodyReservation,
     ) -> Result[bytes, web.Response]:
         """Return the body, or the response to a request whose body is refused."""
         try:
             async with asyncio.timeout_at(started_at + route.timeout_ms / 1000):
-                read = await read_body(request, self._settings.max_body_bytes)
+                read = await read_body(request, self._settings.max_body_bytes, reservation)
         except TimeoutError:
             reason = f"the body did not arrive in time (within {route.timeout_ms} ms)"
             return Err(refusal_response(408, reason, close=True))
-        return read.map_err(
-            lambda reason: refusal_response(refusal_status(reason), reason, close=True)
-        )
+        return read.map_err(lambda error: refusal_response(error.status, error.reason, close=True))
 
     async def _run(
         self, configuration: Configuration, call: Call, started_at: float
--- a/src/bulrushflow/routing/limits.py
+++ b/src/bulrushflow/routing/limits.py
@@ -112,15 +112,15 @@
 class ByteBudget:
     """A bound on the bytes that are buffered at once."""
 
-    __slots__ = ("_max_bytes", "used_bytes")
+    __slots__ = ("max_bytes", "used_bytes")
 
     def __init__(self, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self.used_bytes = 0
 
     def reserve(self, size: int) -> bool:
         """Reserve ``size`` bytes; return ``False``, with nothing reserved, beyond the bound."""
-        if self.used_bytes + size > self._max_bytes:
+        if self.used_bytes + size > self.max_bytes:
             return False
         self.used_bytes += size
         return True
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -10,9 +10,10 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.bodies import BodyReservation
 from bulrushflow.bodies import read_body
-from bulrushflow.bodies import refusal_status
 from bulrushflow.metrics import Metrics
+from bulrushflow.routing import ByteBudget
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
@@ -30,6 +31,9 @@
 KEEPALIVE_TIMEOUT_S = 75.0
 """Idle time after which a caller's connection is closed; callers close theirs earlier."""
 MAX_LINE_BYTES = 64 << 10
+MAX_HELD_BODY_BYTES = 24 << 20
+"""Bound on the request bodies that are held at the same time, from the first byte to the call's
+outcome. A body is copied up to four times on its way, and instances have as little as 200 MB."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 0.3
 """Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
@@ -79,6 +83,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
+        self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
         self.in_flight = 0
         self.stopping = False
         """Whether each response closes its connection, which makes the caller open another one."""
@@ -136,16 +141,29 @@
                 request_id, 400, f"missing header {self._header_names.request_id}"
             )
         deadline = started_at + self._timeout_s(request, route)
-        match await self._read_body(request, routing.limits.max_body_bytes, deadline):
-            case Err(response):
-                return response
-            case Ok(body):
-                pass
+        with BodyReservation(self.body_budget) as reservation:
+            max_bytes = routing.limits.max_body_bytes
+            match await self._read_body(request, max_bytes, deadline, reservation):
+                case Err(response):
+                    return response
+                case Ok(body):
+                    pass
+            return await self._run(request, route, body, routing.version, started_at, deadline)
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        route: Route,
+        body: bytes,
+        version: int,
+        started_at: float,
+        deadline: float,
+    ) -> web.Response:
         call = self._build_call(request, route, body, started_at, deadline)
         result = await self._dispatch(route, call, started_at)
         seconds = asyncio.get_running_loop().time() - started_at
         self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
-        return self._result_response(call, result, routing.version, seconds)
+        return self._result_response(call, result, version, seconds)
 
     def _missing_configuration_reason(self) -> str:
         rejected = self._rejected_configuration()
@@ -190,13 +208,17 @@
         return min(_parse_timeout_s(header), route.timeout_s)
 
     async def _read_body(
-        self, request: web.BaseRequest, max_bytes: int, deadline: float
+        self,
+        request: web.BaseRequest,
+        max_bytes: int,
+        deadline: float,
+        reservation: BodyReservation,
     ) -> Result[bytes, web.Response]:
         """Return the body, or the response to a request whose body is refused."""
         request_id = request.headers[self._header_names.request_id]
         try:
             async with asyncio.timeout_at(deadline):
-                read = await read_body(request, max_bytes)
+                read = await read_body(request, max_bytes, reservation)
         except TimeoutError:
             reason = "the body did not arrive before the call's deadline"
             response = self._error_response(request_id, 408, reason)
@@ -204,9 +226,9 @@
             match read:
                 case Ok(body):
                     return Ok(body)
-                case Err(reason):
+                case Err(error):
                     pass
-            response = self._error_response(request_id, refusal_status(reason), reason)
+            response = self._error_response(request_id, error.status, error.reason)
         # The rest of the body would be taken for the next request.
         response.force_close()
         return Err(response)
--- a/src/bulrushflow/sidecar/forwarding.py
+++ b/src/bulrushflow/sidecar/forwarding.py
@@ -7,6 +7,8 @@
 from result import Err
 from result import Ok
 
+from bulrushflow.bodies import BodyReservation
+from bulrushflow.routing import ByteBudget
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import not_run
@@ -23,6 +25,8 @@
 
 CONNECT_TIMEOUT_S = 0.3
 """Time that a call waits for a connection to a node before another target is tried."""
+MAX_HELD_BODY_BYTES = 24 << 20
+"""Bound on the bodies of other nodes' calls that wait here or run at the target."""
 MIN_RECHECK_INTERVAL_S = 0.02
 MAX_RECHECK_INTERVAL_S = 1.5
 """Bounds of the exponential backoff between attempts to connect to an unreachable node."""
@@ -61,6 +65,7 @@
         self._orders = orders
         self._is_current = is_current
         self._decisions = decisions
+        self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
         self._rechecks: set[asyncio.Task[None]] = set()
         links.handle("call_request", self._serve)
 
@@ -141,13 +146,20 @@
         if message.named_limit is not None:
             self._admission.apply_named_limit(_limit_from_message(message.named_limit))
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
-        result = await self._admission.run(call)
+        result = await self._run(call)
         admission = self._admission
         response = codec.result_to_message(result, admission.load, admission.capacity)
         response.read_offset = self._orders.offset
         response.read_era = self._orders.era
         return {"call_answer": response}
 
+    async def _run(self, call: Call) -> CallResult:
+        size = len(call.body)
+        with BodyReservation(self.body_budget) as reservation:
+            if not reservation.grow(size):
+                return not_run(reservation.refusal(size).reason)
+            return await self._admission.run(call)
+
 
 def _limit_to_message(limit: NamedLimit | None) -> t.Any:
     if limit is None:
