--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -41,7 +41,9 @@
         app.router.add_post("/-/log-append", self._append)
         app.router.add_get("/-/log-read", self._read)
         app.router.add_get("/-/log-newest", self._newest)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0, handler_cancellation=True
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         return Endpoint(*self._runner.addresses[0][:2])
