Evict no late call for one that is refused itself, and decide where a call waits without side effects

Cause: with a full queue the late call that had waited longest was evicted before it was known whether the new one could be served; both were refused then. Change: placing a call is a decision without side effects, which can also be asked for in advance. Tests: test_a_call_that_is_refused_although_one_could_leave_the_queue_evicts_none failed before; a seeded test compares the answer in advance with the decision on 400 calls.

--- a/src/bulrushflow/sidecar/slots.py
+++ b/src/bulrushflow/sidecar/slots.py
@@ -37,6 +37,7 @@
 little, and their callers mostly hold a slot of another target meanwhile."""
 SHORT_ROUTE_RANK = -1
 """Rank of calls on short routes, before every priority."""
+DEADLINE_MISSED = "the deadline can't be met any more"
 MAX_TRACKED_ROUTES = 256
 """Routes with a service time of their own; further ones use the default."""
 
@@ -63,6 +64,17 @@
     """``None`` once a slot is granted, or the reason for a refusal."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Placement:
+    """Where a call waits."""
+
+    rank: int
+    late: bool
+    """Whether it waits behind all calls that can meet their latency objective."""
+    evicts: bool
+    """Whether the queue is full, and a late call leaves it."""
+
+
 class SlotPool:
     """Grants slots, and refuses at once a call whose response would come too late.
 
@@ -118,25 +130,35 @@
         self._limit.change(per_s, asyncio.get_running_loop().time())
         self._grant()
 
+    def refusal(self, request: SlotRequest) -> str | None:
+        """Return why a call would be refused now, or ``None`` if it would start or wait."""
+        now = asyncio.get_running_loop().time()
+        last_start = self._last_start(request)
+        if self.active and now >= last_start:
+            return DEADLINE_MISSED
+        if self._starts_at_once(now):
+            return None
+        return self._place(request, now, last_start).err()
+
     async def acquire(self, request: SlotRequest) -> str | None:
         """Wait for a slot.
 
         :return: ``None`` once the slot is granted, else the reason for the refusal.
         """
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        last_start = request.deadline - self.service_time_s(request.route) * MIN_SERVICE_FRACTION
+        now = asyncio.get_running_loop().time()
+        last_start = self._last_start(request)
         # Not checked on an idle target, which may be faster than its smoothed service time.
         if self.active and now >= last_start:
-            return "the deadline can't be met any more"
-        if self.active < self.capacity and not self.queued and not self._limit.wait_s(now):
+            return DEADLINE_MISSED
+        if self._starts_at_once(now):
             self._start(now)
             return None
-        match self._enqueue(request, now, last_start):
+        match self._place(request, now, last_start):
             case Err(reason):
                 return reason
-            case Ok(decision):
+            case Ok(placement):
                 pass
+        decision = self._enqueue(request, placement)
         if self.active < self.capacity:
             self._grant()
         try:
@@ -146,43 +168,56 @@
                 return await decision
         except TimeoutError:
             self._cancel(decision)
-            return "the deadline can't be met any more"
+            return DEADLINE_MISSED
         except asyncio.CancelledError:
             self._cancel(decision)
             raise
 
-    def _enqueue(
-        self, request: SlotRequest, now: float, last_start: float
-    ) -> Result[asyncio.Future[str | None], str]:
-        """Queue a call and return its decision, or why its response would come too late.
+    def _last_start(self, request: SlotRequest) -> float:
+        """Return the event loop time after which a call is of no use any more."""
+        return request.deadline - self.service_time_s(request.route) * MIN_SERVICE_FRACTION
 
-        :param last_start: event loop time after which the call is of no use any more.
-        """
+    def _starts_at_once(self, now: float) -> bool:
+        return self.active < self.capacity and not self.queued and not self._limit.wait_s(now)
+
+    def _place(
+        self, request: SlotRequest, now: float, last_start: float
+    ) -> Result[_Placement, str]:
+        """Return where a call would wait, or why its response would come too late."""
         rank = self._rank(request)
         ahead = [item for item in self._queue if item.rank <= rank and not item.decision.done()]
         limit_wait_s = self._limit.wait_s(now, len(ahead))
         # Checked first, so that no late call is evicted for one that can't be served.
         if limit_wait_s and now + limit_wait_s > last_start:
             return Err(f"the target's limit admits the call in {limit_wait_s:.2f} s, too late")
-        if self.queued >= self.capacity * MAX_QUEUED_PER_SLOT and not self._evict_late():
+        late = [item for item in self._late_queue if not item.decision.done()]
+        full = self.queued >= self.capacity * MAX_QUEUED_PER_SLOT
+        if full and not late:
             return Err("the queue is full")
-        service_time_s = self.service_time_s(request.route)
-        decision: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
-        queued_request = _QueuedRequest(rank, next(self._sequence), request, decision)
         expected_wait_s = self._expected_wait_s(ahead, now)
         if rank == SHORT_ROUTE_RANK or self._meets_objective(request, now + expected_wait_s):
-            heapq.heappush(self._queue, queued_request)
-        else:
-            expected_wait_s = self._expected_wait_s(
-                itertools.chain(self._queue, self._late_queue), now
+            return Ok(_Placement(rank, late=False, evicts=full))
+        service_time_s = self.service_time_s(request.route)
+        remaining = late[1:] if full else late
+        expected_wait_s = self._expected_wait_s(itertools.chain(self._queue, remaining), now)
+        latest = max(request.late_after, now + (request.deadline - now) * LATE_WAIT_FRACTION)
+        if now + expected_wait_s + service_time_s > latest:
+            return Err(
+                f"an answer is expected in {expected_wait_s + service_time_s:.2f} s, too late"
             )
-            latest = max(request.late_after, now + (request.deadline - now) * LATE_WAIT_FRACTION)
-            if now + expected_wait_s + service_time_s > latest:
-                return Err(
-                    f"an answer is expected in {expected_wait_s + service_time_s:.2f} s, too late"
-                )
+        return Ok(_Placement(rank, late=True, evicts=full))
+
+    def _enqueue(self, request: SlotRequest, placement: _Placement) -> asyncio.Future[str | None]:
+        """Queue a call and return its decision."""
+        if placement.evicts:
+            self._evict_late()
+        decision: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
+        queued_request = _QueuedRequest(placement.rank, next(self._sequence), request, decision)
+        if placement.late:
             self._late_queue.append(queued_request)
-        return Ok(decision)
+        else:
+            heapq.heappush(self._queue, queued_request)
+        return decision
 
     def release(self, route: str, seconds: float | None) -> None:
         """Free a slot, and grant it to the next call.
@@ -255,7 +290,7 @@
                 return
             request = queued_request.request
             if now + self.service_time_s(request.route) * MIN_SERVICE_FRACTION >= request.deadline:
-                queued_request.decision.set_result("the deadline can't be met any more")
+                queued_request.decision.set_result(DEADLINE_MISSED)
                 continue
             self._start(now)
             queued_request.decision.set_result(None)
@@ -289,14 +324,13 @@
                 return queued_request
         return None
 
-    def _evict_late(self) -> bool:
-        """Refuse the queued call that became late first; return whether there was one."""
+    def _evict_late(self) -> None:
+        """Refuse the queued call that became late first."""
         while self._late_queue:
             decision = self._late_queue.popleft().decision
             if not decision.done():
                 decision.set_result("late, and the queue is full")
-                return True
-        return False
+                return
 
     def _cancel(self, decision: asyncio.Future[str | None]) -> None:
         # The slot may have been granted in the same event loop iteration that ended the wait.
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/test_slots.py
@@ -1,6 +1,9 @@
 import asyncio
+import random
 import unittest
+from unittest import mock
 
+from bulrushflow.sidecar import slots as slots_module
 from bulrushflow.sidecar.slots import SlotPool
 from bulrushflow.sidecar.slots import SlotRequest
 from tests.clocks import stopped_loop_clock
@@ -95,6 +98,62 @@
         slots.refuse_queued("end")
         await asyncio.gather(*others)
 
+    async def test_a_call_that_is_refused_although_one_could_leave_the_queue_evicts_none(
+        self,
+    ) -> None:
+        slots = SlotPool(1)
+        await slots.acquire(self.request())
+        slots.release("r", 1.0)
+        await slots.acquire(self.request())
+        late = asyncio.ensure_future(slots.acquire(self.request(latency_objective_s=0.0)))
+        await asyncio.sleep(0)
+        with mock.patch.object(slots_module, "MAX_QUEUED_PER_SLOT", 1):
+            now = asyncio.get_running_loop().time()
+            too_late = SlotRequest("r", 0, now, now + 2.0)
+            self.assertIsNotNone(await slots.acquire(too_late))
+        self.assertEqual(slots.queued, 1)
+        slots.refuse_queued("end")
+        self.assertEqual(await late, "end")
+
+    async def test_the_answer_in_advance_is_the_decision_on_the_call(self) -> None:
+        rng = random.Random(5)
+        with stopped_loop_clock() as clock:
+            slots = SlotPool(2)
+            waiting: list[asyncio.Future[str | None]] = []
+            running: list[str] = []
+            refused = 0
+            for _ in range(400):
+                clock.advance(rng.uniform(0.0, 0.2))
+                for _ in range(4):
+                    # Waits that end by now leave the queue first.
+                    await asyncio.sleep(0)
+                now = asyncio.get_running_loop().time()
+                objective_s, timeout_s = rng.uniform(0.1, 3.0), rng.uniform(0.2, 5.0)
+                route = rng.choice(["short", "long"])
+                request = SlotRequest(route, rng.randint(0, 2), now + objective_s, now + timeout_s)
+                expected = slots.refusal(request)
+                self.assertEqual(slots.refusal(request), expected)
+                decision = asyncio.ensure_future(slots.acquire(request))
+                await asyncio.sleep(0)
+                if expected is not None:
+                    self.assertEqual(await decision, expected)
+                    refused += 1
+                elif decision.done():
+                    self.assertIsNone(await decision)
+                    running.append(route)
+                else:
+                    waiting.append(decision)
+                if running and rng.random() < 0.7:
+                    done = running.pop(0)
+                    slots.release(done, 0.1 if done == "short" else 0.8)
+                    await asyncio.sleep(0)
+                    running += ["long" for item in waiting if item.done() and not item.result()]
+                    waiting = [item for item in waiting if not item.done()]
+            self.assertGreater(refused, 50)
+            self.assertLess(refused, 350)
+            slots.refuse_queued("end")
+            await asyncio.gather(*waiting)
+
     async def test_a_queued_call_is_refused_before_its_deadline(self) -> None:
         slots = SlotPool(1)
         await slots.acquire(self.request())
