Ask a node whether it would admit a call before a large body is sent to it

Cause: when the targets of a service are full, calls are tried at other nodes, and each try carried the body. Change: an admission request without the body, answered with the refusal or nothing; nodes that know it say so in their entry, and others get the body at once as before. Tests: four in test_forwarding; the first failed before (8 KiB arrived at a node that refuses).

--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -175,6 +175,13 @@
         self._slots.refuse_queued("the target left")
         self._on_change(None)
 
+    def refusal(self, call: Call) -> str | None:
+        """Return why a call would be refused now, or ``None`` if it would start or wait."""
+        refusal = self._refusal(call) or self._slots.refusal(_slot_request(call))
+        if refusal is not None:
+            self._log_refusal(call, refusal)
+        return refusal
+
     async def run(self, call: Call) -> CallResult:
         """Run a call on the target, or refuse it; a refused call certainly did not run."""
         refusal = self._refusal(call)
@@ -186,9 +193,7 @@
                 if refusal is None:
                     return await self._send(call, slots)
                 slots.release_unused()
-        self._decisions.refused(
-            call, refusal, load=self.load, slots=slots.capacity, limit_per_s=self.limit_per_s
-        )
+        self._log_refusal(call, refusal)
         return not_run(refusal)
 
     def close(self) -> None:
@@ -196,6 +201,15 @@
         if self._client is not None:
             self._client.close()
 
+    def _log_refusal(self, call: Call, reason: str) -> None:
+        self._decisions.refused(
+            call,
+            reason,
+            load=self.load,
+            slots=self._slots.capacity,
+            limit_per_s=self.limit_per_s,
+        )
+
     def _accepts_calls(self) -> bool:
         entry = self.entry
         return entry is not None and entry.state is TargetState.READY and self.reachable
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -325,6 +325,7 @@
             self._links.port,
             entry,
             relays_records=True,
+            answers_admission=True,
             link_mbps=settings.link_mbps,
         )
         self.directory.update(self._own_node_key, own)
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -264,7 +264,7 @@
 
     async def _send(self, peer: Peer, call: Call) -> tuple[CallResult, PeerReport]:
         if peer.entry.address != self._own_address:
-            return await self._forwarder.send(peer.entry.endpoint, call, peer.named_limit)
+            return await self._forwarder.send(peer, call)
         result = await self._admission.run(call)
         capacity = self._admission.capacity
         return result, PeerReport(True, self._admission.load / capacity if capacity else None)
--- a/src/bulrushflow/sidecar/forwarding.py
+++ b/src/bulrushflow/sidecar/forwarding.py
@@ -21,10 +21,16 @@
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.wire import codec
 from bulrushflow.wire import messages
+from bulrushflow.wire.link import Link
 from bulrushflow.wire.links import Links
 
 CONNECT_TIMEOUT_S = 0.3
 """Time that a call waits for a connection to a node before another target is tried."""
+LARGE_BODY_BYTES = 8 << 10
+"""Size from which on a body is sent only to a node that would admit its call. An admission request
+takes some 300 bytes and a round trip."""
+ADMISSION_TIMEOUT_S = 1.0
+"""Time after which a node that answers no admission request counts as unreachable."""
 MAX_HELD_BODY_BYTES = 24 << 20
 """Bound on the bodies of other nodes' calls that wait here or run at the target."""
 MIN_RECHECK_INTERVAL_S = 0.02
@@ -68,34 +74,67 @@
         self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
         self._rechecks: set[asyncio.Task[None]] = set()
         links.handle("call_request", self._serve)
+        links.handle("admission_request", self._serve_admission)
 
-    async def send(
-        self, endpoint: tuple[str, int], call: Call, named_limit: NamedLimit | None = None
-    ) -> tuple[CallResult, PeerReport]:
-        """Run a call through the node at ``endpoint``.
+    async def send(self, peer: Peer, call: Call) -> tuple[CallResult, PeerReport]:
+        """Run a call through another node.
 
-        :param named_limit: limit that the target beside that node named to this one.
+        A large body is sent only if the node wouldn't refuse the call, if it can say so in advance:
+        the bodies of refused calls would fill the links.
         """
         loop = asyncio.get_running_loop()
         remaining_s = call.deadline - loop.time()
         if remaining_s <= 0:
-            return refused(f"no time left: {remaining_s:.3f} s"), PeerReport(True, 0.0)
-        match await self._links.connect(endpoint, min(remaining_s, CONNECT_TIMEOUT_S)):
+            return _no_time_left(remaining_s)
+        match await self._links.connect(peer.entry.endpoint, min(remaining_s, CONNECT_TIMEOUT_S)):
             case Err(error):
                 return not_run(error.reason), PeerReport(False)
             case Ok(link):
                 pass
+        if peer.entry.answers_admission and len(call.body) >= LARGE_BODY_BYTES:
+            refusal = await self._request_admission(link, call)
+            if refusal is not None:
+                return refusal
+        return await self._send_call(link, call, peer.named_limit)
+
+    async def _request_admission(
+        self, link: Link, call: Call
+    ) -> tuple[CallResult, PeerReport] | None:
+        """Ask whether a call would be refused; return the refusal, or ``None``."""
+        now = asyncio.get_running_loop().time()
+        remaining_s = call.deadline - now
+        if remaining_s < codec.MIN_TIMEOUT_S:
+            return _no_time_left(remaining_s)
+        request = messages.AdmissionRequest(
+            call=_call_message(call, now), body_bytes=len(call.body)
+        )
+        request.call.body = b""
+        timeout_s = min(remaining_s, ADMISSION_TIMEOUT_S)
+        match await link.exchange(timeout_s, admission_request=request):
+            case Err(error):
+                return not_run(f"admission request: {error.reason}"), PeerReport(False)
+            case Ok(frame) if frame.admission_answer is not None:
+                response = frame.admission_answer.refusal
+            case _:
+                reason = "unexpected message instead of an admission answer"
+                return not_run(reason), PeerReport(False)
+        if response is None:
+            return None
+        return codec.result_from_message(response), PeerReport(True, _load(response))
+
+    async def _send_call(
+        self, link: Link, call: Call, named_limit: NamedLimit | None
+    ) -> tuple[CallResult, PeerReport]:
         # The other node counts the times from the message's arrival, so what was spent on the
         # connection must be gone from them.
-        now = loop.time()
+        now = asyncio.get_running_loop().time()
         remaining_s = call.deadline - now
         if remaining_s < codec.MIN_TIMEOUT_S:
-            return refused(f"no time left: {remaining_s:.4f} s"), PeerReport(True, 0.0)
-        request = codec.call_to_message(call, remaining_s)
+            return _no_time_left(remaining_s)
+        request = _call_message(call, now)
         request.read_offset = self._orders.offset
         request.read_era = self._orders.era
         request.named_limit = _limit_to_message(named_limit)
-        request.useful_ms = max(0, int((call.late_after - now) * 1000))
         match await link.exchange(remaining_s, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
@@ -105,8 +144,7 @@
             case _:
                 return unknown("unexpected message instead of a call answer"), PeerReport(False)
         self._orders.note_peer_offset(response.read_offset or 0, response.read_era)
-        load = response.in_flight / response.capacity if response.capacity else None
-        return codec.result_from_message(response), PeerReport(True, load)
+        return codec.result_from_message(response), PeerReport(True, _load(response))
 
     @property
     def recheck_count(self) -> int:
@@ -141,18 +179,33 @@
             await asyncio.sleep(wait_s)
             wait_s = min(MAX_RECHECK_INTERVAL_S, wait_s * 2)
 
+    async def _serve_admission(self, message: t.Any) -> dict[str, t.Any]:
+        call = codec.call_from_message(message.call, asyncio.get_running_loop().time())
+        reason = self._space_refusal(message.body_bytes) or self._admission.refusal(call)
+        if reason is None:
+            return {"admission_answer": messages.AdmissionAnswer()}
+        refusal = self._call_answer(not_run(reason))
+        return {"admission_answer": messages.AdmissionAnswer(refusal=refusal)}
+
+    def _space_refusal(self, body_bytes: int) -> str | None:
+        """Return why a body of a call that is still to come finds no space, or ``None``."""
+        with BodyReservation(self.body_budget) as reservation:
+            return None if reservation.grow(body_bytes) else reservation.refusal(body_bytes).reason
+
     async def _serve(self, message: t.Any) -> dict[str, t.Any]:
         self._orders.note_peer_offset(message.read_offset or 0, message.read_era)
         if message.named_limit is not None:
             self._admission.apply_named_limit(_limit_from_message(message.named_limit))
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
-        result = await self._run(call)
-        admission = self._admission
-        response = codec.result_to_message(result, admission.load, admission.capacity)
+        response = self._call_answer(await self._run(call))
         response.read_offset = self._orders.offset
         response.read_era = self._orders.era
         return {"call_answer": response}
 
+    def _call_answer(self, result: CallResult) -> t.Any:
+        admission = self._admission
+        return codec.result_to_message(result, admission.load, admission.capacity)
+
     async def _run(self, call: Call) -> CallResult:
         size = len(call.body)
         with BodyReservation(self.body_budget) as reservation:
@@ -161,6 +214,20 @@
             return await self._admission.run(call)
 
 
+def _no_time_left(remaining_s: float) -> tuple[CallResult, PeerReport]:
+    return refused(f"no time left: {remaining_s:.4f} s"), PeerReport(True, 0.0)
+
+
+def _call_message(call: Call, now: float) -> t.Any:
+    message = codec.call_to_message(call, call.deadline - now)
+    message.useful_ms = max(0, int((call.late_after - now) * 1000))
+    return message
+
+
+def _load(response: t.Any) -> float | None:
+    return response.in_flight / response.capacity if response.capacity else None
+
+
 def _limit_to_message(limit: NamedLimit | None) -> t.Any:
     if limit is None:
         return None
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -138,6 +138,8 @@
     target: TargetEntry | None
     relays_records: bool = False
     """Whether other nodes may request the store's records from the node."""
+    answers_admission: bool = False
+    """Whether the node says in advance if it would refuse a call."""
     link_mbps: float = 1.0
     """Bandwidth of the node's link in megabits per second."""
 
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -240,6 +240,26 @@
     ]
 
 
+class AdmissionRequest(TPayload):
+    thrift_spec = {
+        1: (TType.STRUCT, "call", CallRequest, True),
+        2: (TType.I32, "body_bytes", True),
+    }
+    default_spec = [
+        ("call", None),
+        ("body_bytes", None),
+    ]
+
+
+class AdmissionAnswer(TPayload):
+    thrift_spec = {
+        1: (TType.STRUCT, "refusal", CallAnswer, False),
+    }
+    default_spec = [
+        ("refusal", None),
+    ]
+
+
 class CallCancel(TPayload):
     thrift_spec = {
         1: (TType.I64, "exchange", True),
@@ -498,6 +518,8 @@
         60: (TType.STRUCT, "state_notice", StateNotice, False),
         70: (TType.STRUCT, "updates_request", UpdatesRequest, False),
         71: (TType.STRUCT, "updates", Updates, False),
+        80: (TType.STRUCT, "admission_request", AdmissionRequest, False),
+        81: (TType.STRUCT, "admission_answer", AdmissionAnswer, False),
     }
     default_spec = [
         ("exchange", None),
@@ -517,4 +539,6 @@
         ("state_notice", None),
         ("updates_request", None),
         ("updates", None),
+        ("admission_request", None),
+        ("admission_answer", None),
     ]
--- a/src/bulrushflow/wire/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -34,7 +34,15 @@
 """
 
 _LENGTH = struct.Struct(">I")
-_RESPONSE_FIELDS = ("call_answer", "records", "members", "pong", "failure", "updates")
+_RESPONSE_FIELDS = (
+    "call_answer",
+    "records",
+    "members",
+    "pong",
+    "failure",
+    "updates",
+    "admission_answer",
+)
 _REQUEST_FIELDS = (
     "call_request",
     "records_request",
@@ -43,6 +51,7 @@
     "records_push",
     "state_notice",
     "updates_request",
+    "admission_request",
 )
 
 Handler = t.Callable[[t.Any], t.Awaitable[dict[str, t.Any] | None]]
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -128,6 +128,17 @@
   64: optional i64 read_era
 }
 
+// Asks whether a call would be refused, before its large body is sent. The call's body is empty.
+struct AdmissionRequest {
+  1: required CallRequest call
+  2: required i32 body_bytes
+}
+
+// A CallAnswer with the refusal; absent if the call would start or wait.
+struct AdmissionAnswer {
+  1: optional CallAnswer refusal
+}
+
 struct CallCancel {
   1: required i64 exchange
 }
@@ -287,4 +298,6 @@
   60: optional StateNotice state_notice
   70: optional UpdatesRequest updates_request
   71: optional Updates updates
+  80: optional AdmissionRequest admission_request
+  81: optional AdmissionAnswer admission_answer
 }
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -18,11 +18,11 @@
 from bulrushflow.sidecar.balancer import Balancer
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Directory
+from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.dispatcher import MAX_REFUSALS
 from bulrushflow.sidecar.dispatcher import CallProgress
 from bulrushflow.sidecar.dispatcher import Dispatcher
 from bulrushflow.sidecar.forwarding import PeerReport
-from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import WeightedService
 from bulrushflow.sidecar.target_signals import SignalReader
@@ -115,10 +115,8 @@
             rng,
         )
 
-    async def send(
-        self, endpoint: tuple[str, int], sent: Call, named_limit: NamedLimit | None
-    ) -> tuple[CallResult, PeerReport]:
-        address = endpoint[0]
+    async def send(self, peer: Peer, sent: Call) -> tuple[CallResult, PeerReport]:
+        address = peer.entry.address
         self.sent.append((address, sent.attempt))
         self.responses[address] = asyncio.get_running_loop().create_future()
         try:
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -8,13 +8,17 @@
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
+from bulrushflow.sidecar import forwarding
 from bulrushflow.sidecar.admission_controller import AdmissionController
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.forwarding import LARGE_BODY_BYTES
 from bulrushflow.sidecar.forwarding import PeerForwarder
+from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.retry_budget import TargetRetryBudget
+from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
 from tests.clocks import stopped_loop_clock
@@ -76,12 +80,12 @@
         self.peer = self.known_peer(self.remote.links.port)
 
     def known_peer(self, port: int) -> Peer:
-        entry = replace(peer(1).entry, address="127.0.0.1", peer_port=port)
+        entry = replace(peer(1).entry, address="127.0.0.1", peer_port=port, answers_admission=True)
         self.local.directory.update("node/1", entry)
         return self.local.directory.peers_by_key["node/1"]
 
     async def test_a_forwarded_call_returns_the_response_and_the_nodes_load(self) -> None:
-        result, report = await self.local.forwarder.send(self.peer.entry.endpoint, call())
+        result, report = await self.local.forwarder.send(self.peer, call())
         self.assertEqual(result.unwrap().body, b"body")
         self.assertEqual((report.reached, report.load), (True, 0.0))
 
@@ -106,7 +110,7 @@
                 mock.patch.object(self.remote.admission, "run", record_and_run),
                 mock.patch.object(loop, "create_connection", connect_slowly),
             ):
-                result, _ = await self.local.forwarder.send(self.peer.entry.endpoint, sent)
+                result, _ = await self.local.forwarder.send(self.peer, sent)
         self.assertTrue(result.is_ok(), result)
         # Whole milliseconds are sent, rounded down.
         for arrived, at_sender in (
@@ -119,25 +123,25 @@
     async def test_less_than_a_millisecond_is_not_rounded_up(self) -> None:
         with stopped_loop_clock():
             sent = call(timeout_s=0.0009)
-            result, report = await self.local.forwarder.send(self.peer.entry.endpoint, sent)
+            result, report = await self.local.forwarder.send(self.peer, sent)
         self.assertIs(result.unwrap_err().outcome, Outcome.REFUSED)
         self.assertTrue(report.reached)
 
     async def test_a_node_without_a_target_reports_no_load(self) -> None:
         self.remote.admission.remove_target("t-1")
-        result, report = await self.local.forwarder.send(self.peer.entry.endpoint, call())
+        result, report = await self.local.forwarder.send(self.peer, call())
         self.assertIs(result.unwrap_err().outcome, Outcome.NOT_RUN)
         self.assertIsNone(report.load)
 
     async def test_a_refusal_by_the_target_is_reported_as_having_reached_it(self) -> None:
         self.target.status, self.target.not_run = 503, True
-        result, _ = await self.local.forwarder.send(self.peer.entry.endpoint, call())
+        result, _ = await self.local.forwarder.send(self.peer, call())
         self.assertTrue(result.unwrap_err().reached_target)
 
     async def test_an_unreachable_node_is_reconnected_without_a_call(self) -> None:
         port = self.remote.links.port
         await self.remote.links.stop()
-        result, report = await self.local.forwarder.send(self.peer.entry.endpoint, call())
+        result, report = await self.local.forwarder.send(self.peer, call())
         self.assertIs(result.unwrap_err().outcome, Outcome.NOT_RUN)
         self.assertFalse(report.reached)
         self.local.forwarder.mark_unreachable(self.peer)
@@ -148,6 +152,58 @@
         self.addAsyncCleanup(restarted.stop)
         await until(lambda: not self.peer.unreachable)
 
+    async def test_a_large_body_is_not_sent_to_a_node_that_would_refuse_its_call(self) -> None:
+        self.remote.admission.apply_announcement(
+            target(sequence=2, state=TargetState.DRAINING), Endpoint("127.0.0.1", 1)
+        )
+        large = replace(call(), body=b"x" * LARGE_BODY_BYTES)
+        for answers_admission, expected_bytes in ((True, 0), (False, LARGE_BODY_BYTES)):
+            with self.subTest(answers_admission=answers_admission):
+                received_bytes = self.record_bodies()
+                self.peer.entry = replace(self.peer.entry, answers_admission=answers_admission)
+                result, report = await self.local.forwarder.send(self.peer, large)
+                failure = result.unwrap_err()
+                self.assertIs(failure.outcome, Outcome.NOT_RUN)
+                self.assertEqual(failure.reason, "the target takes no new calls")
+                self.assertEqual((report.reached, report.load), (True, None))
+                self.assertEqual(sum(received_bytes), expected_bytes)
+
+    async def test_a_large_body_is_sent_to_a_node_that_would_admit_its_call(self) -> None:
+        large = replace(call(), body=b"x" * LARGE_BODY_BYTES)
+        result, _ = await self.local.forwarder.send(self.peer, large)
+        self.assertEqual(result.unwrap().body, b"body")
+        self.assertEqual(len(self.target.received), 1)
+
+    async def test_a_node_without_space_for_a_large_body_says_so_before_it_is_sent(self) -> None:
+        received_bytes = self.record_bodies()
+        self.remote.forwarder.body_budget.max_bytes = LARGE_BODY_BYTES - 1
+        large = replace(call(), body=b"x" * LARGE_BODY_BYTES)
+        result, _ = await self.local.forwarder.send(self.peer, large)
+        self.assertIn("no buffer space", result.unwrap_err().reason)
+        self.assertEqual(received_bytes, [])
+        self.assertEqual(self.remote.forwarder.body_budget.used_bytes, 0)
+
+    async def test_a_node_that_answers_no_admission_request_has_not_run_the_call(self) -> None:
+        self.remote.links._handlers.pop("admission_request")
+        large = replace(call(), body=b"x" * LARGE_BODY_BYTES)
+        with mock.patch.object(forwarding, "ADMISSION_TIMEOUT_S", 0.05):
+            result, report = await self.local.forwarder.send(self.peer, large)
+        self.assertIs(result.unwrap_err().outcome, Outcome.NOT_RUN)
+        self.assertFalse(report.reached)
+        self.assertEqual(self.target.received, [])
+
+    def record_bodies(self) -> list[int]:
+        """Return a list that gets the size of each body that arrives with a call."""
+        received_bytes: list[int] = []
+        serve = self.remote.forwarder._serve
+
+        async def record_and_serve(message: t.Any) -> dict[str, t.Any]:
+            received_bytes.append(len(message.body))
+            return await serve(message)
+
+        self.remote.links._handlers["call_request"] = record_and_serve
+        return received_bytes
+
     async def test_a_removed_node_is_not_reconnected(self) -> None:
         removed = self.known_peer(1)
         self.local.forwarder.mark_unreachable(removed)
