--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -51,10 +51,12 @@
         "control_bytes",
         "log_behind",
         "members",
+        "reads_store",
         "ready",
         "registry",
         "retries",
         "sheds",
+        "store_confirmed_seconds",
         "store_connected",
         "store_records_behind",
         "target_leaving",
@@ -109,6 +111,17 @@
             "1 if the latest read of a topic succeeded, else 0",
             registry=self.registry,
         )
+        self.store_confirmed_seconds = Gauge(
+            "bulrushflow_store_confirmed_seconds",
+            "Seconds since the store last confirmed the state of a topic, directly or through the "
+            "node that the records come from; +Inf before the first time",
+            registry=self.registry,
+        )
+        self.reads_store = Gauge(
+            "bulrushflow_reads_store",
+            "1 while this node reads the store itself, 0 while another node sends it the records",
+            registry=self.registry,
+        )
         self.target_limit = Gauge(
             "bulrushflow_target_limit_per_s",
             "Calls per second that this node's target says it accepts; +Inf without a limit",
@@ -154,10 +167,17 @@
         self.configuration_version.set({}, version)
         self.configuration_rejected.set({}, int(rejected))
 
-    def observe_replica(self, topic: str, records_behind: int, connected: bool) -> None:
-        """Record how far the replica of a store topic lags, and whether it reaches the store."""
+    def observe_replica(
+        self, topic: str, records_behind: int, connected: bool, confirmed_s_ago: float
+    ) -> None:
+        """Record how far the replica of a store topic lags, and how old what it knows may be."""
         self.store_records_behind.set({"topic": topic}, records_behind)
         self.store_connected.set({"topic": topic}, int(connected))
+        self.store_confirmed_seconds.set({"topic": topic}, confirmed_s_ago)
+
+    def observe_record_source(self, reads_store: bool) -> None:
+        """Record whether this node reads the store itself."""
+        self.reads_store.set({}, int(reads_store))
 
     def observe_target(self, limit_per_s: float | None, leaving: bool) -> None:
         """Record the limit that this node's target names, and whether it announced its leave."""
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -361,7 +361,10 @@
             self.routing.version, self.rejected_configuration is not None
         )
         for replica in self._replicas:
-            self._metrics.observe_replica(replica.topic, replica.records_behind, replica.connected)
+            self._metrics.observe_replica(
+                replica.topic, replica.records_behind, replica.connected, replica.confirmed_s_ago
+            )
+        self._metrics.observe_record_source(self.relay.source is None)
 
     async def _serve_application(
         self, setting: str, app: web.Application, endpoint: Endpoint
--- a/tests/sidecar/test_relay.py
+++ b/tests/sidecar/test_relay.py
@@ -9,6 +9,7 @@
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import Instance
 from tests.sidecar.fleet import configuration
+from tests.waiting import GUARD_S
 from tests.waiting import until
 
 
@@ -52,6 +53,19 @@
             self.assertEqual(instance.sidecar.relay.source, reader.settings.node_id)
             self.assertTrue(instance.sidecar.is_configuration_current())
 
+    async def test_metrics_show_who_reads_the_store_and_how_old_the_state_may_be(self) -> None:
+        reader = await self.until_one_reads()
+        for number, instance in enumerate(self.instances):
+            await instance.sidecar._observe_state()
+            metrics = await self.metrics(number)
+            self.assertIn(f"bulrushflow_reads_store {int(instance is reader)}", metrics)
+            line = next(
+                line
+                for line in metrics.splitlines()
+                if line.startswith('bulrushflow_store_confirmed_seconds{topic="keyed.op"}')
+            )
+            self.assertLess(float(line.split()[-1]), GUARD_S)
+
     async def test_a_change_comes_into_force_though_the_reader_is_frozen(self) -> None:
         reader = await self.until_one_reads()
         reader.sidecar._links._handlers["updates_request"] = hang
