Refuse a retry beyond the budget at once, instead of after its wait for a slot

Cause: the retry budget was only asked once a slot was granted, so a retry that could not be sent waited, held its place in the queue, and had its body sent to the node. Test: test_a_retry_beyond_the_budget_is_refused_without_waiting_for_a_slot failed before.

--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -30,6 +30,7 @@
 from bulrushflow.sidecar.target_signals import TargetSignals
 from bulrushflow.timers import Clock
 
+BUDGET_EXHAUSTED = "too many repeated calls"
 MAX_DEPARTED_TARGETS = 64
 """Departed targets that are remembered so that their delayed announcements are rejected."""
 
@@ -228,6 +229,8 @@
             )
         if self._is_forbidden(call.service, call.version):
             return f"version {call.version} was taken back"
+        if call.attempt and self._retry_budget.is_exhausted(asyncio.get_running_loop().time()):
+            return BUDGET_EXHAUSTED
         return None
 
     def _refusal_after_wait(self, call: Call, slots: SlotPool) -> str | None:
@@ -241,7 +244,7 @@
         if not call.attempt:
             self._retry_budget.record_first_attempt(now)
             return None
-        return None if self._retry_budget.try_consume(now) else "too many repeated calls"
+        return None if self._retry_budget.try_consume(now) else BUDGET_EXHAUSTED
 
     async def _send(self, call: Call, slots: SlotPool) -> CallResult:
         task = asyncio.get_running_loop().create_task(self._exchange(call, slots))
--- a/src/bulrushflow/sidecar/retry_budget.py
+++ b/src/bulrushflow/sidecar/retry_budget.py
@@ -51,13 +51,17 @@
         self._current_bucket(now)[1] += 1
         self._first_attempts += 1
 
+    def is_exhausted(self, now: float) -> bool:
+        """Return whether a retry would be refused now."""
+        self._current_bucket(now)
+        allowed = self._ratio * self._first_attempts + self._slack / max(1, self.target_count)
+        return self._retries + 1 > allowed
+
     def try_consume(self, now: float) -> bool:
         """Consume one retry; ``False`` when the budget is exhausted."""
-        bucket = self._current_bucket(now)
-        allowed = self._ratio * self._first_attempts + self._slack / max(1, self.target_count)
-        if self._retries + 1 > allowed:
+        if self.is_exhausted(now):
             return False
-        bucket[2] += 1
+        self._current_bucket(now)[2] += 1
         self._retries += 1
         return True
 
--- a/tests/sidecar/test_admission_controller.py
+++ b/tests/sidecar/test_admission_controller.py
@@ -14,6 +14,7 @@
 from tests.sidecar.samples import call
 from tests.sidecar.samples import target
 from tests.sidecar.servers import FakeTarget
+from tests.waiting import GUARD_S
 from tests.waiting import until
 
 
@@ -25,12 +26,13 @@
         self.published: list[TargetEntry | None] = []
         self.forbidden: set[str] = set()
         self.failed: list[bool] = []
+        self.retry_budget = TargetRetryBudget(0.2, 20.0, 10.0)
         self.controller = AdmissionController(
             NAMES,
             lambda service, version: version in self.forbidden,
             lambda call, failed, seconds: self.failed.append(failed),
             self.published.append,
-            TargetRetryBudget(0.2, 20.0, 10.0),
+            self.retry_budget,
             DecisionLog(),
             FixedClock(1_000),
         )
@@ -114,6 +116,24 @@
         await until(lambda: self.target.completed == ["r-1"])
         await until(lambda: self.controller.load == 0)
 
+    async def test_a_retry_beyond_the_budget_is_refused_without_waiting_for_a_slot(self) -> None:
+        self.announce(target(slots=1))
+        self.target.released.clear()
+        running = asyncio.ensure_future(self.controller.run(call("r-1")))
+        await until(lambda: bool(self.target.received))
+        now = asyncio.get_running_loop().time()
+        while self.retry_budget.try_consume(now):
+            pass
+        retry = call("r-2", attempt=1)
+        self.assertEqual(self.controller.refusal(retry), "too many repeated calls")
+        async with asyncio.timeout(GUARD_S):
+            failure = (await self.controller.run(retry)).unwrap_err()
+        self.assertEqual(failure.reason, "too many repeated calls")
+        self.assertIs(failure.outcome, Outcome.NOT_RUN)
+        self.assertFalse(running.done())
+        self.target.released.set()
+        self.assertTrue((await running).is_ok())
+
     async def test_a_refusal_by_the_target_reached_it_but_did_not_run(self) -> None:
         self.announce(target())
         self.target.status, self.target.not_run = 503, True
