Define what identifies an order and a run of a target once

RolloutOrder and RolloutStatus, and TargetEntry and NamedLimit, each had the same properties twice. No change of behaviour; fields and their encoding stay.

--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -83,8 +83,21 @@
     DRAINING = "draining"
 
 
+class _TargetProcess:
+    """Names one run of a target; part of the types that have its id and incarnation."""
+
+    __slots__ = ()
+    target_id: str
+    incarnation: int
+
+    @property
+    def process(self) -> tuple[str, int]:
+        """Id and incarnation, which together identify one run of the target."""
+        return self.target_id, self.incarnation
+
+
 @dataclass(frozen=True, slots=True)
-class TargetEntry:
+class TargetEntry(_TargetProcess):
     """The state of one target, as its node publishes it to the other nodes.
 
     ``incarnation`` and ``sequence`` order the announcements of a target.
@@ -102,11 +115,6 @@
     leaving: bool = False
     """Whether a response of the target announced that it leaves; such a target stays draining."""
 
-    @property
-    def process(self) -> tuple[str, int]:
-        """Id and incarnation, which together identify one run of the target."""
-        return self.target_id, self.incarnation
-
     @property
     def revision(self) -> tuple[int, int]:
         """Sort key of the announcements of targets at one address; the highest is the newest."""
@@ -114,18 +122,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class NamedLimit:
+class NamedLimit(_TargetProcess):
     """The rate limit that one target process named in a response."""
 
     target_id: str
     incarnation: int
     calls_per_s: float
 
-    @property
-    def process(self) -> tuple[str, int]:
-        """Id and incarnation of the target that named the limit."""
-        return self.target_id, self.incarnation
-
 
 @dataclass(frozen=True, slots=True)
 class NodeEntry:
@@ -184,17 +187,13 @@
         return self > other
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrder:
-    """The operator's order to shift a service's traffic to a version within a duration."""
+class _OrderIdentity:
+    """Identity and place of an order; part of the order and of its statuses."""
 
-    service: str
+    __slots__ = ()
     to_version: str
-    duration_s: float
     order_id: int
-    """Offset of the order in the store; within an era, later orders have higher ones."""
-    era: int = 0
-    """Era of the store in which the order was read; 0 if it isn't known."""
+    era: int
 
     @property
     def key(self) -> OrderKey:
@@ -208,7 +207,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RolloutStatus:
+class RolloutOrder(_OrderIdentity):
+    """The operator's order to shift a service's traffic to a version within a duration."""
+
+    service: str
+    to_version: str
+    duration_s: float
+    order_id: int
+    """Offset of the order in the store; within an era, later orders have higher ones."""
+    era: int = 0
+    """Era of the store in which the order was read; 0 if it isn't known."""
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatus(_OrderIdentity):
     """The state of a rollout, kept in the store and followed by all nodes.
 
     Of two statuses of one order, the one with the higher ``step`` replaces the other.
@@ -227,16 +239,6 @@
     era: int = 0
     """Era of the store in which the deciding node read the order; 0 if it isn't known."""
 
-    @property
-    def key(self) -> OrderKey:
-        """Identity of the order among those of its service."""
-        return OrderKey(self.order_id, self.to_version)
-
-    @property
-    def position(self) -> OrderPosition:
-        """Where the order stands in the store's history."""
-        return OrderPosition(self.era, self.order_id)
-
     def is_after(self, other: "RolloutStatus") -> bool:
         """Return whether this is a later step than ``other``, or one of a later order."""
         if self.key == other.key:
