Refuse an announced address whose port can't be connected to, and parse addresses in one place

Cause: the platform's copy of the parser took any digits for a port; one above 65535 raised OverflowError in each attempt to connect, which is no expected error there. Test: test_an_announcement_with_an_address_that_cannot_be_connected_to_is_refused failed before.

--- a/src/bulrushflow/nodes/seed_discovery.py
+++ b/src/bulrushflow/nodes/seed_discovery.py
@@ -11,12 +11,12 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.addresses import parse_address
 from bulrushflow.membership import MemberTable
 from bulrushflow.membership import is_top_ranked
 from bulrushflow.recording import SEED_RECORD_STREAM
 from bulrushflow.recording import Log
 from bulrushflow.recording import LogError
-from bulrushflow.settings import parse_endpoint
 from bulrushflow.timers import Timers
 from bulrushflow.wire.links import Endpoint
 
@@ -93,7 +93,7 @@
         self._gossip = gossip
         self._log = log
         self._timers = timers
-        self._seeds = [e for e in map(parse_endpoint, seeds) if e is not None]
+        self._seeds = [e for e in map(parse_address, seeds) if e is not None]
         self._rng = rng
         self._wall_ms = wall_ms
         self._next_check_at = timers.now() + rng.uniform(0, MAX_START_DELAY_S)
--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -11,6 +11,7 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.addresses import parse_address
 from bulrushflow.sidecar.settings import Bounds
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.settings import SidecarSettings
@@ -125,7 +126,7 @@
 
     :raises ValueError: if the text is no ``IP:PORT``.
     """
-    address, _, port = text.rpartition(":")
-    if not address or not port.isdigit():
+    address = parse_address(text)
+    if address is None:
         raise ValueError(f"{text!r} is no IP:PORT")
-    return Endpoint(address, int(port))
+    return Endpoint(*address)
--- a/src/bulrushflow/settings.py
+++ b/src/bulrushflow/settings.py
@@ -13,6 +13,8 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.addresses import parse_address
+
 Port = t.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
 Name = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
@@ -187,7 +189,7 @@
         if counts[port] > 1:
             faults.append(SettingsFault(f"$.{name}", f"duplicate address: port {port}"))
     for i, seed in enumerate(settings.seeds):
-        endpoint = parse_endpoint(seed)
+        endpoint = parse_address(seed)
         if endpoint is None:
             faults.append(SettingsFault(f"$.seeds[{i}]", f"{seed!r} is not IP:PORT"))
         elif endpoint == (settings.address, settings.peer_port):
@@ -225,15 +227,3 @@
             f"got {gossip.suspicion_s:g} s",
         )
     ]
-
-
-def parse_endpoint(text: str) -> tuple[str, int] | None:
-    """Return the address and port of ``IP:PORT``, or ``None`` if ``text`` is not of this form."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        return None
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return None
-    return host, int(port)
