Count a reading node as stale only if it fails to reach what others have read, not while records keep arriving

Cause: a replica counted as stale 0.5 s after another node named a later offset, until no record at all was missing. While records keep arriving that never happens, and a reader pauses for 0.5 s between reads anyway; so all nodes of a data centre turned away from a reader that worked, and further nodes began to read.

--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -8,6 +8,9 @@
 import typing as t
 
 from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.sidecar.lag_monitor import STALE_AFTER_S
+from bulrushflow.sidecar.lag_monitor import LagMonitor
+from bulrushflow.sidecar.lag_monitor import Position
 from bulrushflow.sidecar.storage import KeyedRecord
 from bulrushflow.sidecar.storage import StorePage
 from bulrushflow.sidecar.storage import TopicUpdate
@@ -16,8 +19,6 @@
 
 LAG_TOLERANCE_S = 0.3
 """Time that a replica may lag behind another node's offset before its reader is told."""
-STALE_AFTER_S = 0.5
-"""Time after which a replica that still lags counts as stale, since its reader didn't catch up."""
 
 
 class RecordHandler(t.Protocol):
@@ -45,7 +46,6 @@
     """
 
     __slots__ = (
-        "_behind_since",
         "_cache",
         "_confirmed_at",
         "_connected",
@@ -53,13 +53,13 @@
         "_end",
         "_era",
         "_handler",
+        "_lag",
         "_lag_observers",
         "_observers",
         "_peer_era",
         "_restarts",
         "loaded",
         "offset",
-        "stale",
         "topic",
     )
 
@@ -69,7 +69,7 @@
         self._decisions = decisions
         self._connected: bool | None = None
         self._end = TopicEnd()
-        self._behind_since: float | None = None
+        self._lag = LagMonitor()
         self._restarts = 0
         """Reads that were restarted since the replica lags."""
         self._era: int | None = None
@@ -77,8 +77,6 @@
         self._peer_era = 0
         """Latest era that another node named."""
         self._cache = TopicCache()
-        self.stale = False
-        """Whether other nodes have named a later offset for over :data:`STALE_AFTER_S`."""
         self._observers: list[t.Callable[[], None]] = []
         self._lag_observers: list[LagObserver] = []
         self._confirmed_at: float | None = None
@@ -105,6 +103,11 @@
             return False
         return self.connected and self.offset is not None and not self.records_behind
 
+    @property
+    def stale(self) -> bool:
+        """Whether the replica has failed for a while to read what other nodes have read."""
+        return self._lag.is_stale(asyncio.get_running_loop().time())
+
     @property
     def era(self) -> int:
         """Era of the store that :attr:`offset` is of; 0 if the store names none."""
@@ -229,15 +232,16 @@
         self._check_lag_later(offset, self.era)
 
     def _check_lag_later(self, offset: int, era: int) -> None:
+        self._await_position(Position(era, offset))
+        asyncio.get_running_loop().call_later(LAG_TOLERANCE_S, self._check_lag, offset, era)
+
+    def _await_position(self, position: Position) -> None:
         loop = asyncio.get_running_loop()
-        if self._behind_since is None:
-            self._behind_since = loop.time()
-            loop.call_later(STALE_AFTER_S, self._check_stale, self._behind_since)
-        loop.call_later(LAG_TOLERANCE_S, self._check_lag, offset, era)
-
-    def _check_stale(self, behind_since: float) -> None:
-        if self._behind_since == behind_since:
-            self.stale = True
+        if self._lag.await_position(position, loop.time()):
+            loop.call_later(STALE_AFTER_S, self._check_stale)
+
+    def _check_stale(self) -> None:
+        if self.stale:
             self._notify()
 
     def _check_lag(self, offset: int, era: int) -> None:
@@ -292,8 +296,7 @@
             )
             self.offset = None
             self._end = TopicEnd()
-            self._behind_since = None
-            self.stale = False
+            self._lag = LagMonitor()
         self._era = page.era
         return restored
 
@@ -304,18 +307,21 @@
         if moved:
             self._notify()
         self._end.update(page.end)
-        if self._behind_since is None or self.records_behind:
+        if self.records_behind:
+            if self._lag.reach(Position(self.era, page.next_offset)):
+                self._await_position(Position(self.era, self._end.offset))
+            return
+        seconds = self._lag.catch_up(asyncio.get_running_loop().time())
+        if seconds is None:
             return
         self._decisions.event(
             "caught up",
             topic=self.topic,
             offset=self.offset,
-            seconds=round(asyncio.get_running_loop().time() - self._behind_since, 3),
+            seconds=round(seconds, 3),
             restarted_reads=self._restarts,
         )
         self._restarts = 0
-        self._behind_since = None
-        self.stale = False
 
     def mark_disconnected(self, reason: str) -> None:
         """Note that the store can't be reached; the state stays."""
