Take no refusal without a call's id for its own on a kept connection, and send no call twice on one

Cause: a response without an id counted as that of the call that was waiting. A faulty target that writes an earlier refusal once more, without its id, made that call 'not run' while the target ran it; and a call that was refused and came back to the same connection could meet the old refusal with its own id. Ruled out: closing the connection after each refusal, since overloaded targets refuse often and new connections hold slots. Change: on a connection that carried other calls, a response without the call's id leaves the outcome unknown. A call is not sent again on the connection that carried it last.

--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/exchange.py
@@ -62,6 +62,8 @@
         self._parser = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._request_id = ""
+        self.exchange_count = 0
+        """Number of requests that were sent on the connection."""
         self._response: h11.Response | None = None
         self._informational_responses = 0
         self._stale_responses = 0
@@ -75,6 +77,11 @@
         self.keep_alive_s: float | None = None
         """Seconds after which the target closes an idle connection, if its response says so."""
 
+    @property
+    def last_call_id(self) -> str:
+        """Id of the call that was sent last on the connection; empty before the first one."""
+        return self._request_id
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
 
@@ -125,6 +132,7 @@
         if self._transport is None or not self.reusable:
             raise ExchangeError("connection closed before use")
         self._request_id = call_id
+        self.exchange_count += 1
         self._response = None
         self._informational_responses = 0
         self._stale_responses = 0
--- a/src/bulrushflow/sidecar/target_client.py
+++ b/src/bulrushflow/sidecar/target_client.py
@@ -81,7 +81,7 @@
         A cancelled call closes its connection, so that the target can stop working on it.
         """
         loop = asyncio.get_running_loop()
-        connection = self._acquire_idle(loop.time())
+        connection = self._acquire_idle(loop.time(), call.request_id)
         if connection is None:
             connection = await self._connect(call.deadline)
         if connection is None:
@@ -105,6 +105,12 @@
         except ExchangeError as exc:
             return unknown(f"the target's connection failed: {exc}")
         self._release(connection)
+        if connection.exchange_count > 1 and response.header(self._id_header) is None:
+            # It may be an earlier one, written once more, while the target runs this call.
+            return unknown(
+                f"a response of status {response.status} without the call's id, on a connection "
+                f"that carried {connection.exchange_count - 1} other calls"
+            )
         if response.status != 421:
             # A 421 comes from another target at the address.
             self._on_signals(self._signals.read(response.headers), sent_at)
@@ -152,11 +158,19 @@
             headers.append(("Content-Length", str(len(call.body))))
         return headers
 
-    def _acquire_idle(self, now: float) -> TargetConnection | None:
+    def _acquire_idle(self, now: float, call_id: str) -> TargetConnection | None:
+        """Return an idle connection for a call, or ``None``.
+
+        A call that was refused on a connection isn't sent on it again: if the target wrote the
+        refusal once more, it would have the id of the call that runs.
+        """
         while self._idle:
             connection = self._idle.pop()
             if not connection.reusable:
                 continue
+            if connection.last_call_id == call_id:
+                connection.close()
+                continue
             limit_s = DEFAULT_IDLE_TIMEOUT_S
             if connection.keep_alive_s is not None:
                 limit_s = max(0.0, connection.keep_alive_s - IDLE_TIMEOUT_MARGIN_S)
