--- a/tests/sidecar/test_faulty_targets.py
+++ b/tests/sidecar/test_faulty_targets.py
@@ -157,5 +157,4 @@
             writer.close()
 
         client = await self.start(handle)
-        result = await self.send(client, "r-1")
-        return result
+        return await self.send(client, "r-1")
