Let a node's timers share its wake-ups, and analyse during a write only while one is under way

Change: timers end at multiples of 0.1 s, with an offset of each process; the driver's second timer exists during writes only. The fake timers of its tests can be cancelled. Test: test_timers_of_one_process_share_their_wake_ups failed before (160 calls at about as many instants).

--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -71,12 +71,11 @@
         self._unwritten: dict[str, RolloutStatus] = {}
         self._lost_since: float | None = None
         """Time since which a status that the store lost has to be written again."""
-        self._writing = False
+        self._timers = timers
         """Whether :meth:`check` waits for the store."""
         links.handle("evidence_report", self._on_evidence_report)
         links.handle("state_notice", self._on_state_notice)
         timers.subscribe("moves", CHECK_PERIOD_S, self.check)
-        timers.subscribe("moves during writes", CHECK_PERIOD_S, self.check_during_write)
 
     async def check(self) -> None:
         """Check the rollout of this node's service once, and write the step that is due."""
@@ -111,7 +110,7 @@
     async def check_during_write(self) -> None:
         """Analyse the rollout if :meth:`check` waits for the store, which can take seconds."""
         rollout = self._rollouts.by_service.get(self._own_service())
-        if self._writing and rollout is not None and rollout.phase is RolloutPhase.RUNNING:
+        if rollout is not None and rollout.phase is RolloutPhase.RUNNING:
             self._analyse(rollout, asyncio.get_running_loop().time())
 
     def _analyse(self, rollout: Rollout, now: float) -> bool:
@@ -225,11 +224,13 @@
             current = self._rollouts.by_service.get(service)
             return current is rollout and rollout.status is decided_on
 
-        self._writing = True
+        analysis = self._timers.subscribe(
+            "moves during writes", CHECK_PERIOD_S, self.check_during_write
+        )
         try:
             result = await self._statuses.write(status, is_due)
         finally:
-            self._writing = False
+            analysis.cancel()
         match result:
             case Ok(_):
                 # A rollback decided during the write of an earlier step is still unwritten.
--- a/src/bulrushflow/timers.py
+++ b/src/bulrushflow/timers.py
@@ -11,6 +11,9 @@
 
 HEARTBEAT_S = 0.2
 PAUSE_THRESHOLD_S = 0.5
+GRID_S = 0.1
+"""Timers end at multiples of it, so that several share one wake-up of the process."""
+MIN_ALIGNED_PERIOD_S = 2 * GRID_S
 """Seconds between two heartbeats from which on the process counts as paused."""
 
 Callback = t.Callable[[], t.Awaitable[None]]
@@ -91,6 +94,8 @@
         super().__init__()
         self._rng = rng
         self._monotonic = monotonic
+        self._grid_offset_s = rng.uniform(0, GRID_S)
+        """Differs between nodes that start together."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._pause_callbacks: list[PauseCallback] = []
         self._pause_detector = PauseDetector(PAUSE_THRESHOLD_S)
@@ -153,9 +158,17 @@
     async def _beat(self) -> None:
         self.check_pause()
 
+    def _wait_s(self, period_s: float) -> float:
+        """Return the wait that ends at the multiple of the grid next to the period's end."""
+        if period_s < MIN_ALIGNED_PERIOD_S * 0.9:
+            return period_s
+        since_grid_s = asyncio.get_running_loop().time() - self._grid_offset_s
+        end_s = round((since_grid_s + period_s) / GRID_S) * GRID_S
+        return end_s - since_grid_s
+
     async def _repeat(self, name: str, period_s: float, callback: Callback, jitter: float) -> None:
         while True:
-            await asyncio.sleep(period_s * (1 + self._rng.uniform(-jitter, jitter)))
+            await asyncio.sleep(self._wait_s(period_s * (1 + self._rng.uniform(-jitter, jitter))))
             try:
                 await callback()
             except Exception:
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -55,6 +55,15 @@
         return [body[kind] for _, body in self.sent if kind in body]
 
 
+class ManualSubscription:
+    def __init__(self, timers: "ManualTimers", name: str) -> None:
+        self._timers = timers
+        self._name = name
+
+    def cancel(self) -> None:
+        self._timers.cancel(self._name)
+
+
 class ManualTimers:
     """Timers that run each callback when told to, unless its last run has not ended."""
 
@@ -62,12 +71,19 @@
         self._callbacks: dict[str, t.Callable[[], t.Coroutine[t.Any, t.Any, None]]] = {}
         self._runs: dict[str, asyncio.Task[None]] = {}
 
-    def subscribe(self, name: str, period_s: float, callback: t.Any) -> None:
+    def subscribe(self, name: str, period_s: float, callback: t.Any) -> ManualSubscription:
         self._callbacks[name] = callback
+        return ManualSubscription(self, name)
+
+    def cancel(self, name: str) -> None:
+        del self._callbacks[name]
+        run = self._runs.pop(name, None)
+        if run is not None:
+            run.cancel()
 
     async def tick(self) -> None:
         """Start the callbacks, and return after a few turns of the loop."""
-        for name, callback in self._callbacks.items():
+        for name, callback in list(self._callbacks.items()):
             if name not in self._runs or self._runs[name].done():
                 self._runs[name] = asyncio.get_running_loop().create_task(callback())
         for _ in range(10):
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -6,10 +6,12 @@
 
 from loguru import logger
 
+from bulrushflow.timers import GRID_S
 from bulrushflow.timers import HEARTBEAT_S
 from bulrushflow.timers import PAUSE_THRESHOLD_S
 from bulrushflow.timers import PauseDetector
 from bulrushflow.timers import Timers
+from tests.clocks import stopped_loop_clock
 
 
 class ManualClock:
@@ -65,6 +67,28 @@
             await found.wait()
         self.assertEqual(self.pauses, [3.0])
 
+    async def test_timers_of_one_process_share_their_wake_ups(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.slow_callback_duration = 60.0
+        calls_by_instant: dict[float, int] = {}
+        with stopped_loop_clock() as clock:
+
+            async def note() -> None:
+                instant = round(clock.now, 3)
+                calls_by_instant[instant] = calls_by_instant.get(instant, 0) + 1
+
+            for i in range(8):
+                self.timers.subscribe(f"t-{i}", 0.5, note)
+            began = clock.now
+            for _ in range(10_000):
+                clock.advance(0.001)
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+            seconds = clock.now - began
+        calls = sum(calls_by_instant.values())
+        self.assertAlmostEqual(calls / seconds, 8 / 0.5, delta=2.0)
+        self.assertLessEqual(len(calls_by_instant), seconds / GRID_S + 1)
+
     async def test_a_timer_goes_on_after_its_callback_fails(self) -> None:
         logger.disable("bulrushflow.timers")
         self.addCleanup(logger.enable, "bulrushflow.timers")
