Report on the version in use once a second, and at each check on the version under test only

Cause: each node of a service in a rollout sent its whole evidence to three nodes four times a second, changed or not. Ruled out: fewer nodes that analyse, which decide when others fail; sampling of the version under test, whose faults must be known at once. Change: evidence on the version under test is sent at each check if it changed; everything else once a second. Tests: two in test_driver, both failed before (9 reports each for 3 and 6).

--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -34,6 +34,9 @@
 CHECK_PERIOD_S = 0.25
 ANALYSIS_NODES = 3
 """Number of nodes that receive all evidence; more of them would only cost messages."""
+EVIDENCE_PERIOD_S = 1.0
+"""Interval of the reports of nodes whose target doesn't have the version under test, and of reports
+without new calls, which nodes that have just begun to analyse need."""
 RANK_DELAY_S = 1.2
 """Time that each further node allows the ones before it to take a due step."""
 DRAIN_S = 1.8
@@ -72,6 +75,8 @@
         self._lost_since: float | None = None
         """Time since which a status that the store lost has to be written again."""
         self._timers = timers
+        self._evidence_sent_at = float("-inf")
+        self._sent_sequence = 0
         """Whether :meth:`check` waits for the store."""
         links.handle("evidence_report", self._on_evidence_report)
         links.handle("state_notice", self._on_state_notice)
@@ -115,18 +120,34 @@
 
     def _analyse(self, rollout: Rollout, now: float) -> bool:
         """Send this node's evidence and analyse all; return whether the version is rolled back."""
-        self._send_evidence(rollout)
+        self._send_evidence(rollout, now)
         reason = self._rollouts.update_analysis(rollout, now)
         if reason is None:
             return False
         self.roll_back(rollout, reason)
         return True
 
-    def _send_evidence(self, rollout: Rollout) -> None:
+    def _send_evidence(self, rollout: Rollout, now: float) -> None:
+        """Send this node's evidence if it is due.
+
+        What the version under test does must be known at once. The version in use has many more
+        nodes, whose reports would fill the links of the few that analyse them.
+        """
         evidence = self._rollouts.local_evidence(rollout)
-        if evidence.sequence:
-            message = codec.evidence_to_message(evidence)
-            self._send(self._drivers()[:ANALYSIS_NODES], evidence_report=message)
+        if not evidence.sequence:
+            return
+        changed = evidence.sequence != self._sent_sequence
+        urgent = changed and self._own_version() == rollout.order.to_version
+        if not urgent and now - self._evidence_sent_at < EVIDENCE_PERIOD_S:
+            return
+        self._sent_sequence = evidence.sequence
+        self._evidence_sent_at = now
+        message = codec.evidence_to_message(evidence)
+        self._send(self._drivers()[:ANALYSIS_NODES], evidence_report=message)
+
+    def _own_version(self) -> str | None:
+        entry = self._directory.entry(self._own_key)
+        return entry.target.version if entry is not None and entry.target is not None else None
 
     def _send(self, keys: t.Iterable[str], **body: t.Any) -> None:
         """Send a message to all these nodes except this one, without waiting."""
--- a/src/bulrushflow/sidecar/rollouts.py
+++ b/src/bulrushflow/sidecar/rollouts.py
@@ -232,8 +232,8 @@
     def merge_evidence(self, evidence: Evidence, now: float) -> None:
         """Merge the evidence from another node's target, if it is on a current order.
 
-        Counts are cumulative and sent at each check, so those that arrive before their order
-        arrive again after it.
+        Counts are cumulative and sent again, so those that arrive before their order arrive again
+        after it.
         """
         if evidence.rollout_id in self._order_ids():
             self._evidence.merge(evidence, now)
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -28,9 +28,11 @@
 from bulrushflow.sidecar.storage import StorePage
 from bulrushflow.sidecar.storage import StoreWrite
 from bulrushflow.timers import SystemClock
+from tests.clocks import stopped_loop_clock
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import call
 from tests.sidecar.samples import peer
+from tests.sidecar.samples import target
 from tests.waiting import until
 
 ORDER = RolloutOrder("statements", "v2", 15.0, 7)
@@ -381,6 +383,28 @@
         endpoints = [endpoint[0] for endpoint, _ in self.second.links.sent]
         self.assertEqual(endpoints, ["10.0.0.1", "10.0.0.4"])
 
+    async def reports_of(self, version: str, with_calls: int, without_calls: int) -> int:
+        """Return how often a node of a version reports in a series of checks."""
+        entry = replace(peer(2).entry, target=target(version=version))
+        self.second.directory.update("node/2", entry)
+        with stopped_loop_clock() as clock:
+            for i in range(with_calls + without_calls):
+                if i < with_calls:
+                    self.second.rollouts.observe_call(call(version=version), False, 0.1, False)
+                await self.second.driver.check()
+                clock.advance(driver_module.CHECK_PERIOD_S)
+                for _ in range(10):
+                    await asyncio.sleep(0)
+        # Each report goes to the other two of the three nodes that analyse.
+        return len(self.second.links.bodies("evidence_report")) // 2
+
+    async def test_evidence_on_the_version_in_use_is_sent_once_a_second(self) -> None:
+        self.assertEqual(await self.reports_of("v1", with_calls=9, without_calls=0), 3)
+
+    async def test_evidence_on_the_version_under_test_is_sent_at_each_check(self) -> None:
+        # Without new calls it is repeated once a second, for nodes that don't have it yet.
+        self.assertEqual(await self.reports_of("v2", with_calls=5, without_calls=4), 6)
+
     async def test_evidence_goes_to_the_nodes_of_the_service(self) -> None:
         await self.first.driver.check()
         self.first.rollouts.observe_call(call(version="v2"), True, 0.1, False)
