--- a/src/bulrushflow/timers.py
+++ b/src/bulrushflow/timers.py
@@ -13,7 +13,8 @@
 PAUSE_THRESHOLD_S = 0.5
 GRID_S = 0.1
 """Timers end at multiples of it, so that several share one wake-up of the process."""
-MIN_ALIGNED_PERIOD_S = 2 * GRID_S
+MIN_ALIGNED_WAIT_S = 1.5 * GRID_S
+"""Shorter waits are kept, since the grid would change them by too much."""
 """Seconds between two heartbeats from which on the process counts as paused."""
 
 Callback = t.Callable[[], t.Awaitable[None]]
@@ -160,7 +161,7 @@
 
     def _wait_s(self, period_s: float) -> float:
         """Return the wait that ends at the multiple of the grid next to the period's end."""
-        if period_s < MIN_ALIGNED_PERIOD_S * 0.9:
+        if period_s < MIN_ALIGNED_WAIT_S:
             return period_s
         since_grid_s = asyncio.get_running_loop().time() - self._grid_offset_s
         end_s = round((since_grid_s + period_s) / GRID_S) * GRID_S
