Probe a failing store with one read of one topic, also while a node starts

Cause: a node without a source probed the store by reading one topic for 0.4 s, with the reader's own retries: four calls a probe. One that started while the store failed read all three topics after half a second. Ruled out: longer pauses between probes, since entries have to be back two seconds after the store. Change: a probe ends with its first read; a starting node keeps to the list of nodes while the store fails. Tests: FailingStoreTests, both failed before (4 reads; all topics read).

--- a/src/bulrushflow/sidecar/relay.py
+++ b/src/bulrushflow/sidecar/relay.py
@@ -118,6 +118,9 @@
                     changed.clear()
                     await changed.wait()
         except TimeoutError:
+            while self._nodes.has_failed and self._nodes.replica.offset is None:
+                # While the store fails, reading the other topics too would only cost calls.
+                await self._nodes.wait_for_read(PROBE_S)
             self._use_store(f"no list of nodes within {NEIGHBOURS_TIMEOUT_S} s")
 
     def _use_store(self, reason: str) -> None:
@@ -160,8 +163,9 @@
         first = self._readers[0]
         if not first.enabled:
             first.enable()
-            await asyncio.sleep(PROBE_S)
-            if first.replica.confirmed_s_ago > PROBE_S:
+            # Only one read: with its retries, a probe of each node would be several calls.
+            await first.wait_for_read(PROBE_S)
+            if first.has_failed or first.replica.confirmed_s_ago > PROBE_S:
                 self._stop_reading()
                 await asyncio.sleep(self._rng.uniform(MIN_PROBE_PAUSE_S, MAX_PROBE_PAUSE_S))
                 return
--- a/src/bulrushflow/sidecar/store_reader.py
+++ b/src/bulrushflow/sidecar/store_reader.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import typing as t
 
@@ -52,6 +53,9 @@
         self._reading: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
         self._waiting = False
+        self._read_ended = asyncio.Event()
+        self.has_failed = False
+        """Whether the last read failed."""
         replica.subscribe_lag(self._restart_read)
 
     @property
@@ -72,6 +76,13 @@
         self._enabled.clear()
         self.interrupt_wait()
 
+    async def wait_for_read(self, timeout_s: float) -> None:
+        """Wait until a read ends, well or not, and at most ``timeout_s`` seconds."""
+        self._read_ended.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._read_ended.wait()
+
     def interrupt_wait(self) -> None:
         """End a read that waits for records."""
         if self._reading is not None and self._waiting:
@@ -81,7 +92,9 @@
         """See :meth:`BackgroundService.run`."""
         while True:
             await self._enabled.wait()
-            if await self._read_once():
+            self.has_failed = not await self._read_once()
+            self._read_ended.set()
+            if not self.has_failed:
                 self._backoff.reset()
                 continue
             # The read after an error doesn't wait, so that its answer shows that the store is back.
--- a/tests/sidecar/test_relay.py
+++ b/tests/sidecar/test_relay.py
@@ -193,6 +193,43 @@
             await self.until_in_force(self.instances, 2)
 
 
+class FailingStoreTests(FleetTestCase):
+    node_count = 1
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.serve()
+        self.sidecar = self.instances[0].sidecar
+        await self.sidecar.relay.stop()
+        self.store.status = 503
+        for reader in self.sidecar._readers:
+            reader.disable()
+            await until(lambda reader=reader: reader._reading is None)  # type: ignore[misc]
+
+    async def test_a_node_without_a_source_probes_a_failing_store_with_one_read(self) -> None:
+        # Each probe was four reads, since the reader repeated a failed one at once.
+        before = self.store.reads
+        with (
+            mock.patch.object(relay, "MIN_PROBE_PAUSE_S", 0.5),
+            mock.patch.object(relay, "MAX_PROBE_PAUSE_S", 0.5),
+        ):
+            await self.sidecar.relay._read_alone()
+        self.assertEqual(self.store.reads - before, 1)
+
+    async def test_a_node_that_starts_while_the_store_fails_reads_one_topic_only(self) -> None:
+        started = self.instances[0].new_sidecar()
+        await self.instances[0].stop()
+        self.instances[0].sidecar = started
+        await started.start()
+        with mock.patch.object(relay, "NEIGHBOURS_TIMEOUT_S", 0.01):
+            await until(lambda: started._readers[1].has_failed)
+            before = self.store.reads
+            await until(lambda: self.store.reads >= before + 3)
+        self.assertEqual([reader.enabled for reader in started._readers], [False, True, False])
+        self.store.status = 200
+        await self.instances[0].until_version(1)
+
+
 class SeededRelayTests(RelayTestCase):
     async def test_changes_reach_all_nodes_in_a_seeded_order_of_faults(self) -> None:
         rng = random.Random(7)
