Reuse the routes that a new configuration leaves as they are

Cause: the operator sends the whole configuration with each change, and a node converted every route of a host again if one of them had changed. Ruled out: decoding as such (msgspec takes 0.04 s of it) and the records of the other topics.

Routes are looked up by their documents' bytes in the last configuration, host by host. 430 routes of two hosts with one changed: 4.29 ms before, 0.57 ms after, on this machine; the first one costs 7 ms as before. The test of reuse beside a changed route failed before.

--- a/src/bulrushflow/platform/configuration.py
+++ b/src/bulrushflow/platform/configuration.py
@@ -47,7 +47,7 @@
 
 class _Listener(msgspec.Struct):
     host: str
-    ruleSet: list[_Rule]  # noqa: N815
+    ruleSet: list[msgspec.Raw]  # noqa: N815
 
 
 class _Cluster(msgspec.Struct):
@@ -75,15 +75,16 @@
     """The decoded routes of one host."""
 
     host: str
+    routes_by_document: t.Mapping[bytes, Route]
     routes_by_prefix: t.Mapping[str, Route]
-    services: t.Mapping[str, str]
-    """A route for each service that the routes name."""
+    routes_by_service: t.Mapping[str, Route]
+    """One of the routes that name the service."""
 
 
 class ConfigurationDecoder:
-    """Decodes configurations, and reuses the routes of hosts that didn't change since the last one.
+    """Decodes configurations, and reuses the routes that didn't change since the last one.
 
-    The operator sends the whole configuration with each change, which mostly concerns one host.
+    The operator sends the whole configuration with each change, which mostly concerns few routes.
     """
 
     __slots__ = ("_hosts_by_document",)
@@ -111,11 +112,11 @@
                     return Err(f"configuration {document.version}: {reason}")
                 case Ok(host):
                     hosts_by_document[bytes(raw)] = host
-            for service, route in host.services.items():
+            for service, route in host.routes_by_service.items():
                 if service not in services:
                     return Err(
-                        f"configuration {document.version}: route {route}: service {service!r} "
-                        "isn't defined"
+                        f"configuration {document.version}: route {route.name}: "
+                        f"service {service!r} isn't defined"
                     )
         self._hosts_by_document = hosts_by_document
         limits = document.limits
@@ -138,16 +139,36 @@
         if known is not None:
             return Ok(known)
         listener = msgspec.json.decode(document, type=_Listener)
-        routes: dict[str, Route] = {}
-        services: dict[str, str] = {}
-        for rule in listener.ruleSet:
-            match _convert_rule(listener.host, rule):
-                case Err(reason):
-                    return Err(f"route {rule.name}: {reason}")
-                case Ok(route):
-                    routes[route.prefix] = route
-                    services |= {part.service: route.name for part in route.services}
-        return Ok(_HostRoutes(listener.host, routes, services))
+        known_by_document = self._known_routes(listener.host)
+        routes: list[Route] = []
+        routes_by_document: dict[bytes, Route] = {}
+        for raw in listener.ruleSet:
+            rule_document = bytes(raw)
+            route = known_by_document.get(rule_document)
+            if route is None:
+                match _decode_rule(listener.host, rule_document):
+                    case Err(reason):
+                        return Err(reason)
+                    case Ok(route):
+                        pass
+            routes.append(route)
+            routes_by_document[rule_document] = route
+        return Ok(
+            _HostRoutes(
+                listener.host,
+                routes_by_document,
+                {route.prefix: route for route in routes},
+                {part.service: route for route in routes for part in route.services},
+            )
+        )
+
+    def _known_routes(self, host: str) -> t.Mapping[bytes, Route]:
+        """Return the routes that the last configuration had for a host, by their documents."""
+        routes: dict[bytes, Route] = {}
+        for known in self._hosts_by_document.values():
+            if known.host == host:
+                routes |= known.routes_by_document
+        return routes
 
 
 def _merge_hosts(hosts: t.Iterable[_HostRoutes]) -> dict[str, t.Mapping[str, Route]]:
@@ -159,6 +180,15 @@
     return routes_by_host
 
 
+def _decode_rule(host: str, document: bytes) -> Result[Route, str]:
+    rule = msgspec.json.decode(document, type=_Rule)
+    match _convert_rule(host, rule):
+        case Err(reason):
+            return Err(f"route {rule.name}: {reason}")
+        case Ok(route):
+            return Ok(route)
+
+
 def _convert_rule(host: str, rule: _Rule) -> Result[Route, str]:
     action = rule.action
     weighted = [WeightedService(part.service, part.weight) for part in action.trafficSplit]
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -105,6 +105,32 @@
         self.assertEqual(second.routes_by_host["b"]["/a/"].priority, 1)
         self.assertEqual(first.routes_by_host["b"]["/a/"].priority, 2)
 
+    def test_routes_that_did_not_change_are_reused_beside_one_that_did(self) -> None:
+        other = {"name": "other", "match": {"pathPrefix": "/b/"}}
+        first = self.decode(
+            {"host": "a", "ruleSet": [rule(), rule(**other)]}, listener("b", priority=5)
+        ).unwrap()
+        second = self.decode(
+            {"host": "a", "ruleSet": [rule(), rule(**other, priority=1)]}, listener("b", priority=6)
+        ).unwrap()
+        self.assertIs(second.routes_by_host["a"]["/a/"], first.routes_by_host["a"]["/a/"])
+        self.assertEqual(second.routes_by_host["a"]["/b/"].priority, 1)
+        self.assertEqual(second.routes_by_host["b"]["/a/"].priority, 6)
+
+    def test_a_route_that_moves_to_another_host_is_not_taken_from_the_first(self) -> None:
+        self.decode(listener("a"))
+        second = self.decode(listener("b")).unwrap()
+        self.assertEqual(second.routes_by_host["b"]["/a/"].host, "b")
+
+    def test_the_last_route_of_a_prefix_is_in_force(self) -> None:
+        first, second = rule(name="first"), rule(name="second")
+        for version, listed in enumerate(
+            ((first, second), (second, first), (first, second, first))
+        ):
+            with self.subTest(version=version):
+                routing = self.decode({"host": "a", "ruleSet": list(listed)}).unwrap()
+                self.assertEqual(routing.routes_by_host["a"]["/a/"].name, listed[-1]["name"])
+
     def test_a_host_that_is_gone_has_no_routes_any_more(self) -> None:
         self.decode(listener("a"), listener("b"))
         self.assertEqual(self.decode(listener("b")).unwrap().routes_by_host.keys(), {"b"})
