--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -1,4 +1,6 @@
 import pathlib
+import subprocess
+import sys
 import tempfile
 import unittest
 from unittest import mock
@@ -46,3 +48,20 @@
         self.path.write_text(FILE)
         await watcher.check()
         self.sidecar.reload.assert_called_once()
+
+
+class ImportTests(unittest.TestCase):
+    def test_the_program_starts_no_other_while_it_is_imported(self) -> None:
+        code = (
+            "import sys\n"
+            "def check(event, arguments):\n"
+            "    if event in ('subprocess.Popen', 'os.fork', 'os.posix_spawn', 'os.exec'):\n"
+            "        sys.stderr.write(f'{event} {arguments}')\n"
+            "        sys.stderr.flush()\n"
+            "        os._exit(1)\n"
+            "import os\n"
+            "sys.addaudithook(check)\n"
+            "import bulrushflow.platform.command\n"
+        )
+        run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+        self.assertEqual((run.returncode, run.stderr), (0, ""))
