Count a replica as stale from a time that is set once, instead of by a difference of clock readings

Cause: (t + 0.8) - t is below 0.8 for many t, so the check that runs when the time is over found the replica not stale yet, and nobody was told; other nodes learned it with their next request only. Ruled out: the load, since the test's clock stands still.

The time from which on a replica is stale is computed once, the check is scheduled for it, and a check that the event loop runs early is repeated. The new test failed before.

--- a/src/bulrushflow/sidecar/lag_monitor.py
+++ b/src/bulrushflow/sidecar/lag_monitor.py
@@ -21,23 +21,26 @@
     ones keep arriving. Times are event loop times in seconds.
     """
 
-    __slots__ = ("_awaited", "_awaited_since", "lagging_since")
+    __slots__ = ("_awaited", "_stale_at", "lagging_since")
 
     def __init__(self) -> None:
         self._awaited: Position | None = None
-        self._awaited_since = 0.0
+        self._stale_at = 0.0
         self.lagging_since: float | None = None
         """Since when records are missing; ``None`` while none is known to be."""
 
-    def await_position(self, position: Position, now: float) -> bool:
-        """Expect a position to be reached, unless an earlier one is; return whether it is."""
+    def await_position(self, position: Position, now: float) -> float | None:
+        """Expect a position to be reached, unless an earlier one is expected already.
+
+        :return: time from which on the replica is stale, or ``None`` with an earlier position.
+        """
         if self.lagging_since is None:
             self.lagging_since = now
         if self._awaited is not None:
-            return False
+            return None
         self._awaited = position
-        self._awaited_since = now
-        return True
+        self._stale_at = now + STALE_AFTER_S
+        return self._stale_at
 
     def reach(self, position: Position) -> bool:
         """Note how far the replica is; return whether the awaited position was reached."""
@@ -55,4 +58,4 @@
 
     def is_stale(self, now: float) -> bool:
         """Return whether the awaited position was not reached in time."""
-        return self._awaited is not None and now - self._awaited_since >= STALE_AFTER_S
+        return self._awaited is not None and now >= self._stale_at
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -8,7 +8,6 @@
 import typing as t
 
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.lag_monitor import STALE_AFTER_S
 from bulrushflow.sidecar.lag_monitor import LagMonitor
 from bulrushflow.sidecar.lag_monitor import Position
 from bulrushflow.sidecar.storage import KeyedRecord
@@ -237,11 +236,16 @@
 
     def _await_position(self, position: Position) -> None:
         loop = asyncio.get_running_loop()
-        if self._lag.await_position(position, loop.time()):
-            loop.call_later(STALE_AFTER_S, self._check_stale)
+        stale_at = self._lag.await_position(position, loop.time())
+        if stale_at is not None:
+            loop.call_at(stale_at, self._check_stale, stale_at)
 
-    def _check_stale(self) -> None:
-        if self.stale:
+    def _check_stale(self, stale_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() < stale_at:
+            # The event loop runs timers up to the clock's resolution early.
+            loop.call_at(stale_at, self._check_stale, stale_at)
+        elif self.stale:
             self._notify()
 
     def _check_lag(self, offset: int, era: int) -> None:
--- a/tests/sidecar/test_lag_monitor.py
+++ b/tests/sidecar/test_lag_monitor.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 import unittest
 from unittest import mock
 
@@ -21,6 +22,14 @@
         self.assertFalse(lag.is_stale(10.0))
         self.assertEqual(lag.catch_up(0.4), 0.4)
 
+    def test_a_replica_is_stale_at_the_end_of_its_time_whenever_it_began(self) -> None:
+        # The difference of two clock readings may be below the time that lies between them.
+        rng = random.Random(3)
+        for now in [rng.uniform(0, 1e6) for _ in range(200)]:
+            lag = LagMonitor()
+            lag.await_position(Position(1, 5), now)
+            self.assertTrue(lag.is_stale(now + STALE_AFTER_S), now)
+
     def test_a_position_that_is_not_reached_in_time_makes_stale_until_it_is(self) -> None:
         lag = LagMonitor()
         lag.await_position(Position(1, 5), 0.0)
