Let nodes that are about to stop turn to the store no more

Cause: a node that stops says that it isn't current, so that those that have their records from it turn elsewhere. When all nodes of a data centre stop at once, each found that no other was available, and read all topics itself; a stopping node also read the store because another one asked it. The new test failed before.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -229,6 +229,7 @@
         self._stopping = True
         self._callers.stopping = True
         self._update_server.close()
+        self.relay.stopping = True
         logger.bind(in_flight=self._callers.in_flight).info("stopping")
         await asyncio.sleep(READINESS_PROPAGATION_S)
         # Callers with too few other nodes keep sending; reject them while there is time left.
--- a/src/bulrushflow/sidecar/relay.py
+++ b/src/bulrushflow/sidecar/relay.py
@@ -76,6 +76,9 @@
         self._decisions = decisions
         self._rng = rng
         self._asked_at = float("-inf")
+        self.stopping = False
+        """Whether this node is about to stop; it turns to the store no more, since many may stop at
+        the same time, and each of them finds that the others aren't available."""
         self.source: str | None = None
         """Id of the node that the records come from; ``None`` for the store."""
 
@@ -105,6 +108,8 @@
                 await self._review_reads()
             elif key is not None:
                 await self._follow(key)
+            elif self.stopping:
+                await asyncio.sleep(REVIEW_PERIOD_S)
             else:
                 await self._read_alone()
 
--- a/src/bulrushflow/sidecar/update_server.py
+++ b/src/bulrushflow/sidecar/update_server.py
@@ -27,7 +27,7 @@
     Topics that this node hasn't loaded are left out. A request is also answered at once when this
     node loses the store or lags behind, so that the other node can turn elsewhere.
 
-    :param on_request: called with each request for records.
+    :param on_request: called with each request for records, until the server is closed.
     """
 
     def __init__(
@@ -55,7 +55,7 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, message: t.Any) -> dict[str, t.Any]:
-        if not message.offsets_only:
+        if not message.offsets_only and not self.closed:
             self._on_request()
         positions = [
             position
--- a/tests/sidecar/test_relay.py
+++ b/tests/sidecar/test_relay.py
@@ -5,6 +5,7 @@
 import typing as t
 from unittest import mock
 
+from bulrushflow.sidecar import application
 from bulrushflow.sidecar import relay
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import Instance
@@ -23,6 +24,8 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.store.era = 1
+        # The platform has this topic from the start: reads of it wait, with no 404.
+        self.store.records_by_topic["keyed.status"] = []
         await self.serve()
 
     def readers(self) -> list[Instance]:
@@ -156,6 +159,17 @@
         self.store.put("keyed.op", "config", configuration(2))
         await self.until_in_force(self.instances, 2)
 
+    async def test_nodes_that_all_stop_at_once_do_not_turn_to_the_store(self) -> None:
+        reader = await self.until_one_reads()
+        with mock.patch.object(application, "READINESS_PROPAGATION_S", 1.0):
+            stopping = asyncio.gather(*(item.stop() for item in self.instances))
+            for _ in range(5):
+                await asyncio.sleep(0.1)
+                for instance in self.others(reader):
+                    self.assertFalse(any(item.enabled for item in instance.sidecar._readers))
+            await stopping
+        self.instances = []
+
     async def test_all_nodes_follow_a_store_that_comes_back_from_an_older_copy(self) -> None:
         copy = self.store.copy()
         for version in (2, 3, 4):
