Load neither membership nor the log's configuration in a sidecar

The conversion of members and log records is wire/log_codec.py now, the version filter is in the package of the nodes that use it, and routing names these types for the type checker only. The new test of what a sidecar loads failed before.

--- a/benchmarks/membership_costs.py
+++ b/benchmarks/membership_costs.py
@@ -17,7 +17,7 @@
 from bulrushflow.membership import is_top_ranked
 from bulrushflow.nodes.composing import MessageComposer
 from bulrushflow.rollouts import SharedRollouts
-from bulrushflow.wire import codec
+from bulrushflow.wire import log_codec
 from bulrushflow.wire import messages
 
 DATA_CENTRES = 15
@@ -131,7 +131,7 @@
             lambda i: _decode_members(full_datagram)
         ),
         "memory of the table, MB": memory_mb,
-        "bytes of a member in a message": sum(map(codec.member_size, members)) / count,
+        "bytes of a member in a message": sum(map(log_codec.member_size, members)) / count,
         "bytes of a datagram without news": len(empty_datagram),
     }
     return {name: round(value, 3) for name, value in results.items()}
@@ -156,4 +156,4 @@
 def _decode_members(data: bytes) -> None:
     datagram = messages.decode(messages.Datagram, data).unwrap()
     for message in datagram.gossip.members:
-        codec.member_from_message(message)
+        log_codec.member_from_message(message)
--- a/src/bulrushflow/nodes/composing.py
+++ b/src/bulrushflow/nodes/composing.py
@@ -13,6 +13,7 @@
 from bulrushflow.rollouts import SharedRollout
 from bulrushflow.rollouts import SharedRollouts
 from bulrushflow.wire import codec
+from bulrushflow.wire import log_codec
 from bulrushflow.wire import messages
 
 MAX_DATAGRAM_BYTES = 1200
@@ -87,7 +88,7 @@
         """Encode a datagram with ``extra`` members and the selected updates that still fit."""
         budget = MAX_DATAGRAM_BYTES - len(messages.encode(messages.Datagram(**body)))
         budget -= _ENVELOPE_BYTES + len(self._table.own_id)
-        budget -= sum(codec.member_size(m) for m in extra)
+        budget -= sum(log_codec.member_size(m) for m in extra)
         if selection is UpdateSelection.NOTHING:
             return messages.encode(messages.Datagram(gossip=self._make_gossip(extra, ()), **body))
         rollouts, rollout_bytes = self._next_rollouts() if budget >= ROLLOUT_BYTES else ([], 0)
@@ -113,7 +114,7 @@
         room = MAX_DATAGRAM_BYTES - 2 * _ENVELOPE_BYTES - _BUCKET_REQUEST_BYTES
         remaining = room
         for member in members:
-            size = codec.member_size(member)
+            size = log_codec.member_size(member)
             if size > remaining:
                 if len(batches) == count:
                     break
@@ -129,7 +130,7 @@
         return messages.Gossip(
             sender=self._table.own_id,
             offset=self._applied_offset(),
-            members=[codec.member_to_message(m) for m in members],
+            members=[log_codec.member_to_message(m) for m in members],
             moves=[codec.rollout_to_message(r) for r in rollouts],
             digest=self._table.digest(),
             incarnation=self._table.own.incarnation,
@@ -137,7 +138,7 @@
 
     def _member_size(self, node_id: str) -> int:
         member = self._table.by_id.get(node_id)
-        return codec.member_size(member) if member is not None else 0
+        return log_codec.member_size(member) if member is not None else 0
 
     def _next_rollouts(self) -> tuple[list[SharedRollout], int]:
         """Return changed rollouts and one in rotation, and their bytes.
--- a/src/bulrushflow/nodes/dissemination.py
+++ b/src/bulrushflow/nodes/dissemination.py
@@ -31,7 +31,7 @@
 from bulrushflow.recording import LogPage
 from bulrushflow.settings import PlatformSettings
 from bulrushflow.timers import Timers
-from bulrushflow.wire import codec
+from bulrushflow.wire import log_codec
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Endpoint
 from bulrushflow.wire.links import Links
@@ -309,12 +309,12 @@
         self._push(() if pushed else records, offset)
 
     def _push(self, records: t.Sequence[LogRecord], offset: int) -> None:
-        encoded = [codec.record_to_message(record) for record in records]
+        encoded = [log_codec.record_to_message(record) for record in records]
         own_id = self._table.own_id
         self._forward_push(messages.RecordsPush(root=own_id, offset=offset, records=encoded))
 
     async def _handle_push(self, push: t.Any) -> None:
-        records = [codec.record_from_message(r) for r in push.records]
+        records = [log_codec.record_from_message(r) for r in push.records]
         size = _RECORD_OVERHEAD_BYTES + sum(
             len(record.body) + _RECORD_OVERHEAD_BYTES for record in records
         )
--- a/src/bulrushflow/nodes/exchange.py
+++ b/src/bulrushflow/nodes/exchange.py
@@ -11,7 +11,7 @@
 from bulrushflow.membership import MemberTable
 from bulrushflow.nodes.composing import MessageComposer
 from bulrushflow.nodes.token_bucket import TokenBucket
-from bulrushflow.wire import codec
+from bulrushflow.wire import log_codec
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Endpoint
 from bulrushflow.wire.links import Links
@@ -95,7 +95,7 @@
         if not after and request.gossip.digest == self._table.digest():
             return self._page(to_refute, True)
         members = self._members_after(after)
-        size = sum(codec.member_size(m) for m in members)
+        size = sum(log_codec.member_size(m) for m in members)
         if not self._budget.try_consume(size, asyncio.get_running_loop().time()):
             others = self._table.live_peers()
             referrals = self._rng.sample(others, min(MAX_REFERRALS, len(others)))
--- a/src/bulrushflow/nodes/gossip.py
+++ b/src/bulrushflow/nodes/gossip.py
@@ -28,6 +28,7 @@
 from bulrushflow.settings import GossipSettings
 from bulrushflow.timers import Timers
 from bulrushflow.wire import codec
+from bulrushflow.wire import log_codec
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Endpoint
 from bulrushflow.wire.links import Links
@@ -184,7 +185,7 @@
             self.add_future(self._prober.relay(datagram.ping_request, sender))
         if datagram.bucket_digests is not None:
             self._anti_entropy.handle_digests(
-                sender, codec.digests_from_message(datagram.bucket_digests)
+                sender, log_codec.digests_from_message(datagram.bucket_digests)
             )
         if datagram.bucket_request is not None:
             self._anti_entropy.handle_bucket_request(sender, datagram.bucket_request)
@@ -219,7 +220,7 @@
             self._composer.discard_suspect_and_dead()
         for message in gossip.members or ():
             try:
-                update = codec.member_from_message(message)
+                update = log_codec.member_from_message(message)
             except ValueError as exc:
                 logger.warning("membership update with an unknown state ignored: {}", exc)
                 continue
--- a/src/bulrushflow/nodes/pulling.py
+++ b/src/bulrushflow/nodes/pulling.py
@@ -15,7 +15,7 @@
 from bulrushflow.membership import Member
 from bulrushflow.membership import MemberTable
 from bulrushflow.nodes.token_bucket import TokenBucket
-from bulrushflow.wire import codec
+from bulrushflow.wire import log_codec
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Endpoint
 from bulrushflow.wire.links import Links
@@ -128,7 +128,7 @@
             before = self._store.current.offset
             if message.snapshot:
                 self._store.restore_packed(message.snapshot)
-            self._apply([codec.record_from_message(r) for r in message.records])
+            self._apply([log_codec.record_from_message(r) for r in message.records])
             current_offset = self._store.current.offset
             # Nodes of earlier releases do not send their version.
             offset = current_offset if message.offset is None else message.offset
@@ -221,7 +221,7 @@
             self._consume(len(packed))
             return {"records": messages.Records(records=[], snapshot=packed, **own)}
         self._consume(sum(len(record.body) for record in records))
-        encoded = [codec.record_to_message(record) for record in records]
+        encoded = [log_codec.record_to_message(record) for record in records]
         return {"records": messages.Records(records=encoded, **own)}
 
     def _consume(self, size: int) -> None:
--- a/src/bulrushflow/nodes/rollout_driver.py
+++ b/src/bulrushflow/nodes/rollout_driver.py
@@ -21,6 +21,7 @@
 from bulrushflow.nodes.evidence_reporting import EvidenceReporter
 from bulrushflow.nodes.rollout_records import RolloutRecords
 from bulrushflow.nodes.rollout_records import Submitter
+from bulrushflow.nodes.versions import VersionFilter
 from bulrushflow.rollouts import AnalysisOutcome
 from bulrushflow.rollouts import AnalysisResult
 from bulrushflow.rollouts import EvidenceStore
@@ -29,7 +30,6 @@
 from bulrushflow.rollouts import SharedRollout
 from bulrushflow.rollouts import SharedRollouts
 from bulrushflow.rollouts import StepDecision
-from bulrushflow.rollouts import VersionFilter
 from bulrushflow.rollouts import WarmUp
 from bulrushflow.routing import Call
 from bulrushflow.timers import Callback
--- a/src/bulrushflow/rollouts/__init__.py
+++ b/src/bulrushflow/rollouts/__init__.py
@@ -17,7 +17,6 @@
 from bulrushflow.rollouts.shared import SharedRollouts
 from bulrushflow.rollouts.steps import StepDecision
 from bulrushflow.rollouts.steps import decide_step
-from bulrushflow.rollouts.versions import VersionFilter
 from bulrushflow.rollouts.warmup import WarmUp
 
 __all__ = [
@@ -35,7 +34,6 @@
     "SharedRollout",
     "SharedRollouts",
     "StepDecision",
-    "VersionFilter",
     "VersionRoute",
     "WarmUp",
     "decide_step",
--- a/src/bulrushflow/routing/balancer.py
+++ b/src/bulrushflow/routing/balancer.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from bulrushflow.membership import Member
+if t.TYPE_CHECKING:
+    from bulrushflow.membership import Member
+
 
 OWN_TARGET_MAX_LOAD = 0.7
 """Load per slot below which the node's own target is preferred, which saves a network hop."""
@@ -49,7 +51,7 @@
         self.in_flight_by_id: dict[str, int] = {}
         self._reports_by_id: dict[str, _ReportedLoad] = {}
 
-    def choose(self, candidates: list[Member], excluded: set[str], now: float) -> Member | None:
+    def choose(self, candidates: "list[Member]", excluded: set[str], now: float) -> "Member | None":
         """Return the node to send one attempt to; ``None`` when every candidate is excluded."""
         remaining = [m for m in candidates if m.node_id not in excluded] if excluded else candidates
         if not remaining:
@@ -63,7 +65,7 @@
         first, second = self._rng.sample(pool, 2)
         return first if self.load(first, now) <= self.load(second, now) else second
 
-    def load(self, member: Member, now: float) -> float:
+    def load(self, member: "Member", now: float) -> float:
         """Return the estimated calls in flight per slot.
 
         For another node this is the larger of its decayed report and this node's own attempts.
@@ -99,7 +101,7 @@
         report.load = load
         report.reported_at = now
 
-    def _preferred(self, remaining: list[Member], now: float) -> list[Member]:
+    def _preferred(self, remaining: "list[Member]", now: float) -> "list[Member]":
         local = [
             m for m in remaining if m.data_centre == self._data_centre and self.load(m, now) < 1
         ]
--- a/src/bulrushflow/routing/routes.py
+++ b/src/bulrushflow/routing/routes.py
@@ -3,13 +3,15 @@
 import random
 import typing as t
 
-from bulrushflow.configuration import Configuration
-from bulrushflow.configuration import Route
+if t.TYPE_CHECKING:
+    from bulrushflow.configuration import Configuration
+    from bulrushflow.configuration import Route
+
 
 FULL_SHARE_PERMILLE = 1000
 
 
-def match_route(configuration: Configuration, path: str) -> Route | None:
+def match_route(configuration: "Configuration", path: str) -> "Route | None":
     """Return the route with the longest matching path prefix.
 
     A prefix matches whole path segments only: ``/dues`` matches ``/dues/7``, not ``/duesday``.
@@ -26,7 +28,7 @@
 
 
 def choose_versions(
-    configuration: Configuration,
+    configuration: "Configuration",
     service: str,
     share_permille: t.Callable[[int], int],
     rng: random.Random,
--- a/tests/nodes/test_composing.py
+++ b/tests/nodes/test_composing.py
@@ -18,7 +18,7 @@
 from bulrushflow.nodes.composing import UpdateSelection
 from bulrushflow.rollouts import SharedRollout
 from bulrushflow.rollouts import SharedRollouts
-from bulrushflow.wire import codec
+from bulrushflow.wire import log_codec
 from bulrushflow.wire import messages
 
 OWN = Member("own", "celje-a", "127.0.0.1", 1, 1)
@@ -47,8 +47,8 @@
     @settings(max_examples=60)
     @given(members)
     def test_computed_member_size_equals_encoded_size(self, member: Member) -> None:
-        encoded = messages.encode(codec.member_to_message(member))
-        self.assertEqual(codec.member_size(member), len(encoded) - messages.CHECKSUM_BYTES)
+        encoded = messages.encode(log_codec.member_to_message(member))
+        self.assertEqual(log_codec.member_size(member), len(encoded) - messages.CHECKSUM_BYTES)
 
     @settings(max_examples=60)
     @given(names, st.lists(members, max_size=30), st.lists(rollouts, max_size=20), st.booleans())
--- a/tests/rollouts/test_versions.py
+++ b/tests/nodes/test_versions.py
@@ -8,8 +8,8 @@
 from bulrushflow.configuration import Record
 from bulrushflow.configuration import StartRollout
 from bulrushflow.configuration import WithdrawRollout
-from bulrushflow.rollouts import VersionFilter
-from bulrushflow.rollouts.versions import GRACE_S
+from bulrushflow.nodes.versions import GRACE_S
+from bulrushflow.nodes.versions import VersionFilter
 from tests.configuration.test_fold import PLOTS
 from tests.configuration.test_fold import fold_all
 
--- a/tests/platform/test_command.py
+++ b/tests/platform/test_command.py
@@ -65,3 +65,14 @@
         )
         run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
         self.assertEqual((run.returncode, run.stderr), (0, ""))
+
+    def test_modules_that_only_the_log_design_needs_are_not_loaded(self) -> None:
+        code = (
+            "import sys\n"
+            "import bulrushflow.platform.command\n"
+            "for name in ('configuration', 'membership', 'nodes', 'recording', 'targets'):\n"
+            "    if f'bulrushflow.{name}' in sys.modules:\n"
+            "        print(name)\n"
+        )
+        run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+        self.assertEqual((run.stdout, run.stderr), ("", ""))
