Lose no cancellation while a connection to another node is being opened

Cause: in Python 3.11 asyncio.wait_for returns the result of what it waits for when the wait is cancelled at the moment at which that ends, and the cancellation is lost. Links.connect waited so for a shared connection attempt: a call whose caller had disconnected was sent on, and a node that stopped waited without end for its relay's task, until it was killed at the end of its grace period. Found by 14 copies of the relay's restart test at once, 12 of which ran into their time limit; the tasks' stacks show Sidecar.on_stop waiting for a RecordRelay.run that is cancelling and goes on. Ruled out: the base class of background tasks.

asyncio.timeout keeps the cancellation. The same call stood in targets/session.py and in the log's stand-in, and is gone there too. The new test failed before. 14 of 14 copies end after it; one had 36 reads of 32 allowed.

--- a/src/bulrushflow/standins/log.py
+++ b/src/bulrushflow/standins/log.py
@@ -117,7 +117,8 @@
         wait_ms = min(int(request.query.get("wait_ms", "0")), MAX_WAIT_MS)
         if from_offset >= stream.next_offset and wait_ms > 0:
             try:
-                await asyncio.wait_for(stream.changed.wait(), wait_ms / 1000)
+                async with asyncio.timeout(wait_ms / 1000):
+                    await stream.changed.wait()
             except TimeoutError:
                 pass
             if await self._is_down():
--- a/src/bulrushflow/targets/session.py
+++ b/src/bulrushflow/targets/session.py
@@ -61,7 +61,8 @@
         """
         self.slots.refuse_queued("the target was replaced")
         try:
-            await asyncio.wait_for(self._idle.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
         except TimeoutError:
             pass
         await self._client.close()
--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -122,8 +122,10 @@
             self._connecting_by_endpoint[endpoint] = connecting
             connecting.add_done_callback(lambda _: self._connecting_by_endpoint.pop(endpoint, None))
         try:
-            # Other callers share the attempt, so the end of one wait must not cancel it.
-            return await asyncio.wait_for(asyncio.shield(connecting), timeout_s)
+            # asyncio.wait_for would lose a cancellation at the moment at which the attempt ends.
+            async with asyncio.timeout(timeout_s):
+                # Other callers share the attempt, so the end of one wait must not cancel it.
+                return await asyncio.shield(connecting)
         except TimeoutError:
             return Err(
                 LinkError(False, f"no connection to {endpoint} in time: waited {timeout_s:.3f} s")
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -8,6 +8,8 @@
 import unittest
 from unittest import mock
 
+from result import Err
+
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Link
 from bulrushflow.wire import Links
@@ -15,6 +17,7 @@
 from bulrushflow.wire import messages
 from bulrushflow.wire.link import IDLE_KEEPALIVE_S
 from bulrushflow.wire.link import PONG_TIMEOUT_S
+from bulrushflow.wire.link import LinkError
 from tests.targets.servers import GUARD_S
 from tests.targets.servers import until
 from tests.wire.test_link import call_answer
@@ -71,6 +74,21 @@
         first.cancel()
         self.assertTrue((await second).is_ok())
 
+    async def test_a_call_that_is_cancelled_as_its_connection_opens_ends(self) -> None:
+        opened = asyncio.get_running_loop().create_future()
+
+        async def wait(_: t.Any) -> t.Any:
+            return await opened
+
+        with mock.patch.object(self.client, "_open", wait):
+            call = asyncio.create_task(self.send_call())
+            await until(lambda: bool(self.client._connecting_by_endpoint))
+            (connecting,) = self.client._connecting_by_endpoint.values()
+            connecting.add_done_callback(lambda _: call.cancel())
+            opened.set_result(Err(LinkError(False, "refused")))
+            with self.assertRaises(asyncio.CancelledError):
+                await call
+
     async def test_a_lost_connection_is_replaced(self) -> None:
         await self.send_call()
         for link in list(self.server._accepted):
