Answer a node that starts when all topics are loaded, not with the first of them

Cause: when nodes start together, each asks the first-ranked one, which then loads its topics. The first topic answered the waiting request, the node that had asked found only 1 of 3 topics, excluded its source for 4 s, and asked the next one, which read the store too, and so on.

A request waits while topics are being loaded, and is answered at once only if a loaded topic isn't current or the node stops.

--- a/src/bulrushflow/sidecar/update_server.py
+++ b/src/bulrushflow/sidecar/update_server.py
@@ -24,8 +24,9 @@
 class UpdateServer:
     """Answers requests for updates at once if there are any, or when they arrive.
 
-    Topics that this node hasn't loaded are left out. A request is also answered at once when this
-    node loses the store or lags behind, so that the other node can turn elsewhere.
+    While this node loads its topics, requests wait; topics that it hasn't loaded in time are left
+    out. A request is also answered at once when this node loses the store or lags behind, so that
+    the other node can turn elsewhere.
 
     :param on_request: called with each request for records, until the server is closed.
     """
@@ -65,7 +66,7 @@
         for position in positions:
             replica = self._replicas_by_topic[position.topic]
             replica.note_peer_offset(position.known_end, position.era)
-        await self._wait_for_news(positions, min(MAX_WAIT_S, message.wait_ms / 1000))
+        await self._wait_until_due(positions, min(MAX_WAIT_S, message.wait_ms / 1000))
         updates = [
             self._update(position, message.offsets_only)
             for position in positions
@@ -73,21 +74,30 @@
         ]
         return {"updates": messages.Updates(updates=updates)}
 
-    async def _wait_for_news(self, positions: t.Sequence[TopicPosition], wait_s: float) -> None:
+    async def _wait_until_due(self, positions: t.Sequence[TopicPosition], wait_s: float) -> None:
         try:
             async with asyncio.timeout(wait_s):
-                while not any(map(self._has_news, positions)):
+                while not self._is_due(positions):
                     await self._changed.wait()
         except TimeoutError:
             return
 
+    def _is_due(self, positions: t.Sequence[TopicPosition]) -> bool:
+        """Return whether there is anything that the other node should know now."""
+        replicas = [self._replicas_by_topic[position.topic] for position in positions]
+        loaded = [replica for replica in replicas if replica.offset is not None]
+        if self.closed or not all(map(self._is_current, loaded)):
+            return True
+        if len(loaded) < len(replicas):
+            # A part of the topics is of no use to a node that is starting, as this one is.
+            return False
+        return any(map(self._has_news, positions))
+
     def _has_news(self, position: TopicPosition) -> bool:
         replica = self._replicas_by_topic[position.topic]
-        if replica.offset is None:
-            return self.closed
-        if not self._is_current(replica) or replica.era > position.era:
+        if position.offset is None or replica.era > position.era:
             return True
-        return position.offset is None or replica.offset > position.offset
+        return replica.offset is not None and replica.offset > position.offset
 
     def _is_current(self, replica: Replica) -> bool:
         return not self.closed and replica.connected and not replica.stale
