Wait for records in the read that follows a topic's first load

Cause: a reader that is enabled reads without waiting at first, to learn whether the store is reached. Where the topic had to be loaded, the load had shown that already: one call more for each of two topics. The new test failed before.

--- a/src/bulrushflow/sidecar/store_reader.py
+++ b/src/bulrushflow/sidecar/store_reader.py
@@ -148,6 +148,9 @@
             return False
         if loaded_before:
             await self._pace(page, received=True)
+        else:
+            # The store was reached, so the next read needn't show it.
+            self._poll_timeout_s = SHORT_POLL_S
         return True
 
     async def _pace(self, page: StorePage, received: bool) -> None:
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/test_replica.py
@@ -186,6 +186,14 @@
         self.assertTrue(self.replica.is_current)
         self.assertIn((1, 0.0), self.store.reads)
 
+    async def test_the_read_after_a_topic_was_loaded_waits_for_records(self) -> None:
+        # The load has shown already that the store is reached.
+        self.reader.disable()
+        self.reader.enable()
+        await self.start()
+        await until(lambda: bool(self.store.reads))
+        self.assertEqual(self.store.reads, [(0, store_reader.SHORT_POLL_S)])
+
     async def test_a_wrong_offset_of_a_peer_is_ignored_once_the_store_denied_it(self) -> None:
         self.store.put("a", b"1")
         await self.start()
