Give the sidecar's HTTP servers an owner of their own

Listeners starts them, knows their bound endpoints and closes them. No behaviour changes; the tests name the new place of the endpoints. The doc comment of the pause threshold is back at its constant.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 
-from aiohttp import web
 from loguru import logger
 from mode import Service
 from msgspec.structs import fields
@@ -24,6 +23,7 @@
 from bulrushflow.sidecar.endpoints import metrics_application
 from bulrushflow.sidecar.endpoints import readiness_application
 from bulrushflow.sidecar.forwarding import PeerForwarder
+from bulrushflow.sidecar.listeners import Listeners
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutStatus
@@ -57,8 +57,6 @@
 """Time within which callers see that a stopping node isn't ready; until then it serves calls."""
 SHUTDOWN_MARGIN_S = 0.6
 """Time reserved before the kill for closing connections."""
-CONNECTION_CLOSE_TIMEOUT_S = 0.1
-"""Time that a listener's connections have to send pending data."""
 DRAIN_POLL_S = 0.05
 
 
@@ -82,10 +80,7 @@
         self._stopping = False
         self.rejected_configuration: str | None = None
         """Why the newest configuration was rejected; ``None`` if it is in force."""
-        self._runners: list[web.AppRunner | web.ServerRunner] = []
-        self.bound_by_setting: dict[str, Endpoint] = {}
-        """Endpoints of the servers that were started; a port of 0 in the settings lets the system
-        choose one."""
+        self.listeners = Listeners()
         self.timers = Timers(self._rng)
         self._links = Links(settings.address, settings.peer_port, self.timers)
         self.directory = Directory()
@@ -202,17 +197,14 @@
             self._registration,
             self._decisions,
         )
-        await self._serve_application("announcements", application, self.settings.announcements)
+        serve = self.listeners.serve
+        await serve("announcements", application, self.settings.announcements)
         # Callers may connect at the moment at which they see that this node is ready.
-        await self._serve(
-            "callers",
-            web.ServerRunner(self._callers.server(), shutdown_timeout=CONNECTION_CLOSE_TIMEOUT_S),
-            self.settings.callers,
-        )
+        await serve("callers", self._callers.server(), self.settings.callers)
         readiness = readiness_application(self._adapter.paths.readiness, self._readiness_report)
-        await self._serve_application("readiness", readiness, self.settings.readiness)
+        await serve("readiness", readiness, self.settings.readiness)
         metrics = Endpoint(self.settings.address, self.settings.metrics_port)
-        await self._serve_application("metrics", metrics_application(self._metrics), metrics)
+        await serve("metrics", metrics_application(self._metrics), metrics)
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
         self.timers.subscribe("state metrics", STATE_METRICS_S, self._observe_state)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
@@ -247,8 +239,7 @@
                 )
                 break
             await asyncio.sleep(DRAIN_POLL_S)
-        for runner in reversed(self._runners):
-            await runner.cleanup()
+        await self.listeners.close()
         for service in (self.relay, *self._readers, self._registration):
             await service.stop()
         await self.timers.stop()
@@ -367,24 +358,6 @@
             )
         self._metrics.observe_record_source(self.relay.source is None)
 
-    async def _serve_application(
-        self, setting: str, app: web.Application, endpoint: Endpoint
-    ) -> None:
-        await self._serve(
-            setting,
-            web.AppRunner(app, access_log=None, shutdown_timeout=CONNECTION_CLOSE_TIMEOUT_S),
-            endpoint,
-        )
-
-    async def _serve(
-        self, setting: str, runner: web.AppRunner | web.ServerRunner, endpoint: Endpoint
-    ) -> None:
-        await runner.setup()
-        self._runners.append(runner)
-        site = web.TCPSite(runner, endpoint.address, endpoint.port, backlog=1024)
-        await site.start()
-        self.bound_by_setting[setting] = Endpoint(*runner.addresses[0][:2])
-
 
 def _exposure_limits(bounds: Bounds) -> ExposureLimits:
     return ExposureLimits(bounds.unproved_share, bounds.unproved_slack)
--- a/src/bulrushflow/timers.py
+++ b/src/bulrushflow/timers.py
@@ -11,11 +11,11 @@
 
 HEARTBEAT_S = 0.2
 PAUSE_THRESHOLD_S = 0.5
+"""Seconds between two heartbeats from which on the process counts as paused."""
 GRID_S = 0.1
 """Timers end at multiples of it, so that several share one wake-up of the process."""
 MIN_ALIGNED_WAIT_S = 1.5 * GRID_S
 """Shorter waits are kept, since the grid would change them by too much."""
-"""Seconds between two heartbeats from which on the process counts as paused."""
 
 Callback = t.Callable[[], t.Awaitable[None]]
 PauseCallback = t.Callable[[float], None]
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -75,7 +75,7 @@
 
     def url(self, setting: str, path: str) -> str:
         """Return the URL of a path at one of the sidecar's servers."""
-        return f"http://{self.sidecar.bound_by_setting[setting]}{path}"
+        return f"http://{self.sidecar.listeners.bound_by_setting[setting]}{path}"
 
     async def restart(self) -> None:
         """Stop the sidecar, and start one that knows nothing of before."""
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -18,7 +18,7 @@
         self.assertEqual((await self.call(0, "c-1"))[0], 503)
 
     async def test_callers_can_connect_before_the_node_can_say_that_it_is_ready(self) -> None:
-        started = list(self.instances[0].sidecar.bound_by_setting)
+        started = list(self.instances[0].sidecar.listeners.bound_by_setting)
         self.assertLess(started.index("callers"), started.index("readiness"))
 
     async def test_calls_are_served_by_both_targets(self) -> None:
@@ -41,7 +41,7 @@
 
     async def test_a_body_that_stops_arriving_is_refused_at_the_deadline(self) -> None:
         await self.serve()
-        endpoint = self.instances[0].sidecar.bound_by_setting["callers"]
+        endpoint = self.instances[0].sidecar.listeners.bound_by_setting["callers"]
         reader, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
         writer.write(
             b"POST /a/b HTTP/1.1\r\nHost: h\r\nX-Id: c-1\r\nX-Left: 50\r\n"
--- a/tests/sidecar/test_request_bodies.py
+++ b/tests/sidecar/test_request_bodies.py
@@ -43,7 +43,7 @@
 
         :param end: whether the connection's sending side ends after them.
         """
-        endpoint = self.instances[0].sidecar.bound_by_setting["callers"]
+        endpoint = self.instances[0].sidecar.listeners.bound_by_setting["callers"]
         reader, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
         try:
             for part in parts:
@@ -130,7 +130,7 @@
         self.assertFalse(any(target.received for target in self.targets))
 
     async def test_a_caller_that_leaves_in_the_middle_of_its_body_frees_its_space(self) -> None:
-        endpoint = self.instances[0].sidecar.bound_by_setting["callers"]
+        endpoint = self.instances[0].sidecar.listeners.bound_by_setting["callers"]
         _, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
         writer.write(head("c-1", f"Content-Length: {BODY_BYTES}") + b"x" * 100)
         await until(lambda: self.callers.body_budget.used_bytes == BODY_BYTES)
