Try a source again soon if it failed while this node was starting

A node that is up early finds the first-ranked nodes refusing connections, or still loading their topics, excluded each for 4 s, and read all topics of the store itself for that long. While a node starts, the first exclusion is 0.5 s now; a node that works excludes a failed source for 4 s and more, as before. Ruled out: a random pause before a node reads alone, which would cost callers part of a second at each mass restart.

--- a/src/bulrushflow/sidecar/relay.py
+++ b/src/bulrushflow/sidecar/relay.py
@@ -21,6 +21,8 @@
 from bulrushflow.sidecar.relay_codec import update_from_message
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.store_reader import StoreReader
+from bulrushflow.sidecar.upstreams import FIRST_EXCLUSION_S
+from bulrushflow.sidecar.upstreams import STARTING_EXCLUSION_S
 from bulrushflow.sidecar.upstreams import Upstreams
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Links
@@ -87,6 +89,11 @@
         """Whether other nodes have requested records recently."""
         return asyncio.get_running_loop().time() - self._asked_at < DEMAND_S
 
+    @property
+    def _starting(self) -> bool:
+        """Whether a topic was not loaded yet."""
+        return not all(replica.loaded for replica in self._replicas)
+
     def note_request(self) -> None:
         """Read the store for a while, since another node requested records."""
         self._asked_at = asyncio.get_running_loop().time()
@@ -198,7 +205,8 @@
             reason = await self._update_from(key)
             if reason is not None:
                 self._decisions.event("record source failed", node=entry.node_id, reason=reason)
-                self._upstreams.exclude(key, loop.time())
+                first_s = STARTING_EXCLUSION_S if self._starting else FIRST_EXCLUSION_S
+                self._upstreams.exclude(key, loop.time(), first_s)
                 return
 
     async def _update_from(self, key: str) -> str | None:
@@ -229,8 +237,7 @@
         entry = self._peer_entry(key)
         if entry is None:
             return Err("the node left")
-        loaded = all(replica.loaded for replica in self._replicas)
-        timeout_s = UPDATE_WAIT_S + RESPONSE_MARGIN_S if loaded else LOAD_TIMEOUT_S
+        timeout_s = LOAD_TIMEOUT_S if self._starting else UPDATE_WAIT_S + RESPONSE_MARGIN_S
         request = messages.UpdatesRequest(
             positions=[position_to_message(_position(replica)) for replica in self._replicas],
             wait_ms=int(UPDATE_WAIT_S * 1000),
--- a/src/bulrushflow/sidecar/upstreams.py
+++ b/src/bulrushflow/sidecar/upstreams.py
@@ -18,6 +18,9 @@
 FIRST_EXCLUSION_S = 4.0
 """Time for which a node that failed as upstream isn't chosen again; doubles with each failure."""
 MAX_EXCLUSION_S = 16.0
+STARTING_EXCLUSION_S = 0.5
+"""The first exclusion while the own node starts. Nodes mostly start together, so one that isn't up
+or has not loaded its topics soon will."""
 MAX_CACHED_RANKS = 8192
 _HASH_RANGE = float(1 << 64)
 
@@ -79,12 +82,15 @@
         others = [first_by_data_centre[name] for name in names]
         return [*others, *(key for key in local if key != self._own_key)][:count]
 
-    def exclude(self, key: str, now: float) -> None:
-        """Exclude a node that failed as upstream."""
+    def exclude(self, key: str, now: float, first_s: float = FIRST_EXCLUSION_S) -> None:
+        """Exclude a node that failed as upstream.
+
+        :param first_s: length of the exclusion, in seconds, unless the node failed shortly before.
+        """
         before = self._exclusions_by_key.get(key)
-        seconds = FIRST_EXCLUSION_S
+        seconds = first_s
         if before is not None and now - before.until < before.seconds:
-            seconds = min(MAX_EXCLUSION_S, before.seconds * 2)
+            seconds = max(first_s, min(MAX_EXCLUSION_S, before.seconds * 2))
         self._exclusions_by_key[key] = _Exclusion(now + seconds, seconds)
         for other, exclusion in list(self._exclusions_by_key.items()):
             if now - exclusion.until > MAX_EXCLUSION_S:
--- a/tests/sidecar/test_upstreams.py
+++ b/tests/sidecar/test_upstreams.py
@@ -5,6 +5,7 @@
 from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.upstreams import FIRST_EXCLUSION_S
+from bulrushflow.sidecar.upstreams import STARTING_EXCLUSION_S
 from bulrushflow.sidecar.upstreams import Upstreams
 from tests.sidecar.samples import peer
 
@@ -50,6 +51,17 @@
         self.assertNotEqual(upstreams.choose(2 * FIRST_EXCLUSION_S), leader)
         self.assertEqual(upstreams.choose(3 * FIRST_EXCLUSION_S), leader)
 
+    def test_a_starting_node_tries_a_failed_one_again_soon(self) -> None:
+        # Nodes that start together would else read the store for seconds, each for itself.
+        upstreams = self.upstreams("k-new")
+        leader = self.leader()
+        upstreams.exclude(leader, 0.0, STARTING_EXCLUSION_S)
+        self.assertNotEqual(upstreams.choose(0.0), leader)
+        self.assertEqual(upstreams.choose(STARTING_EXCLUSION_S), leader)
+        upstreams.exclude(leader, STARTING_EXCLUSION_S)
+        self.assertNotEqual(upstreams.choose(2 * STARTING_EXCLUSION_S), leader)
+        self.assertEqual(upstreams.choose(STARTING_EXCLUSION_S + FIRST_EXCLUSION_S), leader)
+
     def test_another_data_centre_follows_after_the_own_one(self) -> None:
         upstreams = self.upstreams("k-new")
         chosen = []
