Apply what changed when a topic is loaded again, instead of replacing the whole state

Cause: a replica that is several records behind loads the newest record of each key, and replaced everything by it.

In the same era a load is compared with what was read before: changed records are applied in their order, and positions before it can still be served. Where a key is gone the state is replaced, as before, since a deletion's place isn't known. Ruled out: reading the missing records one by one, which takes longer on slow links. Both tests of the reload failed before.

--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/replica.py
@@ -257,9 +257,16 @@
             observer(offset, era)
 
     def _replace(self, page: StorePage) -> None:
+        """Replace the state, or apply what changed since it was read last, if that is known."""
         self._mark_connected(page.next_offset)
-        self._handler.replace(page.records)
-        self._cache.replace(page.records, page.next_offset)
+        if self.offset is None:
+            self._cache.replace(page.records, page.next_offset)
+            self._handler.replace(page.records)
+        elif (changed := self._cache.reload(page.records, page.next_offset)) is None:
+            self._handler.replace(page.records)
+        else:
+            for record in changed:
+                self._handler.apply(record)
         self._advance(page)
         self.loaded = True
 
--- a/src/bulrushflow/sidecar/topic_cache.py
+++ b/src/bulrushflow/sidecar/topic_cache.py
@@ -24,6 +24,26 @@
         # Deletions before the offset aren't known.
         self._complete_from = offset
 
+    def reload(
+        self, records: t.Iterable[KeyedRecord], offset: int
+    ) -> tuple[KeyedRecord, ...] | None:
+        """Replace everything by a later state of the same era, which was read up to ``offset``.
+
+        :return: the records that changed, in their order; ``None`` if keys were deleted meanwhile.
+        """
+        before = self._records_by_key
+        newest = {record.key: record for record in records}
+        if any(record.value and key not in newest for key, record in before.items()):
+            self.replace(newest.values(), offset)
+            return None
+        changed = [
+            record
+            for key, record in newest.items()
+            if key not in before or before[key].offset != record.offset
+        ]
+        self._records_by_key = before | newest
+        return tuple(sorted(changed, key=_offset))
+
     def add(self, record: KeyedRecord) -> None:
         """Add a new record, which replaces the one of its key."""
         self._records_by_key[record.key] = record
@@ -37,4 +57,8 @@
         if offset < self._complete_from:
             return None
         records = [item for item in self._records_by_key.values() if item.offset >= offset]
-        return tuple(sorted(records, key=lambda record: record.offset))
+        return tuple(sorted(records, key=_offset))
+
+
+def _offset(record: KeyedRecord) -> int:
+    return record.offset
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/test_replica.py
@@ -8,6 +8,7 @@
 from bulrushflow.sidecar import store_reader
 from bulrushflow.sidecar.replica import Replica
 from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.storage import StorePage
 from bulrushflow.sidecar.store_reader import StoreReader
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import RecordingDecisions
@@ -146,6 +147,30 @@
         await until(lambda: self.handler.by_key == {"a": b"0", "b": b"19"})
         self.assertLessEqual(self.store.records_sent - sent_before, 4)
 
+    async def test_a_reload_applies_what_changed_only(self) -> None:
+        # The directory would forget, for example, which targets are unavailable at the moment.
+        for key in "abc":
+            self.store.put(key, b"1")
+        await self.start()
+        replica = self.replica
+        records = (KeyedRecord("a", b"1", 0), KeyedRecord("b", b"2", 4), KeyedRecord("c", b"3", 3))
+        with mock.patch.object(self.handler, "apply", wraps=self.handler.apply) as apply:
+            replica.apply_state(StorePage(records, 5, 5, replica.era))
+        self.assertEqual([call.args[0].offset for call in apply.call_args_list], [3, 4])
+        self.assertEqual(self.handler.by_key, {"a": b"1", "b": b"2", "c": b"3"})
+        self.assertEqual(self.handler.replaced, 1)
+        update = replica.update_since(3, replica.era)
+        self.assertEqual([record.offset for record in update.records], [3, 4])
+
+    async def test_a_reload_without_a_key_replaces_the_state(self) -> None:
+        for key in "ab":
+            self.store.put(key, b"1")
+        await self.start()
+        page = StorePage((KeyedRecord("b", b"1", 1),), 4, 4, self.replica.era)
+        self.replica.apply_state(page)
+        self.assertEqual(self.handler.by_key, {"b": b"1"})
+        self.assertIsNone(self.replica.update_since(2, self.replica.era).start_offset)
+
     async def test_an_offset_that_is_noted_during_a_transfer_is_not_forgotten(self) -> None:
         # The node would say that its configuration is current, and answer 404 for a new route.
         await self.start()
--- a/tests/sidecar/test_topic_cache.py
+++ b/tests/sidecar/test_topic_cache.py
@@ -34,3 +34,29 @@
             assert update is not None
             self.assertEqual(state_of([*records[:position], *update]), state_of(records))
             self.assertEqual(list(update), sorted(update, key=lambda record: record.offset))
+
+    @given(VALUES, st.integers(0, 30), st.integers(0, 30), st.integers(0, 30))
+    def test_a_reload_changes_what_changed_and_keeps_earlier_positions(
+        self, values: list[tuple[str, bytes]], loaded: int, reloaded: int, position: int
+    ) -> None:
+        records = [KeyedRecord(key, value, i) for i, (key, value) in enumerate(values)]
+        loaded, reloaded, position = (min(i, len(records)) for i in (loaded, reloaded, position))
+        cache = TopicCache()
+        for record in records[: min(loaded, reloaded)]:
+            cache.add(record)
+        before = state_of(list(cache.state()))
+        newest = {record.key: record for record in records[:reloaded] if record.value}
+        newest = {key: item for key, item in newest.items() if key in state_of(records[:reloaded])}
+        changed = cache.reload(newest.values(), reloaded)
+        self.assertEqual(state_of(list(cache.state())), state_of(records[:reloaded]))
+        if changed is None:
+            self.assertTrue(before.keys() - newest.keys())
+            self.assertIsNone(cache.since(reloaded - 1))
+            return
+        self.assertEqual(before.keys() - newest.keys(), set())
+        self.assertEqual(before | state_of(list(changed)), state_of(records[:reloaded]))
+        for record in records[reloaded:]:
+            cache.add(record)
+        update = cache.since(position)
+        assert update is not None
+        self.assertEqual(state_of([*records[:position], *update]), state_of(records))
