Pause after a topic was loaded first, and look for another source meanwhile

A reader now pauses after the first load too, as it does after records, and the node looks for a source again before the pause ends. Ruled out: a pause before the load, which would make nodes ready later.

The pause is made outside the read, so that a probe of the store sees the read's end, and a reader that is enabled again ends its pause; an existing test of the probe showed that it must. The new test failed before.

--- a/src/bulrushflow/sidecar/relay.py
+++ b/src/bulrushflow/sidecar/relay.py
@@ -35,6 +35,9 @@
 """Bound on a request for the whole state of a topic."""
 REVIEW_PERIOD_S = 1.0
 """Interval at which a node that works is compared with those that rank before it."""
+STARTING_REVIEW_S = 0.4
+"""The same after a node that starts has loaded the topics from the store; shorter than the reader's
+pause after it."""
 DEMAND_S = 2.0
 """Time after a request of another node for which this node reads the store."""
 NEIGHBOURS_TIMEOUT_S = 0.5
@@ -173,6 +176,7 @@
     async def _read_alone(self) -> None:
         """Read the store, since no other node is available; one topic at first while it fails."""
         first = self._readers[0]
+        starting = self._starting
         if not first.enabled:
             first.enable()
             # Only one read: with its retries, a probe of each node would be several calls.
@@ -182,6 +186,10 @@
                 await asyncio.sleep(self._rng.uniform(MIN_PROBE_PAUSE_S, MAX_PROBE_PAUSE_S))
                 return
         self._use_store("no other node is available")
+        if starting:
+            # Neighbours mostly start at the same time, and may be available before the next read.
+            await asyncio.sleep(STARTING_REVIEW_S)
+            return
         await self._review_reads()
         if not first.replica.connected:
             self._stop_reading()
--- a/src/bulrushflow/sidecar/store_reader.py
+++ b/src/bulrushflow/sidecar/store_reader.py
@@ -50,6 +50,9 @@
         self._enabled = asyncio.Event()
         self._enabled.set()
         self._poll_timeout_s = SHORT_POLL_S
+        self._pause_s = 0.0
+        """Pause before the next read, unless the reader is enabled again meanwhile."""
+        self._enabled_again = asyncio.Event()
         self._reading: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
         self._waiting = False
@@ -70,6 +73,7 @@
         # The first read doesn't wait, so that its answer shows that the store is reached.
         self._poll_timeout_s = 0.0
         self._enabled.set()
+        self._enabled_again.set()
 
     def disable(self) -> None:
         """Read the topic no longer; a read that fetches records is left to finish."""
@@ -96,15 +100,25 @@
             self._read_ended.set()
             if not self.has_failed:
                 self._backoff.reset()
+                await self._pause()
                 continue
             # The read after an error doesn't wait, so that its answer shows that the store is back.
             self._poll_timeout_s = 0.0
             await asyncio.sleep(self._backoff.next_s())
 
+    async def _pause(self) -> None:
+        if not self._pause_s:
+            return
+        self._enabled_again.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pause_s):
+                await self._enabled_again.wait()
+
     async def _read_once(self) -> bool:
         """Load the state or read new records once; return whether the store responded."""
         replica = self.replica
         offset = replica.offset
+        self._pause_s = 0.0
         if offset is None or replica.records_behind > MAX_HISTORY_RECORDS:
             return await self._load()
         result = await self._read(offset)
@@ -126,7 +140,7 @@
         if page.next_offset < page.end and not page.records:
             # The next record doesn't fit into a response.
             return await self._load()
-        await self._pace(page, received=bool(page.records))
+        self._pace(page, received=bool(page.records))
         return True
 
     async def _load(self) -> bool:
@@ -134,7 +148,6 @@
         replica = self.replica
         replica.begin_request()
         before = replica.offset
-        loaded_before = replica.loaded
         match await self._store.newest(replica.topic):
             case Err(error):
                 replica.mark_disconnected(error.message)
@@ -146,18 +159,14 @@
             return True
         if not replica.apply_state(page):
             return False
-        if loaded_before:
-            await self._pace(page, received=True)
-        else:
-            # The store was reached, so the next read needn't show it.
-            self._poll_timeout_s = SHORT_POLL_S
+        self._pace(page, received=True)
         return True
 
-    async def _pace(self, page: StorePage, received: bool) -> None:
-        """Choose the next poll timeout, and pause after records, unless the page left some out."""
+    def _pace(self, page: StorePage, received: bool) -> None:
+        """Choose the next poll timeout, and a pause after records unless the page left some out."""
         self._poll_timeout_s = SHORT_POLL_S if received else LONG_POLL_S
         if received and page.next_offset >= page.end:
-            await asyncio.sleep(BATCH_PAUSE_S)
+            self._pause_s = BATCH_PAUSE_S
 
     async def _read(self, offset: int) -> Result[StorePage, StoreError] | None:
         """Wait for records; return ``None`` if the read was cancelled to be restarted."""
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/test_replica.py
@@ -12,6 +12,7 @@
 from bulrushflow.sidecar.store_reader import StoreReader
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import RecordingDecisions
+from tests.waiting import GUARD_S
 from tests.waiting import until
 
 
@@ -211,6 +212,15 @@
         self.assertTrue(self.replica.is_current)
         self.assertIn((1, 0.0), self.store.reads)
 
+    async def test_no_read_follows_at_once_after_a_topic_was_loaded(self) -> None:
+        # A node that starts often finds another one to have the records from meanwhile.
+        with mock.patch.object(store_reader, "BATCH_PAUSE_S", GUARD_S):
+            await self.start()
+            for _ in range(10):
+                await asyncio.sleep(0)
+            self.reader.disable()
+            self.assertEqual(self.store.reads, [])
+
     async def test_the_read_after_a_topic_was_loaded_waits_for_records(self) -> None:
         # The load has shown already that the store is reached.
         self.reader.disable()
