--- a/src/bulrushflow/sidecar/relay.py
+++ b/src/bulrushflow/sidecar/relay.py
@@ -36,8 +36,8 @@
 REVIEW_PERIOD_S = 1.0
 """Interval at which a node that works is compared with those that rank before it."""
 STARTING_REVIEW_S = 0.4
-"""The same after a node that starts has loaded the topics from the store; shorter than the reader's
-pause after it."""
+"""Time after which a node that loaded the topics itself at its start looks for a source again; less
+than its readers' pause before they read on."""
 DEMAND_S = 2.0
 """Time after a request of another node for which this node reads the store."""
 NEIGHBOURS_TIMEOUT_S = 0.5
--- a/src/bulrushflow/sidecar/upstreams.py
+++ b/src/bulrushflow/sidecar/upstreams.py
@@ -19,8 +19,8 @@
 """Time for which a node that failed as upstream isn't chosen again; doubles with each failure."""
 MAX_EXCLUSION_S = 16.0
 STARTING_EXCLUSION_S = 0.5
-"""The first exclusion while the own node starts. Nodes mostly start together, so one that isn't up
-or has not loaded its topics soon will."""
+"""The first exclusion while the own node starts. Nodes mostly start together, so one that refuses
+connections, or is still loading its topics, is likely to relay records soon."""
 MAX_CACHED_RANKS = 8192
 _HASH_RANGE = float(1 << 64)
 
