Make the verdict of the tests of leaving targets independent of how long calls take

Runs of eight copies with the decisions printed show why: the calls before had taken seconds, so a call was refused as 'an answer is expected in 4.66 s, too late', with an objective of 5 s. Such a refusal is right, and not what these tests are about: their routes allow 60 and 90 s now, instead of 5 and 9. test_a_new_start_of_the_target_gets_calls_again failed in two of eight copies, since a connection to the target was not opened in time, which makes it unavailable until its next announcement: the test announces it again, as a target does every second, until it has got a call. All checks are as strict as before.

What is left: with six copies at load 13 one run of six failed, since no call was answered within the caller's 9 s.

--- a/tests/sidecar/test_leaving_targets.py
+++ b/tests/sidecar/test_leaving_targets.py
@@ -5,6 +5,7 @@
 
 from bulrushflow.sidecar.model import TargetState
 from tests.sidecar.fleet import FleetTestCase
+from tests.sidecar.fleet import configuration
 from tests.waiting import until
 
 
@@ -12,6 +13,8 @@
     """Four nodes; the target beside the first one leaves, and never says so in an announcement."""
 
     node_count = 4
+    # How long calls take depends on the machine's load, and none may be refused as late.
+    configuration = configuration(1, target_latency="60s", timeout="90s")
 
     async def send_calls(self, prefix: str, numbers: list[int], count: int = 40) -> None:
         """Send calls to random nodes; all must succeed."""
@@ -71,7 +74,12 @@
         self.assertEqual((entry.state, entry.leaving), (TargetState.READY, False))
         for instance in self.instances:
             await instance.until_serving(self.node_count)
-        await self.send_calls("d", [0, 1, 2, 3])
+        # A connection that isn't opened in time makes it unavailable until it announces itself again.
+        for sequence in range(2, 32):
+            await self.send_calls("d", [0, 1, 2, 3])
+            if self.targets[0].received:
+                break
+            await self.announce(0, sequence=sequence, born=2)
         self.assertTrue(self.targets[0].received)
 
     def stored_entry(self) -> bytes:
