--- a/tests/sidecar/test_leaving_targets.py
+++ b/tests/sidecar/test_leaving_targets.py
@@ -74,7 +74,7 @@
         self.assertEqual((entry.state, entry.leaving), (TargetState.READY, False))
         for instance in self.instances:
             await instance.until_serving(self.node_count)
-        # A connection that isn't opened in time makes it unavailable until it announces itself again.
+        # A connection that is not opened in time makes it unavailable until it announces itself.
         for sequence in range(2, 32):
             await self.send_calls("d", [0, 1, 2, 3])
             if self.targets[0].received:
