--- a/tests/sidecar/rollout_nodes.py
+++ b/tests/sidecar/rollout_nodes.py
@@ -11,6 +11,7 @@
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.driver import RolloutDriver
+from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.record_handlers import RolloutStatusHandler
 from bulrushflow.sidecar.records import decode_rollout_status
@@ -26,6 +27,8 @@
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import peer
 
+STATUS = RolloutStatus("statements", "v2", 7, 1, 100, RolloutPhase.RUNNING, 0, 15_000)
+
 
 class RecordedLinks:
     """Links that only record what is sent."""
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -12,12 +12,12 @@
 from bulrushflow.sidecar import driver as driver_module
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
-from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.records import decode_rollout_status
 from bulrushflow.sidecar.records import encode_rollout_status
 from bulrushflow.sidecar.rollouts import Rollouts
 from bulrushflow.sidecar.storage import StoreError
 from tests.clocks import stopped_loop_clock
+from tests.sidecar.rollout_nodes import STATUS
 from tests.sidecar.rollout_nodes import InterleavingStore
 from tests.sidecar.rollout_nodes import Node
 from tests.sidecar.rollout_nodes import decode
@@ -29,7 +29,6 @@
 
 ORDER = RolloutOrder("statements", "v2", 15.0, 7)
 END = RolloutPhase.ROLLED_BACK
-STATUS = RolloutStatus("statements", "v2", 7, 1, 100, RolloutPhase.RUNNING, 0, 15_000)
 
 
 class RolloutDriverTests(unittest.IsolatedAsyncioTestCase):
