Detect a fault of a version that has all calls within seconds

A block of a route's comparison with fewer than three calls to the old version was closed after 5 s, and one without any after 20 s, and four of them are needed. From the step to all calls on, and on routes that the old version is seldom called on, a fault was therefore found long after the 50th bad answer; 5 s is also just below the users' report of 5,004 ms (that this caused it is inferred, there is no log).

A block with ten calls to the new version now lasts 1.2 s at most, which is longer than the interval of the reports on the old version, and two blocks of errors without any old call suffice; slow calls need four as before, since a busy moment makes every version slow. Budget from the 50th bad answer: 0.25 s until the report, 2.4 s for two blocks, 0.25 s until the check, below 0.3 s for the notice.

The test failed before: 696 bad responses in 4 s, no fault found.

--- a/src/bulrushflow/rollouts/comparison.py
+++ b/src/bulrushflow/rollouts/comparison.py
@@ -4,6 +4,7 @@
 
 from bulrushflow.rollouts.evidence import RouteCounts
 from bulrushflow.rollouts.evidence import empty_buckets
+from bulrushflow.rollouts.sequential import MAX_UNCONTROLLED_LOG_RATIO
 from bulrushflow.rollouts.sequential import ChangeDetector
 from bulrushflow.rollouts.sequential import Sample
 
@@ -13,6 +14,11 @@
 """A block with calls to both versions is closed after this time, however few the old one had."""
 MAX_ONE_SIDED_BLOCK_S = 20.0
 """A block without calls to one of the versions is closed after this time."""
+MAX_BUSY_BLOCK_S = 1.2
+"""A block with :data:`BUSY_BLOCK_CALLS` is closed after this time, however few calls the old version
+had. Nodes report the old version's calls once a second."""
+BUSY_BLOCK_CALLS = 10
+"""Calls to the new version that are enough to detect a fault without calls to the old one."""
 MIN_CONTROL_CALLS = 3
 """Calls to the old version that close a block before :data:`MAX_BLOCK_S`."""
 HALF_LIFE_S = 30.0
@@ -95,7 +101,7 @@
         self._old = RouteCounts()
         self._new = RouteCounts()
         self._history = _History()
-        self._errors = ChangeDetector(ERROR_TOLERANCE)
+        self._errors = ChangeDetector(ERROR_TOLERANCE, MAX_UNCONTROLLED_LOG_RATIO)
         self._slow = {
             quantile: ChangeDetector(SLOW_TOLERANCE)
             for quantile in (TYPICAL_QUANTILE, TAIL_QUANTILE)
@@ -150,6 +156,8 @@
 
 
 def _is_block_due(old_calls: int, new_calls: int, age_s: float) -> bool:
+    if new_calls >= BUSY_BLOCK_CALLS and age_s >= MAX_BUSY_BLOCK_S:
+        return True
     if not old_calls or not new_calls:
         return age_s >= MAX_ONE_SIDED_BLOCK_S
     return old_calls >= MIN_CONTROL_CALLS or age_s >= MAX_BLOCK_S
--- a/src/bulrushflow/rollouts/sequential.py
+++ b/src/bulrushflow/rollouts/sequential.py
@@ -19,6 +19,8 @@
 MAX_CONTROL_LOG_RATIO = math.log(THRESHOLD_CONTROL) / 4
 """Bound on one block's log likelihood ratio against the control, since reports on the same period
 arrive unevenly and one block must not decide alone."""
+MAX_UNCONTROLLED_LOG_RATIO = math.log(THRESHOLD_CONTROL) / 2
+"""The same bound for errors in a block without any calls to the old version."""
 EFFECTS: t.Final = (0.05, 0.2, 0.6)
 """Alternatives tested: the fraction of the good calls that turn bad with the new version."""
 NO_CONTROL_TOLERANCE = 0.2
@@ -39,18 +41,17 @@
 class _ShiryaevRobertsSums:
     """Shiryaev-Roberts sums of e-values, one for each alternative."""
 
-    __slots__ = ("_limit", "_sums")
+    __slots__ = ("_sums",)
 
-    def __init__(self, max_log: float) -> None:
-        self._limit = max_log
+    def __init__(self) -> None:
         self._sums = [0.0] * len(EFFECTS)
 
     @property
     def value(self) -> float:
         return sum(self._sums) / len(self._sums)
 
-    def update(self, i: int, log_value: float) -> None:
-        factor = math.exp(max(-50.0, min(self._limit, log_value)))
+    def update(self, i: int, log_value: float, max_log: float) -> None:
+        factor = math.exp(max(-50.0, min(max_log, log_value)))
         self._sums[i] = min((self._sums[i] + 1) * factor, MAX_SUM)
 
 
@@ -62,13 +63,20 @@
     rejected with calls to the old version.
     """
 
-    __slots__ = ("_against_control", "_against_history", "_tolerance")
+    __slots__ = ("_against_control", "_against_history", "_max_uncontrolled", "_tolerance")
 
-    def __init__(self, tolerance: float) -> None:
-        """:param tolerance: fraction of calls by which the new version may be worse."""
+    def __init__(
+        self, tolerance: float, max_uncontrolled_log_ratio: float = MAX_CONTROL_LOG_RATIO
+    ) -> None:
+        """
+        :param tolerance: fraction of calls by which the new version may be worse.
+        :param max_uncontrolled_log_ratio: bound on the log likelihood ratio of one block without
+            calls to the old version.
+        """
         self._tolerance = tolerance
-        self._against_history = _ShiryaevRobertsSums(math.log(THRESHOLD_HISTORY))
-        self._against_control = _ShiryaevRobertsSums(MAX_CONTROL_LOG_RATIO)
+        self._max_uncontrolled = max_uncontrolled_log_ratio
+        self._against_history = _ShiryaevRobertsSums()
+        self._against_control = _ShiryaevRobertsSums()
 
     @property
     def strength(self) -> float:
@@ -93,7 +101,7 @@
         for i, effect in enumerate(EFFECTS):
             new_rate = _clamp(old_rate + effect * (1 - old_rate))
             log_value = _log_ratio(new.calls, new.bad, new_rate, old_rate)
-            self._against_history.update(i, log_value)
+            self._against_history.update(i, log_value, math.log(THRESHOLD_HISTORY))
 
     def _add_control(self, old: Sample, new: Sample, expected: float) -> None:
         old_rate = _clamp(expected + self._tolerance)
@@ -104,13 +112,14 @@
             pooled = (new.calls * new_rate + old.calls * old_rate) / (new.calls + old.calls)
             log_value = _log_ratio(new.calls, new.bad, new_rate, pooled)
             log_value += _log_ratio(old.calls, bad, old_rate, pooled)
-            self._against_control.update(i, log_value)
+            self._against_control.update(i, log_value, MAX_CONTROL_LOG_RATIO)
 
     def _add_without_control(self, new: Sample, expected: float) -> None:
         known = _clamp(expected + self._tolerance + NO_CONTROL_TOLERANCE)
         for i, effect in enumerate(EFFECTS):
             new_rate = _clamp(known + effect * (1 - known))
-            self._against_control.update(i, _log_ratio(new.calls, new.bad, new_rate, known))
+            log_value = _log_ratio(new.calls, new.bad, new_rate, known)
+            self._against_control.update(i, log_value, self._max_uncontrolled)
 
 
 def _clamp(rate: float) -> float:
