Watch a version until its order is replaced, and roll it back after completion

Each node now counts its target's answers until the order is replaced, and the first three nodes of the service analyse them. No other version is left to compare with, so only answered errors count that no failed call of the target explains, and the half of the targets with the most errors is left out: faults of single targets, overload and failing dependencies don't roll back a version that has no alternative. A rollback supersedes a completion of an earlier step; of two ends of one step the recorded one still counts.

The class of fault is a decision that ends with a state or with the process that took it. Looked for elsewhere: the notice of a rollback was sent once, and a rollback that its node had not written was lost with that node. It is sent each second until the store has it, and written by the next nodes.

Ruled out: more margin before the deadline (a fault can begin after it).

--- a/src/bulrushflow/rollouts/__init__.py
+++ b/src/bulrushflow/rollouts/__init__.py
@@ -18,11 +18,13 @@
 from bulrushflow.rollouts.steps import StepDecision
 from bulrushflow.rollouts.steps import decide_step
 from bulrushflow.rollouts.warmup import WarmUp
+from bulrushflow.rollouts.watch import CompletedRolloutWatch
 
 __all__ = [
     "AnalysisOutcome",
     "AnalysisResult",
     "CanaryAnalysis",
+    "CompletedRolloutWatch",
     "Evidence",
     "EvidenceStore",
     "ExposureBudget",
--- a/src/bulrushflow/rollouts/comparison.py
+++ b/src/bulrushflow/rollouts/comparison.py
@@ -15,8 +15,8 @@
 MAX_ONE_SIDED_BLOCK_S = 20.0
 """A block without calls to one of the versions is closed after this time."""
 MAX_BUSY_BLOCK_S = 1.2
-"""A block with :data:`BUSY_BLOCK_CALLS` is closed after this time, however few calls the old version
-had. Nodes report the old version's calls once a second."""
+"""A block with :data:`BUSY_BLOCK_CALLS` is closed after this time, however few calls the old
+version had. Nodes report the old version's calls once a second."""
 BUSY_BLOCK_CALLS = 10
 """Calls to the new version that are enough to detect a fault without calls to the old one."""
 MIN_CONTROL_CALLS = 3
--- a/src/bulrushflow/rollouts/evidence.py
+++ b/src/bulrushflow/rollouts/evidence.py
@@ -68,6 +68,11 @@
     counts_by_version_route: dict[VersionRoute, RouteCounts] = msgspec.field(default_factory=dict)
     incarnation: int = 0
 
+    @property
+    def error_count(self) -> int:
+        """Failed calls of all versions and routes."""
+        return sum(counts.errors for counts in self.counts_by_version_route.values())
+
     @property
     def source(self) -> Source:
         """The process that counted the calls."""
@@ -138,6 +143,10 @@
                 totals.setdefault(key, RouteCounts()).add(counts)
         return totals
 
+    def reports(self, rollout_id: int) -> t.Collection[Evidence]:
+        """Return the newest evidence of each node's process."""
+        return self.by_rollout.get(rollout_id, {}).values()
+
     def retain(self, rollout_ids: t.Collection[int]) -> None:
         """Drop the evidence on all rollouts except these."""
         for rollout_id in list(self.by_rollout):
--- a/src/bulrushflow/rollouts/sequential.py
+++ b/src/bulrushflow/rollouts/sequential.py
@@ -63,17 +63,28 @@
     rejected with calls to the old version.
     """
 
-    __slots__ = ("_against_control", "_against_history", "_max_uncontrolled", "_tolerance")
+    __slots__ = (
+        "_against_control",
+        "_against_history",
+        "_max_uncontrolled",
+        "_tolerance",
+        "_uncontrolled_tolerance",
+    )
 
     def __init__(
-        self, tolerance: float, max_uncontrolled_log_ratio: float = MAX_CONTROL_LOG_RATIO
+        self,
+        tolerance: float,
+        max_uncontrolled_log_ratio: float = MAX_CONTROL_LOG_RATIO,
+        uncontrolled_tolerance: float = NO_CONTROL_TOLERANCE,
     ) -> None:
         """
         :param tolerance: fraction of calls by which the new version may be worse.
         :param max_uncontrolled_log_ratio: bound on the log likelihood ratio of one block without
             calls to the old version.
+        :param uncontrolled_tolerance: additional tolerance in such a block.
         """
         self._tolerance = tolerance
+        self._uncontrolled_tolerance = uncontrolled_tolerance
         self._max_uncontrolled = max_uncontrolled_log_ratio
         self._against_history = _ShiryaevRobertsSums()
         self._against_control = _ShiryaevRobertsSums()
@@ -115,7 +126,7 @@
             self._against_control.update(i, log_value, MAX_CONTROL_LOG_RATIO)
 
     def _add_without_control(self, new: Sample, expected: float) -> None:
-        known = _clamp(expected + self._tolerance + NO_CONTROL_TOLERANCE)
+        known = _clamp(expected + self._tolerance + self._uncontrolled_tolerance)
         for i, effect in enumerate(EFFECTS):
             new_rate = _clamp(known + effect * (1 - known))
             log_value = _log_ratio(new.calls, new.bad, new_rate, known)
--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -34,7 +34,7 @@
 MAX_DEPARTED_TARGETS = 64
 """Departed targets that are remembered so that their delayed announcements are rejected."""
 
-ResponseObserver = t.Callable[[Call, bool, float], None]
+ResultObserver = t.Callable[[Call, CallResult, float], None]
 EntryCallback = t.Callable[[TargetEntry | None], None]
 
 
@@ -45,8 +45,8 @@
     and counts against the retry budget if it is a retry.
 
     :param is_forbidden: returns whether a version of a service may receive no new calls.
-    :param observer: called after each call that may have run, with the call, whether it failed, and
-        the seconds it took.
+    :param observer: called after each call that may have run, with the call, its result, and the
+        seconds it took.
     :param on_change: called with the new entry, or ``None`` without a target, when other nodes have
         to be informed.
     """
@@ -55,7 +55,7 @@
         self,
         header_names: HeaderNames,
         is_forbidden: t.Callable[[str, str], bool],
-        observer: ResponseObserver,
+        observer: ResultObserver,
         on_change: EntryCallback,
         retry_budget: TargetRetryBudget,
         decisions: DecisionLog,
@@ -272,11 +272,11 @@
             # Release to the pool that granted the slot; self._slots may belong to another target.
             slots.release(call.route, seconds if seconds and result.is_ok() else None)
         match result:
-            case Ok(response):
-                self._observer(call, response.is_failure, seconds)
+            case Ok(_):
+                self._observer(call, result, seconds)
             case Err(failure):
                 if failure.outcome is Outcome.UNKNOWN:
-                    self._observer(call, True, seconds)
+                    self._observer(call, result, seconds)
                 self._handle_failure(client)
         return result
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -10,6 +10,7 @@
 from bulrushflow.metrics import Metrics
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.routing import Call
+from bulrushflow.routing import CallResult
 from bulrushflow.sidecar.adapter import Adapter
 from bulrushflow.sidecar.admission_controller import AdmissionController
 from bulrushflow.sidecar.balancer import Balancer
@@ -58,6 +59,8 @@
 SHUTDOWN_MARGIN_S = 0.6
 """Time reserved before the kill for closing connections."""
 DRAIN_POLL_S = 0.05
+GATEWAY_TIMEOUT = 504
+"""Status with which a target answers at a call's deadline."""
 
 
 class Sidecar(Service):
@@ -99,7 +102,7 @@
         self._admission = AdmissionController(
             adapter.header_names,
             self._rollouts.is_forbidden,
-            self._record_response,
+            self._record_result,
             self._publish_target,
             self._retry_budget,
             self._decisions,
@@ -303,10 +306,19 @@
     def _apply_status(self, status: RolloutStatus) -> None:
         self._rollouts.apply_status(status, asyncio.get_running_loop().time(), recorded=True)
 
-    def _record_response(self, call: Call, failed: bool, seconds: float) -> None:
+    def _record_result(self, call: Call, result: CallResult, seconds: float) -> None:
+        """Count a call to the own target as evidence on its version."""
         entry = self._admission.entry
         warming = entry is not None and entry.warm_at_ms > self._clock.wall_ms()
-        self._rollouts.observe_call(call, failed, seconds, warming)
+        failed = result.is_err() or result.unwrap().is_failure
+        # A target that waits for a call of its own, or is overloaded, fails without being faulty.
+        started_at = asyncio.get_running_loop().time() - seconds
+        attributable = (
+            result.is_ok()
+            and result.unwrap().status != GATEWAY_TIMEOUT
+            and self._callers.last_failure_at < started_at
+        )
+        self._rollouts.observe_call(call, failed, seconds, warming, attributable)
 
     def _publish_target(self, entry: TargetEntry | None) -> None:
         settings = self.settings
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -84,6 +84,8 @@
         self._decisions = decisions
         self._rng = rng
         self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
+        self.last_failure_at = float("-inf")
+        """Event loop time at which a call from this instance to another service failed last."""
         self.in_flight = 0
         self.stopping = False
         """Whether each response closes its connection, which makes the caller open another one."""
@@ -163,6 +165,8 @@
         result = await self._dispatch(route, call, started_at)
         seconds = asyncio.get_running_loop().time() - started_at
         self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
+        if call.service != call.tenant and (result.is_err() or result.unwrap().is_failure):
+            self.last_failure_at = started_at + seconds
         return self._result_response(call, result, version, seconds)
 
     def _missing_configuration_reason(self) -> str:
--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/driver.py
@@ -2,8 +2,11 @@
 
 The first few reachable nodes with targets of the service receive all evidence, analyse it and
 take the steps. The others only roll back a version that their own target shows to be faulty, and
-replace nodes that become unreachable. A step is written only if all earlier ones of its service
-were read, so two drivers, or one that was paused, can't overwrite each other.
+replace nodes that become unreachable. A version is analysed until its order is replaced or
+withdrawn, also after the rollout's completion, then by the first few nodes alone.
+
+A step is written only if all earlier ones of its service were read, so two drivers, or one that was
+paused, can't overwrite each other.
 """
 
 import asyncio
@@ -13,6 +16,7 @@
 from result import Err
 from result import Ok
 
+from bulrushflow.rollouts import Evidence
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.model import OrderKey
@@ -34,6 +38,10 @@
 CHECK_PERIOD_S = 0.25
 ANALYSIS_NODES = 3
 """Number of nodes that receive all evidence; more of them would only cost messages."""
+COMPLETED_EVIDENCE_PERIOD_S = 5.0
+"""Interval of the reports without new errors after a rollout's completion."""
+NOTICE_PERIOD_S = 1.0
+"""Interval at which a rollback is sent to all nodes until the store has it."""
 EVIDENCE_PERIOD_S = 1.0
 """Interval of the reports of nodes whose target doesn't have the version under test, and of reports
 without new calls, which nodes that have just begun to analyse need."""
@@ -72,12 +80,13 @@
         """Order and number of the due step, and since when it is due."""
         self._sending: set[asyncio.Task[None]] = set()
         self._unwritten: dict[str, RolloutStatus] = {}
-        self._lost_since: float | None = None
-        """Time since which a status that the store lost has to be written again."""
+        self._pending_since: float | None = None
+        """Time since which the store lacks a status that another node should have written."""
+        self._notice_sent_at = float("-inf")
         self._timers = timers
         self._evidence_sent_at = float("-inf")
         self._sent_sequence = 0
-        """Whether :meth:`check` waits for the store."""
+        self._sent_errors = 0
         links.handle("evidence_report", self._on_evidence_report)
         links.handle("state_notice", self._on_state_notice)
         timers.subscribe("moves", CHECK_PERIOD_S, self.check)
@@ -90,8 +99,12 @@
         now = asyncio.get_running_loop().time()
         if rollout.phase is RolloutPhase.RUNNING and not self._analyse(rollout, now):
             await self._advance(rollout, now)
-        unwritten = self._unwritten_status(rollout) or self._lost_status(rollout, now)
+        elif rollout.phase is RolloutPhase.COMPLETED:
+            self._analyse(rollout, now)
+        unwritten = self._unwritten_status(rollout) or self._pending_status(rollout, now)
         if unwritten is not None:
+            if unwritten.phase is RolloutPhase.ROLLED_BACK:
+                self._send_notice(unwritten, now)
             await self._write(rollout, unwritten)
 
     def _unwritten_status(self, rollout: Rollout) -> RolloutStatus | None:
@@ -102,15 +115,28 @@
             return None
         return status
 
-    def _lost_status(self, rollout: Rollout, now: float) -> RolloutStatus | None:
-        """Return the status that this node has to write again, after the nodes that precede it."""
-        lost = self._rollouts.lost_status(rollout.order.service)
-        if lost is None or lost.key != rollout.order.key:
-            self._lost_since = None
+    def _pending_status(self, rollout: Rollout, now: float) -> RolloutStatus | None:
+        """Return the status that this node has to write after the nodes that precede it.
+
+        The store lost it, or the node that decided on a rollback may have ended.
+        """
+        status = self._rollouts.lost_status(rollout.order.service)
+        rank = self._rank()
+        if status is None and rank < ANALYSIS_NODES and self._is_rollback_unrecorded(rollout):
+            status = rollout.status
+            rank += 1
+        if status is None or status.key != rollout.order.key:
+            self._pending_since = None
             return None
-        if self._lost_since is None:
-            self._lost_since = now
-        return lost if now - self._lost_since >= self._rank() * RANK_DELAY_S else None
+        if self._pending_since is None:
+            self._pending_since = now
+        return status if now - self._pending_since >= rank * RANK_DELAY_S else None
+
+    def _is_rollback_unrecorded(self, rollout: Rollout) -> bool:
+        status = rollout.status
+        if status is None or status.phase is not RolloutPhase.ROLLED_BACK:
+            return False
+        return not self._rollouts.is_recorded(status)
 
     async def check_during_write(self) -> None:
         """Analyse the rollout if :meth:`check` waits for the store, which can take seconds."""
@@ -121,7 +147,10 @@
     def _analyse(self, rollout: Rollout, now: float) -> bool:
         """Send this node's evidence and analyse all; return whether the version is rolled back."""
         self._send_evidence(rollout, now)
-        reason = self._rollouts.update_analysis(rollout, now)
+        if rollout.phase is RolloutPhase.COMPLETED and self._rank() >= ANALYSIS_NODES:
+            # The own target's errors alone don't show a fault of the version.
+            return False
+        reason = self._rollouts.update_analysis(rollout, now, self._target_count(rollout))
         if reason is None:
             return False
         self.roll_back(rollout, reason)
@@ -136,15 +165,29 @@
         evidence = self._rollouts.local_evidence(rollout)
         if not evidence.sequence:
             return
-        changed = evidence.sequence != self._sent_sequence
-        urgent = changed and self._own_version() == rollout.order.to_version
-        if not urgent and now - self._evidence_sent_at < EVIDENCE_PERIOD_S:
+        if now - self._evidence_sent_at < self._evidence_period_s(rollout, evidence):
             return
         self._sent_sequence = evidence.sequence
+        self._sent_errors = evidence.error_count
         self._evidence_sent_at = now
         message = codec.evidence_to_message(evidence)
         self._send(self._drivers()[:ANALYSIS_NODES], evidence_report=message)
 
+    def _evidence_period_s(self, rollout: Rollout, evidence: Evidence) -> float:
+        """Return the interval between this node's last report and the next."""
+        if rollout.phase is RolloutPhase.COMPLETED:
+            failing = evidence.error_count != self._sent_errors
+            return EVIDENCE_PERIOD_S / 2 if failing else COMPLETED_EVIDENCE_PERIOD_S
+        changed = evidence.sequence != self._sent_sequence
+        urgent = changed and self._own_version() == rollout.order.to_version
+        return 0.0 if urgent else EVIDENCE_PERIOD_S
+
+    def _target_count(self, rollout: Rollout) -> int:
+        """Return the number of available targets of the new version."""
+        peers = self._directory.ready_peers(rollout.order.service)
+        versions = [peer.entry.target.version for peer in peers if peer.entry.target is not None]
+        return versions.count(rollout.order.to_version)
+
     def _own_version(self) -> str | None:
         entry = self._directory.entry(self._own_key)
         return entry.target.version if entry is not None and entry.target is not None else None
@@ -164,10 +207,18 @@
         status = self._next_status(rollout, 0, RolloutPhase.ROLLED_BACK, reason)
         self._rollouts.apply_status(status, asyncio.get_running_loop().time())
         self._unwritten[rollout.order.service] = status
+        self._notice_sent_at = float("-inf")
+        # A rollback must not wait for the store, or for a node that doesn't respond.
+        self._send_notice(status, asyncio.get_running_loop().time())
+
+    def _send_notice(self, status: RolloutStatus, now: float) -> None:
+        """Send a status that the store may not have to all nodes, unless that was done just now."""
+        if now - self._notice_sent_at < NOTICE_PERIOD_S:
+            return
+        self._notice_sent_at = now
         notice = messages.StateNotice(
-            key=ROLLOUT_KEY_PREFIX + rollout.order.service, value=encode_rollout_status(status)
+            key=ROLLOUT_KEY_PREFIX + status.service, value=encode_rollout_status(status)
         )
-        # A rollback must not wait for the store, or for a node that doesn't respond.
         self._send(self._directory.peers_by_key, state_notice=notice)
 
     async def _advance(self, rollout: Rollout, now: float) -> None:
--- a/src/bulrushflow/sidecar/rollouts.py
+++ b/src/bulrushflow/sidecar/rollouts.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from bulrushflow.rollouts import AnalysisOutcome
+from bulrushflow.rollouts import CompletedRolloutWatch
 from bulrushflow.rollouts import EvidenceStore
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.rollouts import RolloutController
@@ -13,7 +14,6 @@
 from bulrushflow.routing import Call
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.directory import Peer
-from bulrushflow.sidecar.model import OrderKey
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
@@ -28,7 +28,7 @@
 class Rollout:
     """One order, its status, and this node's analysis of the new version."""
 
-    __slots__ = ("controller", "order", "seen_at", "share_since", "status")
+    __slots__ = ("controller", "order", "seen_at", "share_since", "status", "watch")
 
     def __init__(self, order: RolloutOrder, seen_at: float, limits: ExposureLimits) -> None:
         self.order = order
@@ -36,6 +36,8 @@
         self.share_since = seen_at
         self.status: RolloutStatus | None = None
         times = RolloutTimes(0, int(max(1.0, order.duration_s - FINISH_MARGIN_S) * 1000))
+        self.watch: CompletedRolloutWatch | None = None
+        """Analysis after the rollout's completion."""
         self.controller = RolloutController(OLD_VERSION, order.to_version, times, seen_at, limits)
 
     @property
@@ -75,7 +77,8 @@
         self.by_service: dict[str, Rollout] = {}
         self._evidence = EvidenceStore(own_id, incarnation)
         self._statuses_by_service: dict[str, RolloutStatus] = {}
-        self._recorded_by_service: dict[str, OrderKey] = {}
+        self._recorded_ends_by_service: dict[str, RolloutStatus] = {}
+        """Latest final status that the store has."""
         self._stored_by_service: dict[str, RolloutStatus] = {}
         """Latest status that the store is known to have had."""
         self._lost_services: set[str] = set()
@@ -120,8 +123,9 @@
         return {rollout.order.order_id for rollout in self.by_service.values()}
 
     def is_recorded(self, status: RolloutStatus) -> bool:
-        """Return whether the store already has a final status of the same order."""
-        return self._recorded_by_service.get(status.service) == status.key
+        """Return whether the store has a final status of the same order, of this step or later."""
+        end = self._recorded_ends_by_service.get(status.service)
+        return end is not None and end.key == status.key and end.step >= status.step
 
     def lost_status(self, service: str) -> RolloutStatus | None:
         """Return the status of a service that has to be written again, if the store lost it."""
@@ -138,7 +142,7 @@
             if stored_step >= status.step:
                 continue
             del self._stored_by_service[service]
-            self._recorded_by_service.pop(service, None)
+            self._recorded_ends_by_service.pop(service, None)
             self._lost_services.add(service)
             self._decisions.event(
                 "move status lost",
@@ -151,8 +155,8 @@
     def apply_status(self, status: RolloutStatus, now: float, recorded: bool = False) -> bool:
         """Apply a status; return whether the rollout changed.
 
-        :param recorded: whether the store has it. Of two final statuses of one order the recorded
-            one takes precedence, since operators act on it.
+        :param recorded: whether the store has it. Of two final statuses of one order and step the
+            recorded one takes precedence, since operators act on it.
         """
         known = self._statuses_by_service.get(status.service)
         if recorded:
@@ -160,9 +164,8 @@
         newly_recorded_end = recorded and status.phase is not RolloutPhase.RUNNING
         newly_recorded_end = newly_recorded_end and not self.is_recorded(status)
         if newly_recorded_end:
-            self._recorded_by_service[status.service] = status.key
-        supersedes = known is None or _supersedes(status, known)
-        if not supersedes and not (newly_recorded_end and known and known.key == status.key):
+            self._recorded_ends_by_service[status.service] = status
+        if known is not None and not _supersedes(status, known, newly_recorded_end):
             return False
         self._statuses_by_service[status.service] = status
         rollout = self.by_service.get(status.service)
@@ -183,6 +186,8 @@
         rollout.status = status
         if rollout.share_permille != before:
             rollout.share_since = now
+        if rollout.phase is RolloutPhase.COMPLETED and rollout.watch is None:
+            rollout.watch = CompletedRolloutWatch(rollout.order.to_version, now)
         self._decisions.event(
             "move status",
             service=status.service,
@@ -216,10 +221,18 @@
             return new or old
         return old or new
 
-    def observe_call(self, call: Call, failed: bool, seconds: float, warming: bool) -> None:
-        """Count a response of this node's own target."""
+    def observe_call(
+        self, call: Call, failed: bool, seconds: float, warming: bool, attributable: bool = True
+    ) -> None:
+        """Count a response of this node's own target.
+
+        :param attributable: whether nothing but the target can have caused a failure. Calls of
+            which this isn't certain count only while there is another version to compare with.
+        """
         rollout = self.by_service.get(call.service)
-        if rollout is None or rollout.phase is not RolloutPhase.RUNNING:
+        if rollout is None or rollout.phase is RolloutPhase.ROLLED_BACK:
+            return
+        if rollout.phase is RolloutPhase.COMPLETED and not attributable:
             return
         version = call.version if call.version == rollout.order.to_version else OLD_VERSION
         own = self._evidence.local(rollout.order.order_id)
@@ -238,8 +251,17 @@
         if evidence.rollout_id in self._order_ids():
             self._evidence.merge(evidence, now)
 
-    def update_analysis(self, rollout: Rollout, now: float) -> str | None:
-        """Analyse all evidence; return the reason for a rollback, ``None`` if there is none."""
+    def update_analysis(self, rollout: Rollout, now: float, target_count: int = 1) -> str | None:
+        """Analyse all evidence; return the reason for a rollback, ``None`` if there is none.
+
+        :param target_count: targets of the new version.
+        """
+        if rollout.watch is not None:
+            reports = self._evidence.reports(rollout.order.order_id)
+            signal, route = rollout.watch.update(reports, target_count, now)
+            if signal.strength < 1:
+                return None
+            return f"{signal.rule}: route {route}: {signal.figures}"
         totals = self._evidence.totals(rollout.order.order_id)
         result = rollout.controller.update_analysis(totals, rollout.share_permille, now)
         if result.outcome is not AnalysisOutcome.FAULTY:
@@ -257,9 +279,18 @@
     return target.version if target is not None else ""
 
 
-def _supersedes(status: RolloutStatus, known: RolloutStatus) -> bool:
+def _supersedes(status: RolloutStatus, known: RolloutStatus, newly_recorded_end: bool) -> bool:
+    """Return whether a status replaces the known one.
+
+    A completed rollout can still be rolled back, and a rollback is undone only by what the store
+    recorded in its place.
+    """
     if status.key != known.key:
         return status.is_after(known)
-    if known.phase is not RolloutPhase.RUNNING:
+    if newly_recorded_end and status.step >= known.step:
+        return True
+    if known.phase is RolloutPhase.ROLLED_BACK:
         return False
+    if known.phase is RolloutPhase.COMPLETED:
+        return status.phase is RolloutPhase.ROLLED_BACK and status.step > known.step
     return status.phase is not RolloutPhase.RUNNING or status.step > known.step
--- a/tests/sidecar/test_admission_controller.py
+++ b/tests/sidecar/test_admission_controller.py
@@ -30,7 +30,9 @@
         self.controller = AdmissionController(
             NAMES,
             lambda service, version: version in self.forbidden,
-            lambda call, failed, seconds: self.failed.append(failed),
+            lambda call, result, seconds: self.failed.append(
+                result.is_err() or result.unwrap().is_failure
+            ),
             self.published.append,
             self.retry_budget,
             DecisionLog(),
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -196,6 +196,61 @@
         self.assertEqual(len(self.store.records), 1)
         self.assertFalse(self.first.rollouts.is_forbidden("statements", "v2"))
 
+    # A rollback decided after the completion was dropped, since the store had a final status.
+    async def test_a_completed_rollout_is_rolled_back_on_every_node(self) -> None:
+        completed = replace(STATUS, step=3, phase=RolloutPhase.COMPLETED)
+        self.store.put("statements", encode_rollout_status(completed))
+        await self.first.read()
+        with mock.patch.object(Rollouts, "update_analysis", return_value="errors"):
+            await self.first.driver.check()
+        self.assertTrue(self.first.rollouts.is_forbidden("statements", "v2"))
+        await self.first.read()
+        last = decode(self.store.records[-1]).unwrap()
+        self.assertEqual((last.step, last.phase), (4, RolloutPhase.ROLLED_BACK))
+        # The second node has the notice before it reads the completion.
+        await until(lambda: bool(self.first.links.bodies("state_notice")))
+        notice = self.first.links.bodies("state_notice")[0]
+        await self.second.links.handlers["state_notice"](notice)
+        self.second.rollouts.apply_status(completed, 0.0, recorded=True)
+        self.assertTrue(self.second.rollouts.is_forbidden("statements", "v2"))
+        await self.second.read()
+        self.assertTrue(self.second.rollouts.is_forbidden("statements", "v2"))
+
+    # A node that missed the notice sent calls to the faulty version until it read the store.
+    async def test_the_notice_of_a_rollback_is_repeated_until_the_store_has_it(self) -> None:
+        self.store.unavailable = True
+        with stopped_loop_clock() as clock:
+            self.first.driver.roll_back(self.first.rollouts.by_service["statements"], "errors")
+            for _ in range(8):
+                await self.first.driver.check()
+                clock.advance(0.25)
+                await asyncio.sleep(0)
+            self.assertEqual(len(self.first.links.bodies("state_notice")), 4)
+            self.store.unavailable = False
+            await self.first.driver.check()
+            await self.first.read()
+            await asyncio.sleep(0)
+            self.first.links.sent.clear()
+            for _ in range(8):
+                await self.first.driver.check()
+                clock.advance(0.25)
+                await asyncio.sleep(0)
+            self.assertEqual(self.first.links.bodies("state_notice"), [])
+
+    # A rollback was lost with the node that decided on it, unless that node wrote it first.
+    async def test_a_rollback_is_recorded_though_the_node_that_decided_on_it_ended(self) -> None:
+        with stopped_loop_clock() as clock:
+            self.first.driver.roll_back(self.first.rollouts.by_service["statements"], "errors")
+            await asyncio.sleep(0)
+            notice = self.first.links.bodies("state_notice")[0]
+            await self.second.links.handlers["state_notice"](notice)
+            await self.second.driver.check()
+            self.assertEqual(self.store.records, [], "the first node may write it")
+            for _ in range(20):
+                clock.advance(0.25)
+                await self.second.driver.check()
+        self.assertEqual([decode(record).unwrap().phase for record in self.store.records], [END])
+
     async def test_the_reason_of_a_step_contains_its_evidence(self) -> None:
         rollout = self.first.rollouts.by_service["statements"]
         rollout.seen_at = asyncio.get_running_loop().time() - 2.0
--- a/tests/sidecar/test_late_faults.py
+++ b/tests/sidecar/test_late_faults.py
@@ -66,26 +66,26 @@
                 for _ in range(round(calls_per_s * CHECK_S)):
                     bad = self.rng.random() < bad_share(i)
                     self.bad_responses += bad
-                    node.observe_call(call(version="v2"), bad, 0.2, False)
+                    node.observe_call(call(version="v2"), bad, 0.2, False, attributable)
                 for _ in range(round(old_calls_per_s * CHECK_S)):
                     node.observe_call(call(version="v1"), self.rng.random() < 0.01, 0.2, False)
                 evidence = node.local_evidence(node.by_service["statements"])
                 analysing.merge_evidence(evidence, self.now)
             rollout = analysing.by_service["statements"]
-            if analysing.update_analysis(rollout, self.now) is not None:
+            if analysing.update_analysis(rollout, self.now, NODES) is not None:
                 return self.now
         return None
 
-    def assert_rolled_back_in_time(self, **load: float) -> None:
+    def assert_rolled_back_in_time(self) -> None:
         before = self.bad_responses
         started_at = self.now
         while self.bad_responses - before < TOLERATED_BAD_RESPONSES:
-            found_at = self.play(CHECK_S, lambda node: 0.5, **load)
+            found_at = self.play(CHECK_S, lambda node: 0.5)
             if found_at is not None:
                 return
             self.assertLess(self.now, started_at + 60, "bad responses were served")
         self.assertIsNotNone(
-            self.play(ROLLBACK_S - NOTICE_S, lambda node: 0.5, **load),
+            self.play(ROLLBACK_S - NOTICE_S, lambda node: 0.5),
             f"{self.bad_responses - before} bad responses",
         )
 
@@ -101,4 +101,20 @@
         self,
     ) -> None:
         self.assertIsNone(self.play(6.0, lambda node: 0.01, old_calls_per_s=15.0))
-        self.assert_rolled_back_in_time(old_calls_per_s=0.0)
+        self.assert_rolled_back_in_time()
+
+    async def test_faults_of_fewer_than_half_of_the_targets_leave_a_completed_version(self) -> None:
+        self.complete()
+        self.assertIsNone(self.play(6.0, lambda node: 0.01))
+        self.assertIsNone(self.play(20.0, lambda node: 0.5 if node < NODES // 2 else 0.01))
+
+    # Without an old version to compare with, an overload looks like a fault of the version.
+    async def test_failures_with_another_possible_cause_leave_a_completed_version(self) -> None:
+        self.complete()
+        self.assertIsNone(self.play(6.0, lambda node: 0.01))
+        self.assertIsNone(self.play(20.0, lambda node: 0.7, attributable=False))
+
+    async def test_a_service_with_many_errors_stays_completed(self) -> None:
+        self.assertIsNone(self.play(6.0, lambda node: 0.01, old_calls_per_s=15.0))
+        self.complete()
+        self.assertIsNone(self.play(60.0, lambda node: 0.05))
