--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -98,6 +98,7 @@
     """A test case with :attr:`node_count` sidecars of service ``s1``, with four slots each."""
 
     node_count = 2
+    target_type = FakeTarget
     configuration = configuration(1)
     """The configuration that :meth:`serve` publishes."""
     call_timeout_ms = 9_000
@@ -111,7 +112,7 @@
         self.addAsyncCleanup(self.store.stop)
         self.http = aiohttp.ClientSession()
         self.addAsyncCleanup(self.http.close)
-        self.targets = [FakeTarget() for _ in range(self.node_count)]
+        self.targets = [self.target_type() for _ in range(self.node_count)]
         self.instances = []
         for number, target in enumerate(self.targets):
             target_endpoint = await target.start()
