Refuse a request that crashed three targets, on every node

A request now has a fingerprint: caller, host, method, path and body, as a BLAKE2b digest, since a caller who could aim at another's fingerprint could have that refused. The node beside a target that ends while calls run there reports them in its entry in the store, one append for each crash, which all nodes read and a restarted one loads. Three crashed processes quarantine a request: entry node and admitting node refuse it with 429 and a long Retry-After, which is true (it did not run) and invites no repeat at once, before it takes a slot.

The innocent: a request that succeeded at that target within 30 s before a crash isn't reported, one that ran beside a request with two reports isn't either, and a node that saw a request succeed clears it everywhere. A lost connection counts only if the target takes no new one, or another process has its place. Reports are bounded and forgotten after 10 minutes. No probes: they would have to be counted over all nodes.

A call without a response from two targets isn't tried at a third one any more. An entry that changes only in its reports no longer resets the backoff from its target.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -51,6 +51,7 @@
         "control_bytes",
         "log_behind",
         "members",
+        "quarantined_requests",
         "reads_store",
         "ready",
         "registry",
@@ -132,6 +133,11 @@
             "1 if this node's target said in a response that it leaves, else 0",
             registry=self.registry,
         )
+        self.quarantined_requests = Gauge(
+            "bulrushflow_quarantined_requests",
+            "Requests that are refused because they crash the targets that run them",
+            registry=self.registry,
+        )
         self.admission = Gauge(
             "bulrushflow_admission", "Calls at the target by state", registry=self.registry
         )
@@ -184,6 +190,10 @@
         self.target_leaving.set({}, int(leaving))
         self.target_limit.set({}, math.inf if limit_per_s is None else limit_per_s)
 
+    def observe_quarantine(self, count: int) -> None:
+        """Record how many requests are quarantined."""
+        self.quarantined_requests.set({}, count)
+
     def count_control_bytes(self, direction: str, kind: str, count: int) -> None:
         """Count bytes of control messages.
 
--- a/src/bulrushflow/routing/model.py
+++ b/src/bulrushflow/routing/model.py
@@ -88,6 +88,10 @@
     reason: str
     reached_target: bool = False
     """Whether the call reached a target, which refused it."""
+    connection_lost: bool = False
+    """Whether the connection to the target ended before the response."""
+    retry_after_s: float | None = None
+    """Seconds for which the caller's repeats will be refused too; ``None`` if that isn't known."""
 
     def as_result(self) -> "CallResult":
         """Return the failure as the result of a call."""
@@ -105,9 +109,13 @@
     return CallFailure(Outcome.NOT_RUN, reason, reached_target).as_result()
 
 
-def unknown(reason: str) -> CallResult:
-    """Return the result of a call that may have run."""
-    return CallFailure(Outcome.UNKNOWN, reason).as_result()
+def unknown(reason: str, connection_lost: bool = False) -> CallResult:
+    """Return the result of a call that may have run.
+
+    :param connection_lost: whether the connection to the target ended before the response.
+    """
+    failure = CallFailure(Outcome.UNKNOWN, reason, connection_lost=connection_lost)
+    return failure.as_result()
 
 
 def refused(reason: str) -> CallResult:
--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -13,15 +13,18 @@
 from result import Ok
 
 from bulrushflow.routing import Call
+from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import not_run
+from bulrushflow.sidecar.crash_detector import CrashDetector
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.limit_tracker import LimitTracker
 from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.quarantine import Quarantine
 from bulrushflow.sidecar.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.slots import SlotPool
@@ -58,6 +61,7 @@
         observer: ResultObserver,
         on_change: EntryCallback,
         retry_budget: TargetRetryBudget,
+        quarantine: Quarantine,
         decisions: DecisionLog,
         clock: Clock,
     ) -> None:
@@ -69,10 +73,12 @@
         self._observer = observer
         self._on_change = on_change
         self._retry_budget = retry_budget
+        self._quarantine = quarantine
         self._decisions = decisions
         self._clock = clock
         self._slots = SlotPool(1)
         self._client: TargetClient | None = None
+        self._crash_detector: CrashDetector | None = None
         self._limit = LimitTracker("", decisions)
         self._departed: collections.OrderedDict[str, tuple[int, int]] = collections.OrderedDict()
         self._running: set[asyncio.Task[CallResult]] = set()
@@ -185,11 +191,18 @@
 
     async def run(self, call: Call) -> CallResult:
         """Run a call on the target, or refuse it; a refused call certainly did not run."""
+        quarantined = self._quarantine.refusal(call)
+        if quarantined is not None:
+            return self._refuse_quarantined(call, quarantined)
         refusal = self._refusal(call)
         slots = self._slots
         if refusal is None:
             refusal = await slots.acquire(_slot_request(call))
             if refusal is None:
+                quarantined = self._quarantine.refusal(call)
+                if quarantined is not None:
+                    slots.release_unused()
+                    return self._refuse_quarantined(call, quarantined)
                 refusal = self._refusal_after_wait(call, slots)
                 if refusal is None:
                     return await self._send(call, slots)
@@ -199,9 +212,18 @@
 
     def close(self) -> None:
         """Close the idle connections to the target."""
+        self._close_client()
+
+    def _close_client(self) -> None:
+        if self._crash_detector is not None:
+            self._crash_detector.close()
         if self._client is not None:
             self._client.close()
 
+    def _refuse_quarantined(self, call: Call, failure: CallFailure) -> CallResult:
+        self._log_refusal(call, failure.reason)
+        return failure.as_result()
+
     def _log_refusal(self, call: Call, reason: str) -> None:
         self._decisions.refused(
             call,
@@ -272,14 +294,22 @@
             # Release to the pool that granted the slot; self._slots may belong to another target.
             slots.release(call.route, seconds if seconds and result.is_ok() else None)
         match result:
-            case Ok(_):
+            case Ok(response):
                 self._observer(call, result, seconds)
+                if not response.is_failure:
+                    self._quarantine.record_success(call)
             case Err(failure):
                 if failure.outcome is Outcome.UNKNOWN:
                     self._observer(call, result, seconds)
+                if failure.connection_lost and client is self._client and self._crash_detector:
+                    self._crash_detector.record_lost(call)
                 self._handle_failure(client)
         return result
 
+    def _on_crash(self, client: TargetClient, process: tuple[str, int], calls: list[Call]) -> None:
+        self._quarantine.record_crash(process, calls)
+        self._handle_failure(client)
+
     def _apply_signals(self, limit: LimitTracker, signals: TargetSignals, sent_at: float) -> None:
         """Apply what a target said in a response; ``limit`` is that target's."""
         changed = limit.apply(signals, sent_at, asyncio.get_running_loop().time())
@@ -315,8 +345,9 @@
 
     def _replace(self, entry: TargetEntry, endpoint: Endpoint) -> None:
         self._slots.refuse_queued("the target was replaced")
-        if self._client is not None:
-            self._client.close()
+        if self._crash_detector is not None:
+            self._crash_detector.target_replaced()
+        self._close_client()
         self._slots = SlotPool(entry.slots)
         limit = self._limit = LimitTracker(entry.target_id, self._decisions)
         self._client = TargetClient(
@@ -325,6 +356,9 @@
             self._header_names,
             functools.partial(self._apply_signals, limit),
         )
+        self._crash_detector = CrashDetector(
+            self._client, functools.partial(self._on_crash, self._client, entry.process)
+        )
         self.endpoint = endpoint
 
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -30,6 +30,7 @@
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.model import Routing
 from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.quarantine import Quarantine
 from bulrushflow.sidecar.record_handlers import NodeEntryHandler
 from bulrushflow.sidecar.record_handlers import RolloutStatusHandler
 from bulrushflow.sidecar.records import node_key
@@ -99,12 +100,19 @@
         self._retry_budget = TargetRetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
+        self._quarantine = Quarantine(
+            settings.node_id,
+            lambda: self._publish_target(self._admission.entry),
+            self._decisions,
+            self._clock,
+        )
         self._admission = AdmissionController(
             adapter.header_names,
             self._rollouts.is_forbidden,
             self._record_result,
             self._publish_target,
             self._retry_budget,
+            self._quarantine,
             self._decisions,
             self._clock,
         )
@@ -123,6 +131,7 @@
             self._forwarder,
             Balancer(settings.data_centre, self._rng, self._clock.wall_ms),
             self._rollouts.filter_peers,
+            self._quarantine,
             SignalReader(adapter.header_names),
             self._metrics,
             self._decisions,
@@ -143,7 +152,11 @@
     def _build_replicas(self, adapter: Adapter, store: Store) -> None:
         topics = adapter.topics
         nodes = NodeEntryHandler(
-            self.directory, self._own_node_key, self._on_own_entry, self._decisions
+            self.directory,
+            self._own_node_key,
+            self._on_own_entry,
+            self._quarantine.merge,
+            self._decisions,
         )
         statuses = RolloutStatusHandler(
             adapter.decode_status, self._apply_status, self._rollouts.reconcile, self._decisions
@@ -331,6 +344,8 @@
             relays_records=True,
             answers_admission=True,
             link_mbps=settings.link_mbps,
+            crash_reports=self._quarantine.own_reports,
+            cleared_requests=self._quarantine.own_cleared,
         )
         self.directory.update(self._own_node_key, own)
         self._registration.publish(own)
@@ -342,6 +357,8 @@
         already.
         """
         initial_load = not self._node_replica.loaded
+        if entry is not None and initial_load:
+            self._quarantine.restore(entry)
         self._registration.reconcile(entry)
         settings = self.settings
         stored = entry.target if entry is not None else None
@@ -368,6 +385,7 @@
             self._metrics.observe_replica(
                 replica.topic, replica.records_behind, replica.connected, replica.confirmed_s_ago
             )
+        self._metrics.observe_quarantine(self._quarantine.size)
         self._metrics.observe_record_source(self.relay.source is None)
 
 
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -39,6 +39,8 @@
 """Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout of a call whose caller sets none; the route's shorter timeout applies as well."""
+TOO_MANY_REQUESTS = 429
+"""Status of a quarantined request, which did not run."""
 _STATUS_BY_OUTCOME = {
     Outcome.NOT_RUN: 503,
     Outcome.REFUSED: 503,
@@ -291,6 +293,9 @@
         self, call: Call, failure: CallFailure, version: int, seconds: float
     ) -> web.Response:
         status = _STATUS_BY_OUTCOME[failure.outcome]
+        if failure.retry_after_s is not None:
+            # 503 would invite the caller to repeat the call at once.
+            status = TOO_MANY_REQUESTS
         if (
             failure.outcome is Outcome.UNKNOWN
             and asyncio.get_running_loop().time() >= call.deadline
@@ -304,13 +309,17 @@
             configuration=version,
             seconds=round(seconds, 3),
         )
-        return self._error_response(call.request_id, status, failure.reason)
+        return self._error_response(call.request_id, status, failure.reason, failure.retry_after_s)
 
-    def _error_response(self, request_id: str, status: int, reason: str) -> web.Response:
+    def _error_response(
+        self, request_id: str, status: int, reason: str, retry_after_s: float | None = None
+    ) -> web.Response:
         response = web.json_response({"error": reason}, status=status)
         if request_id:
             response.headers[self._header_names.request_id] = request_id
-        if status == 503:
+        if retry_after_s is not None:
+            response.headers["Retry-After"] = f"{retry_after_s:.0f}"
+        elif status == 503:
             wait_s = self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
             response.headers["Retry-After"] = f"{wait_s:.2f}"
         return response
--- a/src/bulrushflow/sidecar/directory.py
+++ b/src/bulrushflow/sidecar/directory.py
@@ -105,8 +105,9 @@
         if current is not None:
             self._remove_from_ready(current)
         if current is not None and _same_target(current.entry, entry):
+            if current.entry.target != entry.target:
+                current.unavailable_until = 0.0
             current.entry = entry
-            current.unavailable_until = 0.0
         else:
             current = self.peers_by_key[key] = Peer(entry)
         target = entry.target
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/dispatcher.py
@@ -23,8 +23,12 @@
 from bulrushflow.sidecar.forwarding import PeerForwarder
 from bulrushflow.sidecar.forwarding import PeerReport
 from bulrushflow.sidecar.model import Route
+from bulrushflow.sidecar.quarantine import Quarantine
 from bulrushflow.sidecar.target_signals import SignalReader
 
+MAX_UNANSWERED_ATTEMPTS = 2
+"""Attempts without a response after which a call isn't tried again: it may be the call that ends
+the targets."""
 MAX_REFUSALS = 4
 """Refusals by targets after which a call is not tried again."""
 MAX_REFUSALS_AT_FULL_LOAD = 2
@@ -48,7 +52,7 @@
 class CallProgress:
     """The outcome of one call's attempts so far."""
 
-    __slots__ = ("abandoned", "deliveries", "possible_runs", "refusals", "result")
+    __slots__ = ("abandoned", "deliveries", "possible_runs", "refusals", "result", "unanswered")
 
     def __init__(self, result: CallResult) -> None:
         self.result = result
@@ -57,6 +61,8 @@
         self.possible_runs = 0
         """Number of attempts that may have run."""
         self.refusals = 0
+        self.unanswered = 0
+        """Number of attempts that ended without a response and may have run."""
         self.abandoned = False
         """Whether an attempt was cancelled without an outcome, so that it may have run."""
 
@@ -82,7 +88,11 @@
                 return self.refusals >= MAX_REFUSALS
             case Err(failure):
                 self.result = result
-                final = failure.outcome is not Outcome.UNKNOWN
+                self.unanswered += 1
+                final = (
+                    failure.outcome is not Outcome.UNKNOWN
+                    or self.unanswered >= MAX_UNANSWERED_ATTEMPTS
+                )
         self.possible_runs += 1
         self.deliveries += 1
         return final or not idempotent or self.possible_runs >= max_attempts
@@ -113,6 +123,7 @@
         forwarder: PeerForwarder,
         balancer: Balancer,
         filter_peers: PeerFilter,
+        quarantine: Quarantine,
         signals: SignalReader,
         metrics: Metrics,
         decisions: DecisionLog,
@@ -124,6 +135,7 @@
         self._forwarder = forwarder
         self._balancer = balancer
         self._filter_peers = filter_peers
+        self._quarantine = quarantine
         self._signals = signals
         self._metrics = metrics
         self._decisions = decisions
@@ -147,6 +159,9 @@
 
     async def dispatch(self, route: Route, call: Call) -> CallResult:
         """Run a call within its deadline; the outcome says whether it ran."""
+        quarantined = self._quarantine.refusal(call)
+        if quarantined is not None:
+            return quarantined.as_result()
         progress = CallProgress(not_run(f"no target of {call.service} takes calls"))
         try:
             async with asyncio.timeout_at(call.deadline):
@@ -163,6 +178,8 @@
         )
         tried: set[str] = set()
         while loop.time() < call.deadline:
+            if progress.unanswered and self._quarantine.refusal(call) is not None:
+                break
             peer = self._choose(route, call, tried)
             if peer is None:
                 if progress.deliveries or loop.time() + TARGET_POLL_S > wait_until:
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -123,6 +123,25 @@
     calls_per_s: float
 
 
+class CrashReport(_TargetProcess, msgspec.Struct, frozen=True):
+    """A target process ended while it ran a request."""
+
+    target_id: str
+    incarnation: int
+    fingerprint: str
+    """Identifies the request, see :func:`~bulrushflow.sidecar.fingerprints.fingerprint`."""
+    at_ms: int
+    """Epoch milliseconds of the reporting node's clock."""
+
+
+class ClearedRequest(msgspec.Struct, frozen=True):
+    """A request that was reported for crashes, and was answered successfully."""
+
+    fingerprint: str
+    at_ms: int
+    """Epoch milliseconds of the clearing node's clock."""
+
+
 class NodeEntry(msgspec.Struct, frozen=True):
     """One node, its address for other nodes, and the target beside it."""
 
@@ -137,6 +156,9 @@
     """Whether the node says in advance if it would refuse a call."""
     link_mbps: float = 1.0
     """Bandwidth of the node's link in megabits per second."""
+    crash_reports: tuple[CrashReport, ...] = ()
+    """Crashes of the targets beside the node, with the requests that they ran."""
+    cleared_requests: tuple[ClearedRequest, ...] = ()
 
     @property
     def endpoint(self) -> tuple[str, int]:
--- a/src/bulrushflow/sidecar/record_handlers.py
+++ b/src/bulrushflow/sidecar/record_handlers.py
@@ -18,6 +18,7 @@
 class NodeEntryHandler:
     """Applies node entries to the directory.
 
+    :param on_other: called with each entry of another node.
     :param on_own: called with this node's own stored entry, or ``None`` if the store has none.
     """
 
@@ -26,11 +27,13 @@
         directory: Directory,
         own_key: str,
         on_own: t.Callable[[NodeEntry | None], None],
+        on_other: t.Callable[[NodeEntry], None],
         decisions: DecisionLog,
     ) -> None:
         self._directory = directory
         self._own_key = own_key
         self._on_own = on_own
+        self._on_other = on_other
         self._decisions = decisions
 
     def replace(self, records: t.Sequence[KeyedRecord]) -> None:
@@ -59,6 +62,7 @@
 
     def _update(self, record: KeyedRecord, entry: NodeEntry) -> None:
         self._directory.update(record.key, entry)
+        self._on_other(entry)
         target = entry.target
         self._decisions.event(
             "node entry",
--- a/src/bulrushflow/sidecar/target_client.py
+++ b/src/bulrushflow/sidecar/target_client.py
@@ -75,6 +75,14 @@
             connection.close()
         self._idle.clear()
 
+    async def check_reachable(self) -> bool:
+        """Return whether the target takes connections now; the one opened for it is kept."""
+        connection = await self._connect(asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S)
+        if connection is None:
+            return False
+        self._release(connection)
+        return True
+
     async def send(self, call: Call) -> CallResult:
         """Run a call on the target within its deadline.
 
@@ -103,7 +111,7 @@
         except TimeoutError:
             return unknown("the target did not answer in time")
         except ExchangeError as exc:
-            return unknown(f"the target's connection failed: {exc}")
+            return unknown(f"the target's connection failed: {exc}", connection_lost=True)
         self._release(connection)
         if connection.exchange_count > 1 and response.header(self._id_header) is None:
             # It may be an earlier one, written once more, while the target runs this call.
--- a/tests/sidecar/crashing_targets.py
+++ b/tests/sidecar/crashing_targets.py
@@ -46,11 +46,15 @@
         if self.is_running:
             self.crashes += 1
             self.is_running = False
-            for connection in self._server.connections:
-                if connection.transport is not None:
-                    connection.transport.abort()
+            self.close_connections()
             await self.stop()
 
+    def close_connections(self) -> None:
+        """Reset all connections."""
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if not request.path.startswith(CRASH_PATH) or not self.crashes_on_marked_requests:
             return await super()._handle(request)
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -14,6 +14,7 @@
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.quarantine import Quarantine
 from bulrushflow.sidecar.storage import KeyedRecord
 from bulrushflow.sidecar.storage import StoreError
 from bulrushflow.sidecar.storage import StoreErrorKind
@@ -87,6 +88,10 @@
     )
 
 
+def quarantine() -> Quarantine:
+    return Quarantine("n-1", lambda: None, DecisionLog(), FixedClock(1_000_000))
+
+
 class RecordingDecisions(DecisionLog):
     """A decision log that also keeps its events, with their inputs."""
 
--- a/tests/sidecar/test_admission_controller.py
+++ b/tests/sidecar/test_admission_controller.py
@@ -12,6 +12,7 @@
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import FixedClock
 from tests.sidecar.samples import call
+from tests.sidecar.samples import quarantine
 from tests.sidecar.samples import target
 from tests.sidecar.servers import FakeTarget
 from tests.waiting import GUARD_S
@@ -35,6 +36,7 @@
             ),
             self.published.append,
             self.retry_budget,
+            quarantine(),
             DecisionLog(),
             FixedClock(1_000),
         )
--- a/tests/sidecar/test_crashing_requests.py
+++ b/tests/sidecar/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Requests that crash each target that runs them, behind several nodes."""
 
 import asyncio
+import functools
 
 from tests.sidecar.crashing_targets import CRASH_PATH
 from tests.sidecar.crashing_targets import CrashingTarget
@@ -57,6 +58,12 @@
         self.born_by_number = [1] * self.node_count
         await self.serve()
 
+    def has_received(self, call_id: str) -> bool:
+        return any(call_id in target.received for target in self.targets)
+
+    def has_ended(self, target: CrashingTarget) -> bool:
+        return not target.is_running
+
     async def crash_targets(self) -> None:
         """Send the marked request to one node after the other until three targets crashed."""
         for i in range(20):
@@ -81,3 +88,57 @@
         self.assertLessEqual(self.crashing_runs - before, MAX_LATER_RUNS)
         for number in range(self.node_count):
             self.assertEqual((await self.call(number, f"other-{number}"))[0], 200)
+
+    # A restarted node had forgotten the request, and sent it.
+    async def test_a_restarted_node_refuses_a_request_that_crashed_three_targets(self) -> None:
+        await self.crash_targets()
+        await asyncio.sleep(SETTLE_S)
+        await self.restart_targets()
+        await self.instances[1].restart()
+        await self.announce(1, sequence=2, born=self.born_by_number[1])
+        await self.instances[1].until_serving(self.node_count)
+        before = self.crashing_runs
+        self.assertEqual((await self.call(1, "again", CRASH_PATH))[0], 429)
+        self.assertEqual(self.crashing_runs, before)
+
+    async def test_a_refused_caller_is_told_when_to_come_back(self) -> None:
+        await self.crash_targets()
+        await asyncio.sleep(SETTLE_S)
+        headers = {"Host": "h", "X-Id": "again", "X-Left": "9000"}
+        url = self.instances[2].url("callers", CRASH_PATH)
+        async with self.http.get(url, headers=headers) as response:
+            self.assertEqual(response.status, 429)
+            self.assertGreater(int(response.headers["Retry-After"]), 60)
+
+    async def test_a_target_that_only_closes_its_connections_has_not_crashed(self) -> None:
+        for i in range(2 * MAX_CRASHED_TARGETS):
+            for target in self.targets:
+                target.released.clear()
+            running = asyncio.ensure_future(self.call(i % self.node_count, f"cut-{i}"))
+            await until(functools.partial(self.has_received, f"cut-{i}"))
+            for target in self.targets:
+                target.close_connections()
+                target.released.set()
+            await running
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual((await self.call(0, "after"))[0], 200)
+
+    # DENIED: whatever ran at a target that ended looks alike.
+    async def test_a_popular_request_is_served_though_its_targets_end_again_and_again(self) -> None:
+        for i in range(3 * MAX_CRASHED_TARGETS):
+            target = self.targets[i % self.node_count]
+            self.assertEqual((await self.call(i % self.node_count, f"before-{i}"))[0], 200)
+            target.released.clear()
+            running = [
+                asyncio.ensure_future(self.call(number, f"popular-{i}-{number}"))
+                for number in range(self.node_count)
+                for _ in range(4)
+            ]
+            await asyncio.sleep(0.05)
+            target.crash()
+            await until(functools.partial(self.has_ended, target))
+            statuses = [status for status, _ in await asyncio.gather(*running)]
+            self.assertNotIn(429, statuses)
+            await self.restart_targets()
+        for number in range(self.node_count):
+            self.assertEqual((await self.call(number, f"last-{number}"))[0], 200)
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -29,6 +29,7 @@
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import call
 from tests.sidecar.samples import peer
+from tests.sidecar.samples import quarantine
 from tests.waiting import until
 
 
@@ -109,6 +110,7 @@
             peers,
             Balancer("a", rng, lambda: 0),
             lambda service, candidates: candidates,
+            quarantine(),
             SignalReader(NAMES),
             Metrics(4),
             DecisionLog(),
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -27,6 +27,7 @@
 from tests.sidecar.samples import FixedClock
 from tests.sidecar.samples import call
 from tests.sidecar.samples import peer
+from tests.sidecar.samples import quarantine
 from tests.sidecar.samples import target
 from tests.sidecar.servers import FakeTarget
 from tests.waiting import until
@@ -49,6 +50,7 @@
             lambda call, failed, seconds: None,
             lambda entry: None,
             TargetRetryBudget(0.2, 60.0, 10.0),
+            quarantine(),
             decisions,
             FixedClock(1_000),
         )
