Go on reading the store after an odd entry

It could happen here: a deeply nested entry raised RecursionError, which ended the task that reads the topic, for good; a huge duration raised OverflowError in a target's announcement; slots of 0, ports out of range, numbers above 64 bits and host names in place of addresses were taken, and raised when a call chose the target, a connection was opened or a message encoded. A node whose own entry was overwritten by another writer never wrote it again.

Documents of other writers are decoded in one place, which makes too deep nesting an error like any other; numbers have the bounds of the fields that they end up in, an entry has to name the address of its key, durations end at ten years, and an unreadable own entry is written again.

--- a/src/bulrushflow/platform/configuration.py
+++ b/src/bulrushflow/platform/configuration.py
@@ -7,6 +7,7 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.documents import decode_document
 from bulrushflow.platform.settings import parse_duration
 from bulrushflow.sidecar.model import Limits
 from bulrushflow.sidecar.model import Route
@@ -92,10 +93,14 @@
 
     def decode(self, data: bytes) -> Result[Routing, str]:
         """Decode a configuration; one invalid part rejects all of it."""
+        match decode_document(data, _Configuration):
+            case Err(reason):
+                return Err(f"configuration: {reason}")
+            case Ok(document):
+                pass
         try:
-            document = msgspec.json.decode(data, type=_Configuration)
             return self._convert(document)
-        except (msgspec.MsgspecError, ValueError) as exc:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
             return Err(f"configuration: {exc}")
 
     def _convert(self, document: _Configuration) -> Result[Routing, str]:
--- a/src/bulrushflow/platform/documents.py
+++ b/src/bulrushflow/platform/documents.py
@@ -7,10 +7,14 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.documents import Count
+from bulrushflow.documents import EpochMs
+from bulrushflow.documents import decode_document
 from bulrushflow.platform.settings import parse_duration
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
+from bulrushflow.sidecar.model import Slots
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.storage import KeyedRecord
@@ -40,10 +44,10 @@
     address: str
     zone: str
     version: str  # version of the service that the target runs
-    slots: int
+    slots: Slots
     state: str
-    seq: int
-    born: int  # start of the target, in epoch milliseconds
+    seq: Count
+    born: EpochMs  # start of the target, in epoch milliseconds
     coldRemaining: str = "0ms"  # noqa: N815  time until the target is warm
 
 
@@ -53,10 +57,14 @@
     The offset of the record becomes the order's id.
     """
     key = record.key
+    match decode_document(record.value, _Rollout):
+        case Err(reason):
+            return Err(f"{key}: {reason}")
+        case Ok(document):
+            pass
     try:
-        document = msgspec.json.decode(record.value, type=_Rollout)
         duration_s = parse_duration(document.duration)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except ValueError as exc:
         return Err(f"{key}: {exc}")
     if key != ROLLOUT_KEY_PREFIX + document.service:
         return Err(f"{key}: names service {document.service}")
@@ -81,32 +89,29 @@
 
 def decode_status(data: bytes) -> Result[RolloutStatus, str]:
     """Decode the whole status, under ``move``, of an encoded rollout status."""
-    try:
-        return Ok(msgspec.json.decode(data, type=_Status).move)
-    except msgspec.MsgspecError as exc:
-        return Err(f"status: {exc}")
+    match decode_document(data, _Status):
+        case Err(reason):
+            return Err(f"status: {reason}")
+        case Ok(document):
+            return Ok(document.move)
 
 
 def decode_announcement(target_id: str, data: bytes) -> Result[tuple[TargetEntry, str], str]:
     """Decode a target's announcement into its entry and its address."""
+    match decode_document(data, _Announcement):
+        case Err(reason):
+            return Err(f"announcement: {reason}")
+        case Ok(announcement):
+            pass
     try:
-        announcement = msgspec.json.decode(data, type=_Announcement)
         cold_s = parse_duration(announcement.coldRemaining)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except ValueError as exc:
         return Err(f"announcement: {exc}")
     state = TARGET_STATE_BY_NAME.get(announcement.state)
     if state is None:
         return Err(f"announcement: unknown state {announcement.state!r}")
-    if (
-        not target_id
-        or announcement.slots < 1
-        or not announcement.service
-        or not announcement.address
-    ):
-        return Err(
-            "announcement: id, service and address must not be empty and slots must be at least 1, "
-            f"got slots {announcement.slots}"
-        )
+    if not target_id or not announcement.service or not announcement.address:
+        return Err("announcement: id, service and address must not be empty")
     warm_at_ms = int(time.time() * 1000 + cold_s * 1000) if cold_s else 0
     entry = TargetEntry(
         target_id=target_id,
--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -18,18 +18,22 @@
 
 SETTINGS_VARIABLE = "BULRUSHFLOW_NODE_FILE"
 DEFAULT_PATH = "/etc/bulrushflow/local.toml"
+MAX_DURATION_S = 10 * 365 * 86_400
 _DURATION = re.compile(r"^\s*([0-9]+(?:\.[0-9]+)?)\s*(ms|s)\s*$")
 
 
 def parse_duration(text: t.Any) -> float:
     """Parse a duration such as ``1500ms`` or ``2.5s`` and return it in seconds.
 
-    :raises ValueError: if the text is no such duration.
+    :raises ValueError: if the text is no such duration, or one above :data:`MAX_DURATION_S`.
     """
     found = _DURATION.match(text) if isinstance(text, str) else None
     if found is None:
-        raise ValueError(f"{text!r} is no duration such as 1500ms or 2.5s")
-    return float(found[1]) / (1000 if found[2] == "ms" else 1)
+        raise ValueError(f"{str(text)[:40]!r} is no duration such as 1500ms or 2.5s")
+    seconds = float(found[1]) / (1000 if found[2] == "ms" else 1)
+    if seconds > MAX_DURATION_S:
+        raise ValueError(f"{text[:40]!r} is longer than {MAX_DURATION_S} s")
+    return seconds
 
 
 class _Listen(msgspec.Struct):
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -5,6 +5,14 @@
 
 import msgspec
 
+from bulrushflow.documents import Count
+from bulrushflow.documents import EpochMs
+from bulrushflow.documents import Port
+
+Slots = t.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+LinkMbps = t.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Permille = t.Annotated[int, msgspec.Meta(ge=0, le=1000)]
+
 
 class Limits(msgspec.Struct, frozen=True):
     """Limits on the size of callers' requests and on the idle time of their connections."""
@@ -98,13 +106,13 @@
     """
 
     target_id: str
-    incarnation: int
-    sequence: int
+    incarnation: Count
+    sequence: Count
     service: str
     version: str
-    slots: int
+    slots: Slots
     state: TargetState
-    warm_at_ms: int
+    warm_at_ms: EpochMs
     """Epoch milliseconds at which the target is expected to reach its usual speed."""
     leaving: bool = False
     """Whether a response of the target announced that it leaves; such a target stays draining."""
@@ -127,10 +135,10 @@
     """A target process ended while it ran a request."""
 
     target_id: str
-    incarnation: int
+    incarnation: Count
     fingerprint: str
     """Identifies the request, see :func:`~bulrushflow.sidecar.fingerprints.fingerprint`."""
-    at_ms: int
+    at_ms: EpochMs
     """Epoch milliseconds of the reporting node's clock."""
 
 
@@ -138,7 +146,7 @@
     """A request that was reported for crashes, and was answered successfully."""
 
     fingerprint: str
-    at_ms: int
+    at_ms: EpochMs
     """Epoch milliseconds of the clearing node's clock."""
 
 
@@ -148,13 +156,13 @@
     node_id: str
     data_centre: str
     address: str
-    peer_port: int
+    peer_port: Port
     target: TargetEntry | None
     relays_records: bool = False
     """Whether other nodes may request the store's records from the node."""
     answers_admission: bool = False
     """Whether the node says in advance if it would refuse a call."""
-    link_mbps: float = 1.0
+    link_mbps: LinkMbps = 1.0
     """Bandwidth of the node's link in megabits per second."""
     crash_reports: tuple[CrashReport, ...] = ()
     """Crashes of the targets beside the node, with the requests that they ran."""
@@ -240,15 +248,15 @@
 
     service: str
     to_version: str
-    order_id: int
-    step: int
-    share_permille: int
+    order_id: Count
+    step: Count
+    share_permille: Permille
     phase: RolloutPhase
-    stated_at_ms: int
-    finish_by_ms: int
+    stated_at_ms: EpochMs
+    finish_by_ms: EpochMs
     reason: str = ""
     decided_by: str = ""
-    era: int = 0
+    era: Count = 0
     """Era of the store in which the deciding node read the order; 0 if it isn't known."""
 
     def is_after(self, other: "RolloutStatus") -> bool:
--- a/src/bulrushflow/sidecar/record_handlers.py
+++ b/src/bulrushflow/sidecar/record_handlers.py
@@ -12,6 +12,7 @@
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.records import NODE_KEY_PREFIX
 from bulrushflow.sidecar.records import decode_node_entry
+from bulrushflow.sidecar.records import node_key
 from bulrushflow.sidecar.storage import KeyedRecord
 
 
@@ -55,6 +56,12 @@
         match decode_node_entry(record.value):
             case Err(reason):
                 self._decisions.event("record unreadable", key=record.key, reason=reason)
+                if record.key == self._own_key:
+                    # Another writer's: what the store lacks is written again.
+                    self._on_own(None)
+            case Ok(entry) if record.key != node_key(entry.address):
+                reason = f"node entry: names address {entry.address}"
+                self._decisions.event("record unreadable", key=record.key, reason=reason)
             case Ok(entry) if record.key == self._own_key:
                 self._on_own(entry)
             case Ok(entry):
--- a/src/bulrushflow/sidecar/records.py
+++ b/src/bulrushflow/sidecar/records.py
@@ -1,17 +1,16 @@
 """JSON encoding and keys of node entries and rollout statuses."""
 
-import typing as t
+import ipaddress
 
 import msgspec
 from result import Err
 from result import Ok
 from result import Result
 
+from bulrushflow.documents import decode_document
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import RolloutStatus
 
-T = t.TypeVar("T")
-
 NODE_KEY_PREFIX = "node/"
 ROLLOUT_KEY_PREFIX = "move/"
 """Prefix of the keys of rollout statuses in notices between nodes."""
@@ -29,7 +28,16 @@
 
 def decode_node_entry(data: bytes) -> Result[NodeEntry, str]:
     """Decode a node entry; the error has the reason."""
-    return _decode(data, NodeEntry, "node entry")
+    match decode_document(data, NodeEntry):
+        case Err(reason):
+            return Err(f"node entry: {reason}")
+        case Ok(entry):
+            pass
+    try:
+        ipaddress.IPv4Address(entry.address)
+    except ValueError as exc:
+        return Err(f"node entry: {exc}")
+    return Ok(entry)
 
 
 def encode_rollout_status(status: RolloutStatus) -> bytes:
@@ -39,11 +47,4 @@
 
 def decode_rollout_status(data: bytes) -> Result[RolloutStatus, str]:
     """Decode a rollout status; the error has the reason."""
-    return _decode(data, RolloutStatus, "move status")
-
-
-def _decode(data: bytes, kind: type[T], name: str) -> Result[T, str]:
-    try:
-        return Ok(msgspec.json.decode(data, type=kind))
-    except msgspec.MsgspecError as exc:
-        return Err(f"{name}: {exc}")
+    return decode_document(data, RolloutStatus).map_err(lambda reason: f"move status: {reason}")
