Answer all calls before a stopping node closes

Reported for similar systems: in a planned stop, requests taken late in the grace were cut with no answer at its end. It could happen here: a call taken in the first 2.8 s of the stop kept its route's timeout, also where that ended after the process, and was cut at the end of the drain (the test's caller saw the connection close). Calls later in the grace were refused, and other nodes sent none, as two more tests show.

Calls taken during a stop now have no more time than the drain, so that the target knows too, and those taken before it are answered 0.1 s before its end: 502, since they may have run.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -59,6 +59,8 @@
 """Time within which callers see that a stopping node isn't ready; until then it serves calls."""
 SHUTDOWN_MARGIN_S = 0.6
 """Time reserved before the kill for closing connections."""
+ANSWER_MARGIN_S = 0.1
+"""Time before the end of the drain by which the callers' calls are answered."""
 DRAIN_POLL_S = 0.05
 GATEWAY_TIMEOUT = 504
 """Status with which a target answers at a call's deadline."""
@@ -235,7 +237,7 @@
         started_at = loop.time()
         deadline = started_at + self.settings.bounds.grace_s - SHUTDOWN_MARGIN_S
         self._stopping = True
-        self._callers.stopping = True
+        self._callers.begin_stop(deadline - ANSWER_MARGIN_S)
         self._update_server.close()
         self.relay.stopping = True
         logger.bind(in_flight=self._callers.in_flight).info("stopping")
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/callers.py
@@ -1,6 +1,7 @@
 """HTTP server for the callers on this instance."""
 
 import asyncio
+import math
 import random
 import typing as t
 
@@ -20,6 +21,7 @@
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import Response
 from bulrushflow.routing import outcome_label
+from bulrushflow.routing import unknown
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.dispatcher import Dispatcher
 from bulrushflow.sidecar.headers import HOP_BY_HOP_HEADERS
@@ -91,6 +93,10 @@
         self.in_flight = 0
         self.stopping = False
         """Whether each response closes its connection, which makes the caller open another one."""
+        self._answer_by = math.inf
+        """Event loop time by which each call has to be answered, since the node stops then."""
+        self._timeouts: set[asyncio.Timeout] = set()
+        """Timeouts of the calls in flight."""
         self.closed = False
         """Whether new calls are refused, since they might not complete before the process stops."""
 
@@ -106,6 +112,16 @@
             max_field_size=MAX_LINE_BYTES,
         )
 
+    def begin_stop(self, answer_by: float) -> None:
+        """Close each connection with its response, and answer all calls by a time.
+
+        :param answer_by: event loop time.
+        """
+        self.stopping = True
+        self._answer_by = answer_by
+        for timeout in self._timeouts:
+            timeout.reschedule(answer_by)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if self.closed:
             request_id = request.headers.get(self._header_names.request_id, "")
@@ -144,7 +160,7 @@
             return self._error_response(
                 request_id, 400, f"missing header {self._header_names.request_id}"
             )
-        deadline = started_at + self._timeout_s(request, route)
+        deadline = min(started_at + self._timeout_s(request, route), self._answer_by)
         with BodyReservation(self.body_budget) as reservation:
             max_bytes = routing.limits.max_body_bytes
             match await self._read_body(request, max_bytes, deadline, reservation):
@@ -199,8 +215,13 @@
         return self._error_response(request_id, status, reason)
 
     async def _dispatch(self, route: Route, call: Call, started_at: float) -> CallResult:
+        timeout = asyncio.timeout_at(None if math.isinf(self._answer_by) else self._answer_by)
         try:
-            return await self._dispatcher.dispatch(route, call)
+            async with timeout:
+                self._timeouts.add(timeout)
+                return await self._dispatcher.dispatch(route, call)
+        except TimeoutError:
+            return unknown("this node stops, and the target has not answered")
         except asyncio.CancelledError:
             seconds = asyncio.get_running_loop().time() - started_at
             self._metrics.observe_call(route.name, call.service, "cancelled", seconds)
@@ -208,6 +229,8 @@
                 call, "cancelled", reason="the caller disconnected", seconds=round(seconds, 3)
             )
             raise
+        finally:
+            self._timeouts.discard(timeout)
 
     def _timeout_s(self, request: web.BaseRequest, route: Route) -> float:
         header = request.headers.get(self._header_names.timeout_ms)
