Treat too deep nesting as an error in the records of the log design too

A seed record's port is checked as well, since connecting to one above 65,535 raises OverflowError. Both tests failed before with RecursionError.

--- a/src/bulrushflow/configuration/model.py
+++ b/src/bulrushflow/configuration/model.py
@@ -9,6 +9,8 @@
 from result import Ok
 from result import Result
 
+from bulrushflow.documents import decode_document
+
 
 class Service(msgspec.Struct, frozen=True):
     """A service and the target version that new calls go to outside of a rollout."""
@@ -142,14 +144,14 @@
     :param supported: highest schema level that is understood; a state above it is an error, since
         its unknown fields would be lost.
     """
-    try:
-        level = msgspec.json.decode(data, type=_SchemaLevel).schema_level
-        if level > supported:
-            return Err(f"schema level {level} is above the supported level {supported}")
-        decoded = msgspec.json.decode(data, type=Configuration)
-    except msgspec.DecodeError as exc:
-        return Err(str(exc))
-    return Ok(_in_offset_order(decoded))
+    match decode_document(data, _SchemaLevel):
+        case Err(reason):
+            return Err(reason)
+        case Ok(document):
+            level = document.schema_level
+    if level > supported:
+        return Err(f"schema level {level} is above the supported level {supported}")
+    return decode_document(data, Configuration).map(_in_offset_order)
 
 
 def _in_offset_order(configuration: Configuration) -> Configuration:
--- a/src/bulrushflow/configuration/schemas.py
+++ b/src/bulrushflow/configuration/schemas.py
@@ -91,6 +91,8 @@
         return Ok(_header_decoder.decode(body))
     except msgspec.DecodeError as exc:
         return Err(f"malformed header: {exc}")
+    except RecursionError:
+        return Err("malformed header: nested too deeply")
 
 
 def decode_body(header: RecordHeader, body: bytes) -> Result[Record, str]:
@@ -99,6 +101,8 @@
         return Ok(_decoders_by_schema[header.schema].decode(body))
     except msgspec.DecodeError as exc:
         return Err(str(exc))
+    except RecursionError:
+        return Err("nested too deeply")
 
 
 def decode_record(body: bytes) -> Result[Record, str]:
--- a/src/bulrushflow/nodes/seed_discovery.py
+++ b/src/bulrushflow/nodes/seed_discovery.py
@@ -12,6 +12,8 @@
 from result import Result
 
 from bulrushflow.addresses import parse_address
+from bulrushflow.documents import Port
+from bulrushflow.documents import decode_document
 from bulrushflow.membership import MemberTable
 from bulrushflow.membership import is_top_ranked
 from bulrushflow.recording import SEED_RECORD_STREAM
@@ -47,7 +49,7 @@
     node_id: str
     data_centre: str
     address: str
-    peer_port: int
+    peer_port: Port
 
     @property
     def endpoint(self) -> Endpoint:
@@ -165,12 +167,11 @@
             age_ms = now_ms - record.appended_at_ms
             if age_ms > MAX_AGE_MS:
                 continue
-            try:
-                seed = msgspec.json.decode(record.body, type=SeedRecord)
-            except msgspec.DecodeError as exc:
-                logger.warning("seed record at offset {} ignored: {}", record.offset, exc)
-                continue
-            by_id[seed.node_id] = LoggedSeedRecord(seed, age_ms)
+            match decode_document(record.body, SeedRecord):
+                case Err(reason):
+                    logger.warning("seed record at offset {} ignored: {}", record.offset, reason)
+                case Ok(seed):
+                    by_id[seed.node_id] = LoggedSeedRecord(seed, age_ms)
         return Ok(list(by_id.values()))
 
     async def _join(self, logged: list[LoggedSeedRecord]) -> None:
--- a/src/bulrushflow/targets/server.py
+++ b/src/bulrushflow/targets/server.py
@@ -1,8 +1,10 @@
 """The HTTP endpoint for the announcements of the node's own target."""
 
-import msgspec
 from aiohttp import web
+from result import Err
+from result import Ok
 
+from bulrushflow.documents import decode_document
 from bulrushflow.targets.admission_controller import AdmissionController
 from bulrushflow.targets.announcement import Announcement
 
@@ -15,10 +17,11 @@
     """
 
     async def announce(request: web.Request) -> web.Response:
-        try:
-            announcement = msgspec.json.decode(await request.read(), type=Announcement)
-        except msgspec.DecodeError as exc:
-            return web.json_response({"error": str(exc)}, status=400)
+        match decode_document(await request.read(), Announcement):
+            case Err(reason):
+                return web.json_response({"error": reason}, status=400)
+            case Ok(announcement):
+                pass
         await admission_controller.handle_announcement(announcement)
         return web.json_response({"in_flight": admission_controller.in_flight})
 
--- a/tests/configuration/test_schemas.py
+++ b/tests/configuration/test_schemas.py
@@ -14,6 +14,8 @@
 from bulrushflow.configuration import ServiceBody
 from bulrushflow.configuration import encode_record
 from bulrushflow.configuration import fold_records
+from bulrushflow.configuration.model import decode_configuration
+from bulrushflow.configuration.schemas import decode_record
 from tests.configuration.strategies import log_records
 
 OLD = Configure(
@@ -58,6 +60,17 @@
         state = fold_records(EMPTY_CONFIGURATION, as_log(UNKNOWN_KIND)).configuration
         self.assertFalse(state.verdicts_by_publish_id["later"].accepted)
 
+    # RecursionError ended the task that reads the log.
+    def test_a_deeply_nested_record_is_an_error(self) -> None:
+        nested = b"[" * 200_000 + b"]" * 200_000
+        self.assertTrue(decode_record(b'{"other":' + nested + b"}").is_err())
+        self.assertTrue(
+            decode_record(
+                encode_record(EnableSchema(1, "p", "o", 2))[:-1] + b',"other":' + nested + b"}"
+            ).is_err()
+        )
+        self.assertTrue(decode_configuration(b'{"other":' + nested + b"}", 2).is_err())
+
     def test_levels_must_rise_by_one(self) -> None:
         for level, reason in {1: "already", 3: "does not follow", 99: "does not follow"}.items():
             with self.subTest(level=level):
--- a/tests/nodes/test_seed_discovery.py
+++ b/tests/nodes/test_seed_discovery.py
@@ -141,6 +141,8 @@
     async def test_expired_and_malformed_records_are_ignored(self) -> None:
         self.log.add_seed_record("old", "celje-a", 1000, MAX_AGE_MS + 1)
         self.log.add(b"{", NOW_MS)
+        self.log.add(b'{"other":' + b"[" * 200_000 + b"]" * 200_000 + b"}", NOW_MS)
+        self.log.add_seed_record("n70", "celje-a", 70_000)
         discovery, joiner = await self.node(1)
         await discovery.check()
         self.assertEqual(joiner.attempts, [])
