--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -28,6 +28,26 @@
         self.assertTrue(all(target.received for target in self.targets))
         self.assertEqual((await self.call(0, "c-x", "/other/"))[0], 404)
 
+    # A target that fails since a call of its own failed looked like a faulty version.
+    async def test_only_answers_that_nothing_else_explains_are_evidence_after_completion(
+        self,
+    ) -> None:
+        await self.serve()
+        sidecar = self.instances[0].sidecar
+        with mock.patch.object(sidecar._rollouts, "observe_call") as observe:
+            for target in self.targets:
+                target.status = 500
+            await self.call(0, "c-1")
+            sidecar._callers.last_failure_at = asyncio.get_running_loop().time() + 60
+            await self.call(0, "c-2")
+            sidecar._callers.last_failure_at = float("-inf")
+            for target in self.targets:
+                target.status = 504
+            await self.call(0, "c-3")
+        attributable = [made.args[-1] for made in observe.call_args_list]
+        self.assertEqual(attributable[0], True)
+        self.assertNotIn(True, attributable[-1:])
+
     async def test_a_node_that_misses_records_does_not_claim_that_a_route_is_missing(self) -> None:
         # 404 is final for callers, although the records that this node misses may have the route.
         await self.serve()
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/test_driver.py
@@ -308,6 +308,42 @@
         # Without new calls it is repeated once a second, for nodes that don't have it yet.
         self.assertEqual(await self.reports_of("v2", with_calls=5, without_calls=4), 6)
 
+    async def reports_after_completion(self, failing: bool) -> int:
+        """Return how often a node reports in 10 s after the completion of its version's rollout."""
+        self.second.rollouts.apply_status(replace(STATUS, phase=RolloutPhase.COMPLETED), 0.0)
+        no_rollback = mock.patch.object(Rollouts, "update_analysis", return_value=None)
+        with no_rollback, stopped_loop_clock() as clock:
+            for _ in range(40):
+                self.second.rollouts.observe_call(call(version="v2"), failing, 0.1, False)
+                await self.second.driver.check()
+                clock.advance(driver_module.CHECK_PERIOD_S)
+                for _ in range(10):
+                    await asyncio.sleep(0)
+        return len(self.second.links.bodies("evidence_report")) // 2
+
+    async def test_evidence_without_errors_after_completion_is_sent_every_five_seconds(
+        self,
+    ) -> None:
+        self.assertEqual(await self.reports_after_completion(failing=False), 2)
+
+    async def test_errors_after_completion_are_sent_twice_a_second(self) -> None:
+        self.assertEqual(await self.reports_after_completion(failing=True), 20)
+
+    # Its own target's errors alone would have rolled back a version that has no alternative.
+    async def test_a_node_without_all_evidence_rolls_no_completed_version_back(self) -> None:
+        last = Node(9, self.store)
+        for number in (4, 9):
+            last.directory.update(f"node/{number}", peer(number).entry)
+        last.rollouts.apply_order(ORDER, 0.0)
+        last.rollouts.apply_status(replace(STATUS, phase=RolloutPhase.COMPLETED), 0.0)
+        with mock.patch.object(Rollouts, "update_analysis", return_value="errors"):
+            await last.driver.check()
+            self.assertFalse(last.rollouts.is_forbidden("statements", "v2"))
+            last.directory.peers_by_key["node/1"].unreachable = True
+            last.directory.peers_by_key["node/2"].unreachable = True
+            await last.driver.check()
+        self.assertTrue(last.rollouts.is_forbidden("statements", "v2"))
+
     async def test_evidence_goes_to_the_nodes_of_the_service(self) -> None:
         await self.first.driver.check()
         self.first.rollouts.observe_call(call(version="v2"), True, 0.1, False)
