Count calls that were cancelled for being slow as evidence on a version

A version that is bad by being slow looked fast in the evidence: its slow calls are hedged, answered by another target and cancelled, or cancelled at their deadline, and a cancelled call was not counted.

The node beside the target now counts a first attempt that was cancelled after half of the time until its latency objective, with the time that it ran, as a failure only at its deadline. Second attempts don't count, since they are cancelled whenever the first one ends. Both versions are counted alike.

The test failed before: no cancelled call reached the evidence.

--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/admission_controller.py
@@ -34,10 +34,12 @@
 from bulrushflow.timers import Clock
 
 BUDGET_EXHAUSTED = "too many repeated calls"
+SLOW_FRACTION = 0.5
+"""Fraction of the time until a call's latency objective from which a cancelled call counts."""
 MAX_DEPARTED_TARGETS = 64
 """Departed targets that are remembered so that their delayed announcements are rejected."""
 
-ResultObserver = t.Callable[[Call, CallResult, float], None]
+ResultObserver = t.Callable[[Call, CallResult | None, float], None]
 EntryCallback = t.Callable[[TargetEntry | None], None]
 
 
@@ -49,7 +51,8 @@
 
     :param is_forbidden: returns whether a version of a service may receive no new calls.
     :param observer: called after each call that may have run, with the call, its result, and the
-        seconds it took.
+        seconds it took. A call that was cancelled after much of the time that its latency
+        objective leaves has the result ``None``.
     :param on_change: called with the new entry, or ``None`` without a target, when other nodes have
         to be informed.
     """
@@ -290,6 +293,9 @@
         try:
             result = await client.send(call)
             seconds = loop.time() - started_at
+        except asyncio.CancelledError:
+            self._observe_cancelled(call, started_at)
+            raise
         finally:
             # Release to the pool that granted the slot; self._slots may belong to another target.
             slots.release(call.route, seconds if seconds and result.is_ok() else None)
@@ -306,6 +312,20 @@
                 self._handle_failure(client)
         return result
 
+    def _observe_cancelled(self, call: Call, started_at: float) -> None:
+        """Count a call that was cancelled for being slow.
+
+        The calls to a slow target are mostly cancelled, when another target answers first or at
+        their deadline; without them its other calls would look like those of a fast one. A second
+        attempt is cancelled whenever the first one ends, which says nothing of its target.
+        """
+        if call.attempt:
+            return
+        seconds = asyncio.get_running_loop().time() - started_at
+        useful_s = call.late_after - started_at
+        if useful_s > 0 and seconds >= SLOW_FRACTION * useful_s:
+            self._observer(call, None, seconds)
+
     def _on_crash(self, client: TargetClient, process: tuple[str, int], calls: list[Call]) -> None:
         self._quarantine.record_crash(process, calls)
         self._handle_failure(client)
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -321,17 +321,20 @@
     def _apply_status(self, status: RolloutStatus) -> None:
         self._rollouts.apply_status(status, asyncio.get_running_loop().time(), recorded=True)
 
-    def _record_result(self, call: Call, result: CallResult, seconds: float) -> None:
+    def _record_result(self, call: Call, result: CallResult | None, seconds: float) -> None:
         """Count a call to the own target as evidence on its version."""
         entry = self._admission.entry
         warming = entry is not None and entry.warm_at_ms > self._clock.wall_ms()
+        now = asyncio.get_running_loop().time()
+        if result is None:
+            self._rollouts.observe_call(call, now >= call.deadline, seconds, warming, False)
+            return
         failed = result.is_err() or result.unwrap().is_failure
         # A target that waits for a call of its own, or is overloaded, fails without being faulty.
-        started_at = asyncio.get_running_loop().time() - seconds
         attributable = (
             result.is_ok()
             and result.unwrap().status != GATEWAY_TIMEOUT
-            and self._callers.last_failure_at < started_at
+            and self._callers.last_failure_at < now - seconds
         )
         self._rollouts.observe_call(call, failed, seconds, warming, attributable)
 
--- a/tests/sidecar/test_admission_controller.py
+++ b/tests/sidecar/test_admission_controller.py
@@ -1,6 +1,11 @@
 import asyncio
+import functools
+import operator
 import unittest
 
+from msgspec.structs import replace
+
+from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.sidecar.admission_controller import AdmissionController
@@ -27,13 +32,12 @@
         self.published: list[TargetEntry | None] = []
         self.forbidden: set[str] = set()
         self.failed: list[bool] = []
+        self.cancelled_s: list[float] = []
         self.retry_budget = TargetRetryBudget(0.2, 20.0, 10.0)
         self.controller = AdmissionController(
             NAMES,
             lambda service, version: version in self.forbidden,
-            lambda call, result, seconds: self.failed.append(
-                result.is_err() or result.unwrap().is_failure
-            ),
+            self.observe,
             self.published.append,
             self.retry_budget,
             quarantine(),
@@ -42,6 +46,27 @@
         )
         self.addCleanup(self.controller.close)
 
+    def observe(self, call: Call, result: CallResult | None, seconds: float) -> None:
+        if result is None:
+            self.cancelled_s.append(seconds)
+        else:
+            self.failed.append(result.is_err() or result.unwrap().is_failure)
+
+    # EXPOSURE: a slow version looked fast, since its slow calls were cancelled and not counted.
+    async def test_a_call_that_is_cancelled_since_it_is_slow_is_counted(self) -> None:
+        self.announce(target())
+        self.target.released.clear()
+        for i, useful_s in enumerate((0.05, 60.0)):
+            sent = replace(call(f"r-{i}"), late_after=asyncio.get_running_loop().time() + useful_s)
+            running = asyncio.ensure_future(self.controller.run(sent))
+            await until(functools.partial(operator.contains, self.target.received, f"r-{i}"))
+            await asyncio.sleep(0.06)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            await asyncio.sleep(0)
+        self.assertEqual(len(self.cancelled_s), 1)
+        self.assertGreaterEqual(self.cancelled_s[0], 0.05)
+
     def announce(self, entry: TargetEntry) -> bool:
         return self.controller.apply_announcement(entry, self.endpoint)
 
