Count only targets in use when a completed version is watched

The half of the targets with the most errors is left out, out of all that were listed as ready. Targets that had ended are listed until others replace them, so that with most of them gone no fault of the rest was ever seen. After 6 s, in which each node reports, only targets with new calls count.

The test failed before.

--- a/src/bulrushflow/rollouts/watch.py
+++ b/src/bulrushflow/rollouts/watch.py
@@ -17,6 +17,8 @@
 
 BLOCK_S = 1.0
 """Length of a block, in which each node with new errors reports at least once."""
+MAX_REPORT_INTERVAL_S = 6.0
+"""Time in which each node whose target gets calls reports new counts."""
 ERROR_TOLERANCE = 0.05
 """Fraction of the calls by which errors may increase."""
 NO_CALLS: t.Final = Sample(0, 0)
@@ -58,10 +60,19 @@
     :param now_s: this node's monotonic clock.
     """
 
-    __slots__ = ("_block_started_s", "_counted", "_version", "_watches_by_route")
+    __slots__ = (
+        "_active_until_by_source",
+        "_block_started_s",
+        "_counted",
+        "_started_s",
+        "_version",
+        "_watches_by_route",
+    )
 
     def __init__(self, version: str, now_s: float) -> None:
         self._version = version
+        self._started_s = now_s
+        self._active_until_by_source: dict[Source, float] = {}
         # What was counted until now is read at the first update.
         self._block_started_s = now_s - BLOCK_S
         self._counted: dict[tuple[Source, str], Sample] = {}
@@ -73,17 +84,32 @@
     ) -> tuple[RegressionSignal, str]:
         """Update with each node's cumulative counts; return the strongest signal and its route.
 
-        :param target_count: targets of the version; those without new counts have no new errors.
+        :param target_count: available targets of the version.
         """
         if now_s - self._block_started_s >= BLOCK_S:
             self._block_started_s = now_s
-            for route, samples in self._new_samples(reports).items():
+            samples_by_route = self._new_samples(reports, now_s)
+            left_out = self._active_target_count(target_count, now_s) // 2
+            for route, samples in samples_by_route.items():
                 watch = self._watches_by_route.setdefault(route, _RouteWatch())
-                watch.add(_least_faulty(samples, target_count))
+                watch.add(_least_faulty(samples, left_out))
         signals = [(watch.signal, route) for route, watch in self._watches_by_route.items()]
         return max(signals, key=lambda signal: signal[0].strength, default=(NO_SIGNAL, ""))
 
-    def _new_samples(self, reports: t.Iterable[Evidence]) -> dict[str, list[Sample]]:
+    def _active_target_count(self, target_count: int, now_s: float) -> int:
+        """Return how many targets get calls; those without a new report have no new errors.
+
+        At first not all of them have reported yet. Later, targets that ended don't count.
+        """
+        self._active_until_by_source = {
+            source: until for source, until in self._active_until_by_source.items() if until > now_s
+        }
+        active = len(self._active_until_by_source)
+        if now_s - self._started_s < MAX_REPORT_INTERVAL_S:
+            return max(active, target_count)
+        return active
+
+    def _new_samples(self, reports: t.Iterable[Evidence], now_s: float) -> dict[str, list[Sample]]:
         """Return each node's calls and errors since the last block, by route."""
         samples_by_route: dict[str, list[Sample]] = {}
         for report in reports:
@@ -100,13 +126,13 @@
                     continue
                 new = Sample(total.calls - before.calls, total.bad - before.bad)
                 if new.calls > 0:
+                    self._active_until_by_source[report.source] = now_s + MAX_REPORT_INTERVAL_S
                     samples_by_route.setdefault(route, []).append(new)
         return samples_by_route
 
 
-def _least_faulty(samples: list[Sample], target_count: int) -> Sample:
-    """Return the sum of the samples without those of the half of the targets with most errors."""
-    left_out = max(target_count, len(samples)) // 2
+def _least_faulty(samples: list[Sample], left_out: int) -> Sample:
+    """Return the sum of the samples without the ``left_out`` ones with the most errors."""
     by_error_rate = sorted(samples, key=lambda sample: sample.bad / sample.calls, reverse=True)
     kept = by_error_rate[left_out:]
     return Sample(sum(sample.calls for sample in kept), sum(sample.bad for sample in kept))
--- a/tests/sidecar/test_late_faults.py
+++ b/tests/sidecar/test_late_faults.py
@@ -108,6 +108,16 @@
         self.assertIsNone(self.play(6.0, lambda node: 0.01))
         self.assertIsNone(self.play(20.0, lambda node: 0.5 if node < NODES // 2 else 0.01))
 
+    # Targets that ended counted as free of errors, so that no fault of the others was seen.
+    async def test_a_fault_is_found_though_most_targets_have_ended(self) -> None:
+        self.complete()
+        self.assertIsNone(self.play(6.0, lambda node: 0.01))
+        analysing = self.nodes[0]
+        del self.nodes[2:]
+        self.assertIs(analysing, self.nodes[0])
+        self.assertIsNone(self.play(8.0, lambda node: 0.01))
+        self.assert_rolled_back_in_time()
+
     # Without an old version to compare with, an overload looks like a fault of the version.
     async def test_failures_with_another_possible_cause_leave_a_completed_version(self) -> None:
         self.complete()
