Don't count seconds without a comparison towards a fault of a completed version

Found while the change was read again: in a second in which fewer than half of the targets reported, nothing is left after the half with the most errors is left out, and an empty block added one to the detector's sums. A healthy version whose nodes report every 5 s reached the strength of a fault after less than an hour, and would have been rolled back with no other version left.

Such seconds are skipped.

--- a/src/bulrushflow/rollouts/watch.py
+++ b/src/bulrushflow/rollouts/watch.py
@@ -91,8 +91,9 @@
             samples_by_route = self._new_samples(reports, now_s)
             left_out = self._active_target_count(target_count, now_s) // 2
             for route, samples in samples_by_route.items():
-                watch = self._watches_by_route.setdefault(route, _RouteWatch())
-                watch.add(_least_faulty(samples, left_out))
+                block = _least_faulty(samples, left_out)
+                if block.calls:
+                    self._watches_by_route.setdefault(route, _RouteWatch()).add(block)
         signals = [(watch.signal, route) for route, watch in self._watches_by_route.items()]
         return max(signals, key=lambda signal: signal[0].strength, default=(NO_SIGNAL, ""))
 
