--- a/src/bulrushflow/sidecar/quarantine.py
+++ b/src/bulrushflow/sidecar/quarantine.py
@@ -116,9 +116,10 @@
         left_s = max(1.0, (suspect.newest_ms + REPORT_LIFETIME_MS - now_ms) / 1000)
         return CallFailure(
             Outcome.REFUSED,
-            f"the request {key} crashed {len(suspect.reports_by_process)} targets, "
-            f"{MAX_CRASHES} are allowed, the last one {(now_ms - suspect.newest_ms) / 1000:.1f} s "
-            f"ago; reported by {', '.join(sorted(suspect.node_ids))}",
+            f"the request {key} crashed {len(suspect.reports_by_process)} targets and is "
+            f"quarantined from {MAX_CRASHES} on; the last crash was "
+            f"{(now_ms - suspect.newest_ms) / 1000:.1f} s ago, reported by "
+            f"{', '.join(sorted(suspect.node_ids))}",
             retry_after_s=left_s,
         )
 
