--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    h.main(case, pathlib.Path(__file__).resolve().parent)
+    h.main(case, pathlib.Path(__file__).resolve().with_name("record.txt"))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -66,4 +66,4 @@
 
 
 if __name__ == "__main__":
-    h.main(case, pathlib.Path(__file__).resolve().parent)
+    h.main(case, pathlib.Path(__file__).resolve().with_name("record.txt"))
--- a/review/harness.py
+++ b/review/harness.py
@@ -616,9 +616,9 @@
     }
 
 
-def main(case: t.Callable[[Record], t.Awaitable[int]], folder: pathlib.Path) -> None:
-    """Run a case within 115 seconds and exit with its result."""
-    record = Record(folder / "record.txt")
+def main(case: t.Callable[[Record], t.Awaitable[int]], path: pathlib.Path) -> None:
+    """Run a case within 115 seconds, write its record to a file, and exit with its result."""
+    record = Record(path)
 
     async def run() -> int:
         async with asyncio.timeout(115):
