--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 PYTHONPATH=target/deps python3 -c "
 import ast, glob
 import aiohttp
-for path in ['review/harness.py', *sorted(glob.glob('review/[1-5]/case.py'))]:
+for path in ['review/harness.py', *sorted(glob.glob('review/[1-4]/case.py'))]:
     ast.parse(open(path).read(), path)
 "
