Sort the sidecar's modules by job: calls, records, rollouts, life cycle

Forty-three modules stood in one folder, and the parts that are to come would make it sixty. Weighed: prefixes in the names (longer names, still one listing), or packages. Packages: `calls`, `records` and `rollouts`; the life cycle stays at the top. The modules `records`, `rollouts` and `record_handlers` are now `records.codec`, `rollouts.tracker` and `records.handlers`, since a package has their name. No behaviour changes.

--- a/src/bulrushflow/platform/adapter.py
+++ b/src/bulrushflow/platform/adapter.py
@@ -16,9 +16,9 @@
 from bulrushflow.sidecar.endpoints import AnnouncementPaths
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StoreWrite
 from bulrushflow.sidecar.settings import Endpoint
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StoreWrite
 
 
 class OperatorRecordHandler:
--- a/src/bulrushflow/platform/documents.py
+++ b/src/bulrushflow/platform/documents.py
@@ -17,7 +17,7 @@
 from bulrushflow.sidecar.model import Slots
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
-from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import KeyedRecord
 
 ROLLOUT_KEY_PREFIX = "rollout/"
 """Prefix of the keys of orders, and of statuses in their own topic."""
--- a/src/bulrushflow/platform/headers.py
+++ b/src/bulrushflow/platform/headers.py
@@ -1,6 +1,6 @@
 """Names of the platform's HTTP headers."""
 
-from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.calls.headers import HeaderNames
 
 HEADER_NAMES = HeaderNames(
     request_id="X-Bulrushflow-Attempt-Id",
--- a/src/bulrushflow/platform/store.py
+++ b/src/bulrushflow/platform/store.py
@@ -15,12 +15,12 @@
 from bulrushflow.http_responses import BodyLimits
 from bulrushflow.http_responses import SilenceTimeout
 from bulrushflow.http_responses import read_body
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StoreError
+from bulrushflow.sidecar.records.storage import StoreErrorKind
+from bulrushflow.sidecar.records.storage import StorePage
+from bulrushflow.sidecar.records.storage import StoreWrite
 from bulrushflow.sidecar.settings import Endpoint
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StoreError
-from bulrushflow.sidecar.storage import StoreErrorKind
-from bulrushflow.sidecar.storage import StorePage
-from bulrushflow.sidecar.storage import StoreWrite
 
 CALL_TIMEOUT_S = 1.5
 """Time until the response to a request that doesn't wait for records begins."""
--- a/src/bulrushflow/sidecar/adapter.py
+++ b/src/bulrushflow/sidecar/adapter.py
@@ -5,16 +5,16 @@
 import msgspec
 from result import Result
 
+from bulrushflow.sidecar.calls.headers import HeaderNames
 from bulrushflow.sidecar.endpoints import AnnouncementPaths
-from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.model import Routing
 from bulrushflow.sidecar.model import TargetEntry
-from bulrushflow.sidecar.replica import RecordHandler
+from bulrushflow.sidecar.records.replica import RecordHandler
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StoreWrite
 from bulrushflow.sidecar.settings import Endpoint
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StoreWrite
 
 
 class Topics(msgspec.Struct, frozen=True):
--- a/src/bulrushflow/sidecar/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -17,20 +17,20 @@
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import not_run
-from bulrushflow.sidecar.crash_detector import CrashDetector
+from bulrushflow.sidecar.calls.crash_detector import CrashDetector
+from bulrushflow.sidecar.calls.headers import HeaderNames
+from bulrushflow.sidecar.calls.limit_tracker import LimitTracker
+from bulrushflow.sidecar.calls.quarantine import Quarantine
+from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
+from bulrushflow.sidecar.calls.slots import SlotPool
+from bulrushflow.sidecar.calls.slots import SlotRequest
+from bulrushflow.sidecar.calls.target_client import TargetClient
+from bulrushflow.sidecar.calls.target_signals import TargetSignals
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.headers import HeaderNames
-from bulrushflow.sidecar.limit_tracker import LimitTracker
 from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
-from bulrushflow.sidecar.quarantine import Quarantine
-from bulrushflow.sidecar.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.settings import Endpoint
-from bulrushflow.sidecar.slots import SlotPool
-from bulrushflow.sidecar.slots import SlotRequest
-from bulrushflow.sidecar.target_client import TargetClient
-from bulrushflow.sidecar.target_signals import TargetSignals
 from bulrushflow.timers import Clock
 
 BUDGET_EXHAUSTED = "too many repeated calls"
--- a/src/bulrushflow/sidecar/balancer.py
+++ b/src/bulrushflow/sidecar/calls/balancer.py
@@ -3,7 +3,7 @@
 import random
 import typing as t
 
-from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.records.directory import Peer
 
 LOCAL_LATENCY_FRACTION = 0.8
 """Fraction of the latency objective within which a loaded local target must be expected to respond
--- a/src/bulrushflow/sidecar/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -22,13 +22,13 @@
 from bulrushflow.routing import Response
 from bulrushflow.routing import outcome_label
 from bulrushflow.routing import unknown
+from bulrushflow.sidecar.calls.dispatcher import Dispatcher
+from bulrushflow.sidecar.calls.headers import HOP_BY_HOP_HEADERS
+from bulrushflow.sidecar.calls.headers import HeaderNames
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.dispatcher import Dispatcher
-from bulrushflow.sidecar.headers import HOP_BY_HOP_HEADERS
-from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import Routing
-from bulrushflow.sidecar.replica import Replica
+from bulrushflow.sidecar.records.replica import Replica
 
 KEEPALIVE_TIMEOUT_S = 75.0
 """Idle time after which a caller's connection is closed; callers close theirs earlier."""
--- a/src/bulrushflow/sidecar/crash_detector.py
+++ b/src/bulrushflow/sidecar/calls/crash_detector.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from bulrushflow.routing import Call
-from bulrushflow.sidecar.target_client import TargetClient
+from bulrushflow.sidecar.calls.target_client import TargetClient
 
 CHECK_DELAY_S = 0.02
 """Time for all connections to a target that ended, and its listening socket, to close."""
--- a/src/bulrushflow/sidecar/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -15,16 +15,16 @@
 from bulrushflow.routing import Response
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
-from bulrushflow.sidecar.admission_controller import AdmissionController
-from bulrushflow.sidecar.balancer import Balancer
+from bulrushflow.sidecar.calls.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.balancer import Balancer
+from bulrushflow.sidecar.calls.forwarding import PeerForwarder
+from bulrushflow.sidecar.calls.forwarding import PeerReport
+from bulrushflow.sidecar.calls.quarantine import Quarantine
+from bulrushflow.sidecar.calls.target_signals import SignalReader
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.directory import Directory
-from bulrushflow.sidecar.directory import Peer
-from bulrushflow.sidecar.forwarding import PeerForwarder
-from bulrushflow.sidecar.forwarding import PeerReport
 from bulrushflow.sidecar.model import Route
-from bulrushflow.sidecar.quarantine import Quarantine
-from bulrushflow.sidecar.target_signals import SignalReader
+from bulrushflow.sidecar.records.directory import Directory
+from bulrushflow.sidecar.records.directory import Peer
 
 MAX_UNANSWERED_ATTEMPTS = 2
 """Attempts without a response after which a call isn't tried again: it may be the call that ends
--- a/src/bulrushflow/sidecar/exchange.py
+++ b/src/bulrushflow/sidecar/calls/exchange.py
@@ -6,7 +6,7 @@
 import h11
 import msgspec
 
-from bulrushflow.sidecar.body_buffers import BodyBuffers
+from bulrushflow.sidecar.calls.body_buffers import BodyBuffers
 
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
 MAX_HEADER_LINES = 1000
--- a/src/bulrushflow/sidecar/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -14,11 +14,11 @@
 from bulrushflow.routing import not_run
 from bulrushflow.routing import refused
 from bulrushflow.routing import unknown
-from bulrushflow.sidecar.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.model import NamedLimit
-from bulrushflow.sidecar.replica import Replica
+from bulrushflow.sidecar.records.directory import Peer
+from bulrushflow.sidecar.records.replica import Replica
 from bulrushflow.wire import codec
 from bulrushflow.wire import messages
 from bulrushflow.wire.link import Link
--- a/src/bulrushflow/sidecar/limit_tracker.py
+++ b/src/bulrushflow/sidecar/calls/limit_tracker.py
@@ -1,7 +1,7 @@
 """The rate limit that the target beside this node names in its responses."""
 
+from bulrushflow.sidecar.calls.target_signals import TargetSignals
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.target_signals import TargetSignals
 
 
 class LimitTracker:
--- a/src/bulrushflow/sidecar/quarantine.py
+++ b/src/bulrushflow/sidecar/calls/quarantine.py
@@ -14,8 +14,8 @@
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import Outcome
+from bulrushflow.sidecar.calls.fingerprints import fingerprint
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.fingerprints import fingerprint
 from bulrushflow.sidecar.model import ClearedRequest
 from bulrushflow.sidecar.model import CrashReport
 from bulrushflow.sidecar.model import NodeEntry
--- a/src/bulrushflow/sidecar/slots.py
+++ b/src/bulrushflow/sidecar/calls/slots.py
@@ -18,7 +18,7 @@
 from result import Result
 
 from bulrushflow.exceptions import InvariantError
-from bulrushflow.sidecar.rate_limit import RateLimit
+from bulrushflow.sidecar.calls.rate_limit import RateLimit
 
 SERVICE_TIME_SMOOTHING = 0.1
 """Weight of the newest call in the exponential moving average of service times."""
--- a/src/bulrushflow/sidecar/target_client.py
+++ b/src/bulrushflow/sidecar/calls/target_client.py
@@ -9,15 +9,15 @@
 from bulrushflow.routing import Response
 from bulrushflow.routing import not_run
 from bulrushflow.routing import unknown
-from bulrushflow.sidecar.body_buffers import BodyBuffers
-from bulrushflow.sidecar.exchange import ExchangeError
-from bulrushflow.sidecar.exchange import RawResponse
-from bulrushflow.sidecar.exchange import TargetConnection
-from bulrushflow.sidecar.headers import HOP_BY_HOP_HEADERS
-from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.calls.body_buffers import BodyBuffers
+from bulrushflow.sidecar.calls.exchange import ExchangeError
+from bulrushflow.sidecar.calls.exchange import RawResponse
+from bulrushflow.sidecar.calls.exchange import TargetConnection
+from bulrushflow.sidecar.calls.headers import HOP_BY_HOP_HEADERS
+from bulrushflow.sidecar.calls.headers import HeaderNames
+from bulrushflow.sidecar.calls.target_signals import SignalReader
+from bulrushflow.sidecar.calls.target_signals import TargetSignals
 from bulrushflow.sidecar.settings import Endpoint
-from bulrushflow.sidecar.target_signals import SignalReader
-from bulrushflow.sidecar.target_signals import TargetSignals
 
 CONNECT_TIMEOUT_S = 0.5
 TCP_USER_TIMEOUT_MS = 1_000
--- a/src/bulrushflow/sidecar/target_signals.py
+++ b/src/bulrushflow/sidecar/calls/target_signals.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bulrushflow.sidecar.headers import HeaderNames
+from bulrushflow.sidecar.calls.headers import HeaderNames
 
 LEAVING_VALUE = "1"
 
--- a/src/bulrushflow/sidecar/endpoints.py
+++ b/src/bulrushflow/sidecar/endpoints.py
@@ -10,11 +10,11 @@
 from result import Result
 
 from bulrushflow.metrics import Metrics
-from bulrushflow.sidecar.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
-from bulrushflow.sidecar.registration import Registration
+from bulrushflow.sidecar.records.registration import Registration
 from bulrushflow.sidecar.settings import Endpoint
 
 ACKNOWLEDGE_TIMEOUT_S = 0.6
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -137,7 +137,7 @@
     target_id: str
     incarnation: Count
     fingerprint: str
-    """Identifies the request, see :func:`~bulrushflow.sidecar.fingerprints.fingerprint`."""
+    """Identifies the request, see :func:`~bulrushflow.sidecar.calls.fingerprints.fingerprint`."""
     at_ms: EpochMs
     """Epoch milliseconds of the reporting node's clock."""
 
--- a/src/bulrushflow/sidecar/record_handlers.py
+++ b/src/bulrushflow/sidecar/records/handlers.py
@@ -7,13 +7,13 @@
 from result import Result
 
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import RolloutStatus
-from bulrushflow.sidecar.records import NODE_KEY_PREFIX
-from bulrushflow.sidecar.records import decode_node_entry
-from bulrushflow.sidecar.records import node_key
-from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.records.codec import NODE_KEY_PREFIX
+from bulrushflow.sidecar.records.codec import decode_node_entry
+from bulrushflow.sidecar.records.codec import node_key
+from bulrushflow.sidecar.records.directory import Directory
+from bulrushflow.sidecar.records.storage import KeyedRecord
 
 
 class NodeEntryHandler:
--- a/src/bulrushflow/sidecar/registration.py
+++ b/src/bulrushflow/sidecar/records/registration.py
@@ -7,13 +7,13 @@
 from result import Ok
 
 from bulrushflow.background import BackgroundService
-from bulrushflow.sidecar.backoff import Backoff
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NodeEntry
-from bulrushflow.sidecar.records import encode_node_entry
-from bulrushflow.sidecar.records import node_key
-from bulrushflow.sidecar.storage import Store
-from bulrushflow.sidecar.storage import StoreWrite
+from bulrushflow.sidecar.records.backoff import Backoff
+from bulrushflow.sidecar.records.codec import encode_node_entry
+from bulrushflow.sidecar.records.codec import node_key
+from bulrushflow.sidecar.records.storage import Store
+from bulrushflow.sidecar.records.storage import StoreWrite
 
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
--- a/src/bulrushflow/sidecar/relay.py
+++ b/src/bulrushflow/sidecar/records/relay.py
@@ -16,14 +16,14 @@
 from bulrushflow.background import BackgroundService
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NodeEntry
-from bulrushflow.sidecar.relay_codec import TopicPosition
-from bulrushflow.sidecar.relay_codec import position_to_message
-from bulrushflow.sidecar.relay_codec import update_from_message
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.store_reader import StoreReader
-from bulrushflow.sidecar.upstreams import FIRST_EXCLUSION_S
-from bulrushflow.sidecar.upstreams import STARTING_EXCLUSION_S
-from bulrushflow.sidecar.upstreams import Upstreams
+from bulrushflow.sidecar.records.relay_codec import TopicPosition
+from bulrushflow.sidecar.records.relay_codec import position_to_message
+from bulrushflow.sidecar.records.relay_codec import update_from_message
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.store_reader import StoreReader
+from bulrushflow.sidecar.records.upstreams import FIRST_EXCLUSION_S
+from bulrushflow.sidecar.records.upstreams import STARTING_EXCLUSION_S
+from bulrushflow.sidecar.records.upstreams import Upstreams
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Links
 
--- a/src/bulrushflow/sidecar/relay_codec.py
+++ b/src/bulrushflow/sidecar/records/relay_codec.py
@@ -8,8 +8,8 @@
 from result import Ok
 from result import Result
 
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import TopicUpdate
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import TopicUpdate
 from bulrushflow.wire import messages
 
 COMPRESSION_LEVEL = 1
--- a/src/bulrushflow/sidecar/replica.py
+++ b/src/bulrushflow/sidecar/records/replica.py
@@ -8,13 +8,13 @@
 import typing as t
 
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.lag_monitor import LagMonitor
-from bulrushflow.sidecar.lag_monitor import Position
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StorePage
-from bulrushflow.sidecar.storage import TopicUpdate
-from bulrushflow.sidecar.topic_cache import TopicCache
-from bulrushflow.sidecar.topic_end import TopicEnd
+from bulrushflow.sidecar.records.lag_monitor import LagMonitor
+from bulrushflow.sidecar.records.lag_monitor import Position
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StorePage
+from bulrushflow.sidecar.records.storage import TopicUpdate
+from bulrushflow.sidecar.records.topic_cache import TopicCache
+from bulrushflow.sidecar.records.topic_end import TopicEnd
 
 LAG_TOLERANCE_S = 0.3
 """Time that a replica may lag behind another node's offset before its reader is told."""
--- a/src/bulrushflow/sidecar/store_reader.py
+++ b/src/bulrushflow/sidecar/records/store_reader.py
@@ -14,13 +14,13 @@
 from result import Result
 
 from bulrushflow.background import BackgroundService
-from bulrushflow.sidecar.backoff import Backoff
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.storage import Store
-from bulrushflow.sidecar.storage import StoreError
-from bulrushflow.sidecar.storage import StoreErrorKind
-from bulrushflow.sidecar.storage import StorePage
+from bulrushflow.sidecar.records.backoff import Backoff
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import Store
+from bulrushflow.sidecar.records.storage import StoreError
+from bulrushflow.sidecar.records.storage import StoreErrorKind
+from bulrushflow.sidecar.records.storage import StorePage
 
 SHORT_POLL_S = 1.0
 """Long-poll timeout of the first read after records arrived. Changes often come in series, and an
--- a/src/bulrushflow/sidecar/topic_cache.py
+++ b/src/bulrushflow/sidecar/records/topic_cache.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import KeyedRecord
 
 
 class TopicCache:
--- a/src/bulrushflow/sidecar/update_server.py
+++ b/src/bulrushflow/sidecar/records/update_server.py
@@ -6,12 +6,12 @@
 
 from msgspec.structs import replace
 
-from bulrushflow.sidecar.relay_codec import TopicPosition
-from bulrushflow.sidecar.relay_codec import pack_records
-from bulrushflow.sidecar.relay_codec import position_from_message
-from bulrushflow.sidecar.relay_codec import update_to_message
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.storage import TopicUpdate
+from bulrushflow.sidecar.records.relay_codec import TopicPosition
+from bulrushflow.sidecar.records.relay_codec import pack_records
+from bulrushflow.sidecar.records.relay_codec import position_from_message
+from bulrushflow.sidecar.records.relay_codec import update_to_message
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import TopicUpdate
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Links
 
--- a/src/bulrushflow/sidecar/upstreams.py
+++ b/src/bulrushflow/sidecar/records/upstreams.py
@@ -9,9 +9,9 @@
 
 import xxhash
 
-from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.records.directory import Peer
 
 LOCAL_CANDIDATES = 3
 """Nodes of the own data centre that are tried before one of another data centre."""
--- a/src/bulrushflow/sidecar/driver.py
+++ b/src/bulrushflow/sidecar/rollouts/driver.py
@@ -18,17 +18,17 @@
 
 from bulrushflow.rollouts import Evidence
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.model import OrderKey
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
-from bulrushflow.sidecar.records import ROLLOUT_KEY_PREFIX
-from bulrushflow.sidecar.records import decode_rollout_status
-from bulrushflow.sidecar.records import encode_rollout_status
-from bulrushflow.sidecar.rollouts import FULL_PERMILLE
-from bulrushflow.sidecar.rollouts import Rollout
-from bulrushflow.sidecar.rollouts import Rollouts
-from bulrushflow.sidecar.statuses import StatusLog
+from bulrushflow.sidecar.records.codec import ROLLOUT_KEY_PREFIX
+from bulrushflow.sidecar.records.codec import decode_rollout_status
+from bulrushflow.sidecar.records.codec import encode_rollout_status
+from bulrushflow.sidecar.records.directory import Directory
+from bulrushflow.sidecar.rollouts.statuses import StatusLog
+from bulrushflow.sidecar.rollouts.tracker import FULL_PERMILLE
+from bulrushflow.sidecar.rollouts.tracker import Rollout
+from bulrushflow.sidecar.rollouts.tracker import Rollouts
 from bulrushflow.timers import Clock
 from bulrushflow.timers import Timers
 from bulrushflow.wire import codec
--- a/src/bulrushflow/sidecar/statuses.py
+++ b/src/bulrushflow/sidecar/rollouts/statuses.py
@@ -7,12 +7,12 @@
 from result import Result
 
 from bulrushflow.sidecar.model import RolloutStatus
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.storage import Store
-from bulrushflow.sidecar.storage import StoreError
-from bulrushflow.sidecar.storage import StoreErrorKind
-from bulrushflow.sidecar.storage import StorePage
-from bulrushflow.sidecar.storage import StoreWrite
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import Store
+from bulrushflow.sidecar.records.storage import StoreError
+from bulrushflow.sidecar.records.storage import StoreErrorKind
+from bulrushflow.sidecar.records.storage import StorePage
+from bulrushflow.sidecar.records.storage import StoreWrite
 
 MAX_READS = 4
 """Bound on the reads of one write, each with an append after it at most. The platform charges for
--- a/src/bulrushflow/sidecar/rollouts.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -13,10 +13,10 @@
 from bulrushflow.rollouts.evidence import Evidence
 from bulrushflow.routing import Call
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
+from bulrushflow.sidecar.records.directory import Peer
 
 FULL_PERMILLE = 1000
 FINISH_MARGIN_S = 2.5
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -4,7 +4,7 @@
 from bulrushflow.platform.adapter import OperatorRecordHandler
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import Routing
-from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import KeyedRecord
 
 
 class RecordingSink:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -12,7 +12,7 @@
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.model import TargetState
-from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import KeyedRecord
 
 ANNOUNCEMENT = {
     "service": "s1",
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,8 +4,8 @@
 
 from bulrushflow.platform import store as store_module
 from bulrushflow.platform.store import PlatformStore
-from bulrushflow.sidecar.storage import StoreErrorKind
-from bulrushflow.sidecar.storage import StoreWrite
+from bulrushflow.sidecar.records.storage import StoreErrorKind
+from bulrushflow.sidecar.records.storage import StoreWrite
 from tests.platform.standin import StoreStandIn
 
 
--- a/tests/sidecar/test_admission_controller.py
+++ b/tests/sidecar/calls/test_admission_controller.py
@@ -8,11 +8,11 @@
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
-from bulrushflow.sidecar.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
-from bulrushflow.sidecar.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.settings import Endpoint
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import FixedClock
--- a/tests/sidecar/test_balancer.py
+++ b/tests/sidecar/calls/test_balancer.py
@@ -2,8 +2,8 @@
 import unittest
 from collections import Counter
 
-from bulrushflow.sidecar.balancer import Balancer
-from bulrushflow.sidecar.directory import Peer
+from bulrushflow.sidecar.calls.balancer import Balancer
+from bulrushflow.sidecar.records.directory import Peer
 from tests.sidecar.samples import peer
 
 
--- a/tests/sidecar/test_body_buffers.py
+++ b/tests/sidecar/calls/test_body_buffers.py
@@ -1,6 +1,6 @@
 import unittest
 
-from bulrushflow.sidecar.body_buffers import BodyBuffers
+from bulrushflow.sidecar.calls.body_buffers import BodyBuffers
 
 
 class Owner:
--- a/tests/sidecar/test_endless_responses.py
+++ b/tests/sidecar/calls/test_endless_responses.py
@@ -6,9 +6,9 @@
 
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
+from bulrushflow.sidecar.calls.target_client import MAX_RESPONSE_BYTES
+from bulrushflow.sidecar.calls.target_client import TargetClient
 from bulrushflow.sidecar.settings import Endpoint
-from bulrushflow.sidecar.target_client import MAX_RESPONSE_BYTES
-from bulrushflow.sidecar.target_client import TargetClient
 from tests.endless import EndlessTarget
 from tests.endless import flood
 from tests.endless import read_request
--- a/tests/sidecar/test_exchange.py
+++ b/tests/sidecar/calls/test_exchange.py
@@ -4,14 +4,14 @@
 import typing as t
 import unittest
 
-from bulrushflow.sidecar.body_buffers import BodyBuffers
-from bulrushflow.sidecar.exchange import MAX_EVENTS_PER_TURN
-from bulrushflow.sidecar.exchange import MAX_HEADER_LINES
-from bulrushflow.sidecar.exchange import MAX_INFORMATIONAL_RESPONSES
-from bulrushflow.sidecar.exchange import MAX_STALE_RESPONSES
-from bulrushflow.sidecar.exchange import ExchangeError
-from bulrushflow.sidecar.exchange import RawResponse
-from bulrushflow.sidecar.exchange import TargetConnection
+from bulrushflow.sidecar.calls.body_buffers import BodyBuffers
+from bulrushflow.sidecar.calls.exchange import MAX_EVENTS_PER_TURN
+from bulrushflow.sidecar.calls.exchange import MAX_HEADER_LINES
+from bulrushflow.sidecar.calls.exchange import MAX_INFORMATIONAL_RESPONSES
+from bulrushflow.sidecar.calls.exchange import MAX_STALE_RESPONSES
+from bulrushflow.sidecar.calls.exchange import ExchangeError
+from bulrushflow.sidecar.calls.exchange import RawResponse
+from bulrushflow.sidecar.calls.exchange import TargetConnection
 from tests.waiting import GUARD_S
 from tests.waiting import until
 
--- a/tests/sidecar/test_faulty_targets.py
+++ b/tests/sidecar/calls/test_faulty_targets.py
@@ -8,8 +8,8 @@
 
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
+from bulrushflow.sidecar.calls.target_client import TargetClient
 from bulrushflow.sidecar.settings import Endpoint
-from bulrushflow.sidecar.target_client import TargetClient
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import call
 from tests.waiting import GUARD_S
--- a/tests/sidecar/test_limit_tracker.py
+++ b/tests/sidecar/calls/test_limit_tracker.py
@@ -1,8 +1,8 @@
 import unittest
 
-from bulrushflow.sidecar.limit_tracker import LimitTracker
-from bulrushflow.sidecar.target_signals import NO_SIGNALS
-from bulrushflow.sidecar.target_signals import TargetSignals
+from bulrushflow.sidecar.calls.limit_tracker import LimitTracker
+from bulrushflow.sidecar.calls.target_signals import NO_SIGNALS
+from bulrushflow.sidecar.calls.target_signals import TargetSignals
 from tests.sidecar.samples import RecordingDecisions
 
 
--- a/tests/sidecar/test_quarantine.py
+++ b/tests/sidecar/calls/test_quarantine.py
@@ -5,15 +5,15 @@
 
 from bulrushflow.routing import Call
 from bulrushflow.routing import Outcome
+from bulrushflow.sidecar.calls.fingerprints import fingerprint
+from bulrushflow.sidecar.calls.quarantine import MAX_CRASHES
+from bulrushflow.sidecar.calls.quarantine import MAX_PUBLISHED
+from bulrushflow.sidecar.calls.quarantine import REPORT_LIFETIME_MS
+from bulrushflow.sidecar.calls.quarantine import Quarantine
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.fingerprints import fingerprint
 from bulrushflow.sidecar.model import NodeEntry
-from bulrushflow.sidecar.quarantine import MAX_CRASHES
-from bulrushflow.sidecar.quarantine import MAX_PUBLISHED
-from bulrushflow.sidecar.quarantine import REPORT_LIFETIME_MS
-from bulrushflow.sidecar.quarantine import Quarantine
-from bulrushflow.sidecar.records import decode_node_entry
-from bulrushflow.sidecar.records import encode_node_entry
+from bulrushflow.sidecar.records.codec import decode_node_entry
+from bulrushflow.sidecar.records.codec import encode_node_entry
 from tests.sidecar.samples import call
 
 NODE_COUNT = 4
--- a/tests/sidecar/test_rate_limit.py
+++ b/tests/sidecar/calls/test_rate_limit.py
@@ -3,9 +3,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bulrushflow.sidecar.rate_limit import BURST_S
-from bulrushflow.sidecar.rate_limit import MIN_RATE_PER_S
-from bulrushflow.sidecar.rate_limit import RateLimit
+from bulrushflow.sidecar.calls.rate_limit import BURST_S
+from bulrushflow.sidecar.calls.rate_limit import MIN_RATE_PER_S
+from bulrushflow.sidecar.calls.rate_limit import RateLimit
 
 ROUNDING = 1e-6
 
--- a/tests/sidecar/test_request_bodies.py
+++ b/tests/sidecar/calls/test_request_bodies.py
@@ -4,8 +4,8 @@
 import json
 from unittest import mock
 
-from bulrushflow.sidecar import callers
-from bulrushflow.sidecar import forwarding
+from bulrushflow.sidecar.calls import callers
+from bulrushflow.sidecar.calls import forwarding
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import configuration
 from tests.waiting import GUARD_S
--- a/tests/sidecar/test_retry_budget.py
+++ b/tests/sidecar/calls/test_retry_budget.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bulrushflow.sidecar.retry_budget import TargetRetryBudget
+from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
 
 RATIO, SLACK, WINDOW_S = 0.2, 60.0, 10.0
 steps = st.lists(
--- a/tests/sidecar/test_slots.py
+++ b/tests/sidecar/calls/test_slots.py
@@ -3,9 +3,9 @@
 import unittest
 from unittest import mock
 
-from bulrushflow.sidecar import slots as slots_module
-from bulrushflow.sidecar.slots import SlotPool
-from bulrushflow.sidecar.slots import SlotRequest
+from bulrushflow.sidecar.calls import slots as slots_module
+from bulrushflow.sidecar.calls.slots import SlotPool
+from bulrushflow.sidecar.calls.slots import SlotRequest
 from tests.clocks import stopped_loop_clock
 
 
--- a/tests/sidecar/test_target_signals.py
+++ b/tests/sidecar/calls/test_target_signals.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bulrushflow.sidecar.target_signals import NO_SIGNALS
-from bulrushflow.sidecar.target_signals import SignalReader
+from bulrushflow.sidecar.calls.target_signals import NO_SIGNALS
+from bulrushflow.sidecar.calls.target_signals import SignalReader
 from tests.sidecar.samples import NAMES
 
 
--- a/tests/sidecar/test_target_signals_in_trouble.py
+++ b/tests/sidecar/calls/test_target_signals_in_trouble.py
@@ -5,10 +5,10 @@
 
 import aiohttp
 
-from tests.sidecar.test_limited_targets import CALL_INTERVAL_S
-from tests.sidecar.test_limited_targets import LEARNING_S
-from tests.sidecar.test_limited_targets import LIMIT_PER_S
-from tests.sidecar.test_limited_targets import LimitedTargetTestCase
+from tests.sidecar.calls.test_limited_targets import CALL_INTERVAL_S
+from tests.sidecar.calls.test_limited_targets import LEARNING_S
+from tests.sidecar.calls.test_limited_targets import LIMIT_PER_S
+from tests.sidecar.calls.test_limited_targets import LimitedTargetTestCase
 
 CALLS = 250
 EVENTS = 6
--- a/tests/sidecar/test_backoff.py
+++ b/tests/sidecar/records/test_backoff.py
@@ -1,7 +1,7 @@
 import random
 import unittest
 
-from bulrushflow.sidecar.backoff import Backoff
+from bulrushflow.sidecar.records.backoff import Backoff
 
 
 class BackoffTests(unittest.TestCase):
--- a/tests/sidecar/test_directory.py
+++ b/tests/sidecar/records/test_directory.py
@@ -3,9 +3,9 @@
 
 from msgspec.structs import replace
 
-from bulrushflow.sidecar.directory import Directory
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetState
+from bulrushflow.sidecar.records.directory import Directory
 from tests.sidecar.samples import peer
 
 
--- a/tests/sidecar/test_record_handlers.py
+++ b/tests/sidecar/records/test_handlers.py
@@ -8,11 +8,11 @@
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
-from bulrushflow.sidecar.record_handlers import RolloutStatusHandler
-from bulrushflow.sidecar.records import decode_rollout_status
-from bulrushflow.sidecar.records import encode_rollout_status
-from bulrushflow.sidecar.rollouts import Rollouts
-from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.records.codec import decode_rollout_status
+from bulrushflow.sidecar.records.codec import encode_rollout_status
+from bulrushflow.sidecar.records.handlers import RolloutStatusHandler
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.rollouts.tracker import Rollouts
 
 ORDER = RolloutOrder("statements", "v2", 15.0, 7)
 ROLLED_BACK = RolloutStatus("statements", "v2", 7, 2, 0, RolloutPhase.ROLLED_BACK, 0, 15_000)
--- a/tests/sidecar/test_lag_monitor.py
+++ b/tests/sidecar/records/test_lag_monitor.py
@@ -3,11 +3,11 @@
 import unittest
 from unittest import mock
 
-from bulrushflow.sidecar.lag_monitor import STALE_AFTER_S
-from bulrushflow.sidecar.lag_monitor import LagMonitor
-from bulrushflow.sidecar.lag_monitor import Position
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.storage import StorePage
+from bulrushflow.sidecar.records.lag_monitor import STALE_AFTER_S
+from bulrushflow.sidecar.records.lag_monitor import LagMonitor
+from bulrushflow.sidecar.records.lag_monitor import Position
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import StorePage
 from tests.clocks import stopped_loop_clock
 from tests.sidecar.samples import RecordingDecisions
 
--- a/tests/sidecar/test_odd_entries.py
+++ b/tests/sidecar/records/test_odd_entries.py
@@ -8,10 +8,10 @@
 from bulrushflow.platform.documents import decode_announcement
 from bulrushflow.platform.documents import decode_rollout_order
 from bulrushflow.platform.documents import decode_status
-from bulrushflow.sidecar.records import decode_node_entry
-from bulrushflow.sidecar.records import decode_rollout_status
-from bulrushflow.sidecar.records import encode_node_entry
-from bulrushflow.sidecar.storage import KeyedRecord
+from bulrushflow.sidecar.records.codec import decode_node_entry
+from bulrushflow.sidecar.records.codec import decode_rollout_status
+from bulrushflow.sidecar.records.codec import encode_node_entry
+from bulrushflow.sidecar.records.storage import KeyedRecord
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.samples import peer
 from tests.waiting import until
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/records/test_registration.py
@@ -4,11 +4,11 @@
 
 from msgspec.structs import replace
 
-from bulrushflow.sidecar import registration as registration_module
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NodeEntry
-from bulrushflow.sidecar.records import decode_node_entry
-from bulrushflow.sidecar.registration import Registration
+from bulrushflow.sidecar.records import registration as registration_module
+from bulrushflow.sidecar.records.codec import decode_node_entry
+from bulrushflow.sidecar.records.registration import Registration
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import peer
 from tests.sidecar.samples import target
--- a/tests/sidecar/test_relay.py
+++ b/tests/sidecar/records/test_relay.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from bulrushflow.sidecar import application
-from bulrushflow.sidecar import relay
+from bulrushflow.sidecar.records import relay
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import Instance
 from tests.sidecar.fleet import configuration
--- a/tests/sidecar/test_replica.py
+++ b/tests/sidecar/records/test_replica.py
@@ -4,12 +4,12 @@
 import unittest
 from unittest import mock
 
-from bulrushflow.sidecar import replica as replica_module
-from bulrushflow.sidecar import store_reader
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StorePage
-from bulrushflow.sidecar.store_reader import StoreReader
+from bulrushflow.sidecar.records import replica as replica_module
+from bulrushflow.sidecar.records import store_reader
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StorePage
+from bulrushflow.sidecar.records.store_reader import StoreReader
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import GUARD_S
--- a/tests/sidecar/test_topic_cache.py
+++ b/tests/sidecar/records/test_topic_cache.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.topic_cache import TopicCache
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.topic_cache import TopicCache
 
 VALUES = st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from([b"", b"1", b"2"])))
 
--- a/tests/sidecar/test_topic_end.py
+++ b/tests/sidecar/records/test_topic_end.py
@@ -1,6 +1,6 @@
 import unittest
 
-from bulrushflow.sidecar.topic_end import TopicEnd
+from bulrushflow.sidecar.records.topic_end import TopicEnd
 
 
 class TopicEndTests(unittest.TestCase):
--- a/tests/sidecar/test_update_server.py
+++ b/tests/sidecar/records/test_update_server.py
@@ -3,12 +3,12 @@
 import unittest
 from unittest import mock
 
-from bulrushflow.sidecar.relay_codec import TopicPosition
-from bulrushflow.sidecar.relay_codec import position_to_message
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StorePage
-from bulrushflow.sidecar.update_server import UpdateServer
+from bulrushflow.sidecar.records.relay_codec import TopicPosition
+from bulrushflow.sidecar.records.relay_codec import position_to_message
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StorePage
+from bulrushflow.sidecar.records.update_server import UpdateServer
 from bulrushflow.wire import messages
 from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import GUARD_S
--- a/tests/sidecar/test_updates.py
+++ b/tests/sidecar/records/test_updates.py
@@ -5,10 +5,10 @@
 import typing as t
 import unittest
 
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StorePage
-from bulrushflow.sidecar.storage import TopicUpdate
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StorePage
+from bulrushflow.sidecar.records.storage import TopicUpdate
 from tests.sidecar.samples import RecordingDecisions
 
 
--- a/tests/sidecar/test_upstreams.py
+++ b/tests/sidecar/records/test_upstreams.py
@@ -2,11 +2,11 @@
 
 from msgspec.structs import replace
 
-from bulrushflow.sidecar.directory import Peer
 from bulrushflow.sidecar.model import TargetState
-from bulrushflow.sidecar.upstreams import FIRST_EXCLUSION_S
-from bulrushflow.sidecar.upstreams import STARTING_EXCLUSION_S
-from bulrushflow.sidecar.upstreams import Upstreams
+from bulrushflow.sidecar.records.directory import Peer
+from bulrushflow.sidecar.records.upstreams import FIRST_EXCLUSION_S
+from bulrushflow.sidecar.records.upstreams import STARTING_EXCLUSION_S
+from bulrushflow.sidecar.records.upstreams import Upstreams
 from tests.sidecar.samples import peer
 
 
--- a/tests/sidecar/test_driver.py
+++ b/tests/sidecar/rollouts/test_driver.py
@@ -9,13 +9,13 @@
 
 from bulrushflow.rollouts import RolloutController
 from bulrushflow.rollouts import StepDecision
-from bulrushflow.sidecar import driver as driver_module
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
-from bulrushflow.sidecar.records import decode_rollout_status
-from bulrushflow.sidecar.records import encode_rollout_status
-from bulrushflow.sidecar.rollouts import Rollouts
-from bulrushflow.sidecar.storage import StoreError
+from bulrushflow.sidecar.records.codec import decode_rollout_status
+from bulrushflow.sidecar.records.codec import encode_rollout_status
+from bulrushflow.sidecar.records.storage import StoreError
+from bulrushflow.sidecar.rollouts import driver as driver_module
+from bulrushflow.sidecar.rollouts.tracker import Rollouts
 from tests.clocks import stopped_loop_clock
 from tests.sidecar.rollout_nodes import STATUS
 from tests.sidecar.rollout_nodes import InterleavingStore
--- a/tests/sidecar/test_statuses.py
+++ b/tests/sidecar/rollouts/test_statuses.py
@@ -6,15 +6,15 @@
 
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
-from bulrushflow.sidecar.record_handlers import RolloutStatusHandler
-from bulrushflow.sidecar.records import decode_rollout_status
-from bulrushflow.sidecar.records import encode_rollout_status
-from bulrushflow.sidecar.replica import Replica
-from bulrushflow.sidecar.statuses import MAX_READS
-from bulrushflow.sidecar.statuses import StatusLog
-from bulrushflow.sidecar.storage import StoreError
-from bulrushflow.sidecar.storage import StoreErrorKind
-from bulrushflow.sidecar.storage import StoreWrite
+from bulrushflow.sidecar.records.codec import decode_rollout_status
+from bulrushflow.sidecar.records.codec import encode_rollout_status
+from bulrushflow.sidecar.records.handlers import RolloutStatusHandler
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import StoreError
+from bulrushflow.sidecar.records.storage import StoreErrorKind
+from bulrushflow.sidecar.records.storage import StoreWrite
+from bulrushflow.sidecar.rollouts.statuses import MAX_READS
+from bulrushflow.sidecar.rollouts.statuses import StatusLog
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import RecordingDecisions
 
--- a/tests/sidecar/test_rollouts.py
+++ b/tests/sidecar/rollouts/test_tracker.py
@@ -11,7 +11,7 @@
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
-from bulrushflow.sidecar.rollouts import Rollouts
+from bulrushflow.sidecar.rollouts.tracker import Rollouts
 from tests.sidecar.samples import call
 from tests.sidecar.samples import peer
 
--- a/tests/sidecar/samples.py
+++ b/tests/sidecar/samples.py
@@ -8,18 +8,18 @@
 from result import Result
 
 from bulrushflow.routing import Call
+from bulrushflow.sidecar.calls.headers import HeaderNames
+from bulrushflow.sidecar.calls.quarantine import Quarantine
 from bulrushflow.sidecar.decisions import DecisionLog
-from bulrushflow.sidecar.directory import Peer
-from bulrushflow.sidecar.headers import HeaderNames
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.sidecar.model import TargetState
-from bulrushflow.sidecar.quarantine import Quarantine
-from bulrushflow.sidecar.storage import KeyedRecord
-from bulrushflow.sidecar.storage import StoreError
-from bulrushflow.sidecar.storage import StoreErrorKind
-from bulrushflow.sidecar.storage import StorePage
-from bulrushflow.sidecar.storage import StoreWrite
+from bulrushflow.sidecar.records.directory import Peer
+from bulrushflow.sidecar.records.storage import KeyedRecord
+from bulrushflow.sidecar.records.storage import StoreError
+from bulrushflow.sidecar.records.storage import StoreErrorKind
+from bulrushflow.sidecar.records.storage import StorePage
+from bulrushflow.sidecar.records.storage import StoreWrite
 
 NAMES = HeaderNames(
     "X-Id",
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -5,7 +5,7 @@
 import aiohttp
 from aiohttp import web
 
-from bulrushflow.sidecar.records import node_key
+from bulrushflow.sidecar.records.codec import node_key
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import configuration
 from tests.waiting import GUARD_S
