Leave out a part of a traffic split whose weight is 0

Callers of a route whose part was set to 0 still reached that part's service: smooth weighted round robin kept the part's credit from its earlier weight, which brought it the first calls. Weighed: resetting the credits on a change (loses the balance of every other part), or leaving the part out when the configuration is decoded, which also keeps it from the checks of other parts.

The test failed before: the part was listed with weight 0.

--- a/src/bulrushflow/platform/configuration.py
+++ b/src/bulrushflow/platform/configuration.py
@@ -201,6 +201,8 @@
         return Err("names no service")
     if sum(part.weight for part in weighted) <= 0 or any(part.weight < 0 for part in weighted):
         return Err("weights must not be negative and their sum must be positive")
+    # A part of weight 0 is left out: its credit from an earlier weight would still bring it calls.
+    weighted = [part for part in weighted if part.weight]
     if rule.kind not in IDEMPOTENT_BY_KIND:
         return Err(f"unknown kind {rule.kind!r}")
     prefix = rule.match.pathPrefix
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -65,6 +65,14 @@
         assert route is not None
         self.assertEqual([(p.service, p.weight) for p in route.services], [("s1", 90), ("s2", 10)])
 
+    # A part that got calls before its weight became 0 got the first ones after it too.
+    def test_a_part_of_weight_0_is_left_out(self) -> None:
+        parts = [{"service": "s1", "weight": 0}, {"service": "s2", "weight": 10}]
+        action = {"trafficSplit": parts, "timeout": "1s", "maxAttempts": 2}
+        route = decode(document(rule(action=action))).unwrap().match("h.example", "/a/x")
+        assert route is not None
+        self.assertEqual([part.service for part in route.services], ["s2"])
+
     def test_an_invalid_document_is_rejected_as_a_whole(self) -> None:
         invalid = {
             "unknown service": document(rule(action=rule()["action"] | {"service": "nobody"})),
