--- a/src/bulrushflow/bodies.py
+++ b/src/bulrushflow/bodies.py
@@ -49,11 +49,16 @@
 
     def refusal(self, size: int) -> BodyError:
         """Return the error for a body of ``size`` bytes that the budget has no room for."""
-        return BodyError(
-            503,
-            f"no buffer space at this node for a body of {size} bytes: "
-            f"{self._budget.used_bytes} of at most {self._budget.max_bytes} bytes are in use",
-        )
+        return no_space_error(self._budget, size)
+
+
+def no_space_error(budget: ByteBudget, size: int) -> BodyError:
+    """Return the error for a body of ``size`` bytes that a budget has no room for."""
+    return BodyError(
+        503,
+        f"no buffer space at this node for a body of {size} bytes: "
+        f"{budget.used_bytes} of at most {budget.max_bytes} bytes are in use",
+    )
 
 
 async def read_body(
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from bulrushflow.bodies import BodyReservation
+from bulrushflow.bodies import no_space_error
 from bulrushflow.routing import ByteBudget
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
@@ -15,6 +16,7 @@
 from bulrushflow.routing import refused
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.body_reservations import BodyReservations
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.records.directory import Peer
@@ -71,6 +73,7 @@
         self._is_current = is_current
         self._decisions = decisions
         self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
+        self._reservations = BodyReservations(self.body_budget)
         self._rechecks: set[asyncio.Task[None]] = set()
         links.handle("call_request", self._serve)
         links.handle("admission_request", self._serve_admission)
@@ -179,17 +182,19 @@
             wait_s = min(MAX_RECHECK_INTERVAL_S, wait_s * 2)
 
     async def _serve_admission(self, message: t.Any) -> dict[str, t.Any]:
-        call = codec.call_from_message(message.call, asyncio.get_running_loop().time())
-        reason = self._space_refusal(message.body_bytes) or self._admission.refusal(call)
+        now = asyncio.get_running_loop().time()
+        call = codec.call_from_message(message.call, now)
+        reason = self._admission.refusal(call) or self._reserve_space(call, message.body_bytes, now)
         if reason is None:
             return {"admission_answer": messages.AdmissionAnswer()}
         refusal = self._call_answer(not_run(reason))
         return {"admission_answer": messages.AdmissionAnswer(refusal=refusal)}
 
-    def _space_refusal(self, body_bytes: int) -> str | None:
-        """Return why a body of a call that is still to come finds no space, or ``None``."""
-        with BodyReservation(self.body_budget) as reservation:
-            return None if reservation.grow(body_bytes) else reservation.refusal(body_bytes).reason
+    def _reserve_space(self, call: Call, body_bytes: int, now: float) -> str | None:
+        """Reserve space for the body that follows; return why that is impossible, or ``None``."""
+        if self._reservations.reserve(call.request_id, body_bytes, now):
+            return None
+        return no_space_error(self.body_budget, body_bytes).reason
 
     async def _serve(self, message: t.Any) -> dict[str, t.Any]:
         self._orders.note_peer_offset(message.read_offset or 0, message.read_era)
@@ -207,6 +212,7 @@
 
     async def _run(self, call: Call) -> CallResult:
         size = len(call.body)
+        self._reservations.release(call.request_id)
         with BodyReservation(self.body_budget) as reservation:
             if not reservation.grow(size):
                 return not_run(reservation.refusal(size).reason)
--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -186,6 +186,19 @@
         self.assertEqual(received_bytes, [])
         self.assertEqual(self.remote.forwarder.body_budget.used_bytes, 0)
 
+    # Several nodes that asked at the same time found the same space free.
+    async def test_the_space_for_an_admitted_body_is_reserved_until_it_arrives(self) -> None:
+        self.remote.forwarder.body_budget.max_bytes = LARGE_BODY_BYTES
+        first = replace(call("r-1"), body=b"x" * LARGE_BODY_BYTES)
+        second = replace(call("r-2"), body=b"x" * LARGE_BODY_BYTES)
+        link = (await self.local.links.connect(self.peer.entry.endpoint, 5.0)).unwrap()
+        self.assertIsNone(await self.local.forwarder._request_admission(link, first))
+        result, _ = await self.local.forwarder.send(self.peer, second)
+        self.assertIn("no buffer space", result.unwrap_err().reason)
+        result, _ = await self.local.forwarder.send(self.peer, first)
+        self.assertEqual(result.unwrap().body, b"body")
+        self.assertEqual(self.remote.forwarder.body_budget.used_bytes, 0)
+
     async def test_a_node_that_answers_no_admission_request_has_not_run_the_call(self) -> None:
         self.remote.links._handlers.pop("admission_request")
         large = replace(call(), body=b"x" * LARGE_BODY_BYTES)
