Acknowledge a leave once the store has it, and remember who left over a restart

A target that had left got calls again in two ways.

Both are one class: an acknowledgement that nothing but the process keeps. Now the node's entry names the targets that left in the last 120 s; a starting node applies no announcement before it has read that entry; and a leave or drain gets 503 until the store has confirmed it. Weighed: handing the leave to neighbours instead of the store. A restarted node knows no neighbour before it has read the store, so it would have to wait for it anyway; the price is a late ack while the store is away, where the target gets nothing from this node all the same.

Other 200 responses that were looked at: a ready announcement promises nothing beyond its receipt, and the next one repeats it; an announcement that is older than what is known gets 200, as what it says is replaced already; the readiness check and the metrics promise nothing. A rollout's status is written under a condition and counts when the store has it. No other one was found.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -21,6 +21,7 @@
 from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.calls.target_signals import SignalReader
 from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.sidecar.endpoints import AnnouncementChecks
 from bulrushflow.sidecar.endpoints import ReadinessReport
 from bulrushflow.sidecar.endpoints import announcement_application
 from bulrushflow.sidecar.endpoints import metrics_application
@@ -213,6 +214,7 @@
             self._adapter.decode_announcement,
             self._admission,
             self._registration,
+            AnnouncementChecks(self._node_replica.wait_loaded),
             self._decisions,
         )
         serve = self.listeners.serve
@@ -351,6 +353,7 @@
             link_mbps=settings.link_mbps,
             crash_reports=self._quarantine.own_reports,
             cleared_requests=self._quarantine.own_cleared,
+            departed_targets=self._admission.departed.recent(),
         )
         self.directory.update(self._own_node_key, own)
         self._registration.publish(own)
@@ -364,6 +367,7 @@
         initial_load = not self._node_replica.loaded
         if entry is not None and initial_load:
             self._quarantine.restore(entry)
+            self._admission.departed.restore(entry.departed_targets)
         self._registration.reconcile(entry)
         settings = self.settings
         stored = entry.target if entry is not None else None
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import collections
 import functools
 import typing as t
 
@@ -18,6 +17,7 @@
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import not_run
 from bulrushflow.sidecar.calls.crash_detector import CrashDetector
+from bulrushflow.sidecar.calls.departures import DepartedTargets
 from bulrushflow.sidecar.calls.headers import HeaderNames
 from bulrushflow.sidecar.calls.limit_tracker import LimitTracker
 from bulrushflow.sidecar.calls.quarantine import Quarantine
@@ -36,8 +36,6 @@
 BUDGET_EXHAUSTED = "too many repeated calls"
 SLOW_FRACTION = 0.5
 """Fraction of the time until a call's latency objective from which a cancelled call counts."""
-MAX_DEPARTED_TARGETS = 64
-"""Departed targets that are remembered so that their delayed announcements are rejected."""
 
 ResultObserver = t.Callable[[Call, CallResult | None, float], None]
 EntryCallback = t.Callable[[TargetEntry | None], None]
@@ -83,7 +81,7 @@
         self._client: TargetClient | None = None
         self._crash_detector: CrashDetector | None = None
         self._limit = LimitTracker("", decisions)
-        self._departed: collections.OrderedDict[str, tuple[int, int]] = collections.OrderedDict()
+        self.departed = DepartedTargets(clock)
         self._running: set[asyncio.Task[CallResult]] = set()
 
     @property
@@ -113,8 +111,7 @@
             known.
         """
         current = self.entry
-        departed = self._departed.get(entry.target_id)
-        if departed is not None and entry.incarnation <= departed[0]:
+        if self.departed.includes_entry(entry):
             return False
         if current is not None and entry.revision <= current.revision:
             # A delayed announcement, perhaps from a process that has ended since.
@@ -177,9 +174,10 @@
         current = self.entry
         if current is None or current.target_id != target_id:
             # Its incarnation, a start time, is unknown but can't be later than now.
-            self._remember_departed(target_id, (self._clock.wall_ms(), 0))
+            if self.departed.add(target_id, self._clock.wall_ms()):
+                self._on_change(current)
             return
-        self._remember_departed(target_id, current.revision)
+        self.departed.add(target_id, current.incarnation)
         self._decisions.event("target left", target=target_id, service=current.service)
         self.entry = None
         self._slots.refuse_queued("the target left")
@@ -353,16 +351,11 @@
     def _drop_target(self, reason: str) -> None:
         entry = t.cast(TargetEntry, self.entry)
         self._decisions.event("target lost", target=entry.target_id, reason=reason)
-        self._remember_departed(entry.target_id, entry.revision)
+        self.departed.add(entry.target_id, entry.incarnation)
         self.entry = None
         self._slots.refuse_queued(reason)
         self._on_change(None)
 
-    def _remember_departed(self, target_id: str, revision: tuple[int, int]) -> None:
-        self._departed[target_id] = revision
-        while len(self._departed) > MAX_DEPARTED_TARGETS:
-            self._departed.popitem(last=False)
-
     def _replace(self, entry: TargetEntry, endpoint: Endpoint) -> None:
         self._slots.refuse_queued("the target was replaced")
         if self._crash_detector is not None:
--- a/src/bulrushflow/sidecar/endpoints.py
+++ b/src/bulrushflow/sidecar/endpoints.py
@@ -18,8 +18,11 @@
 from bulrushflow.sidecar.settings import Endpoint
 
 ACKNOWLEDGE_TIMEOUT_S = 0.6
-"""Maximum time to wait for the store before deregistration or draining is acknowledged. The target
-waits one second for the acknowledgement."""
+"""Maximum time to wait for the store before a leave is answered. The target waits one second for
+the acknowledgement."""
+LOAD_TIMEOUT_S = 0.6
+"""Maximum time for which an announcement waits until this node has read its own entry."""
+SERVICE_UNAVAILABLE = 503
 
 AnnouncementDecoder = t.Callable[[str, bytes], Result[tuple[TargetEntry, Endpoint], str]]
 
@@ -32,6 +35,14 @@
     readiness: str
 
 
+class AnnouncementChecks(t.NamedTuple):
+    """What has to hold before an announcement is applied."""
+
+    wait_loaded: t.Callable[[float], t.Awaitable[bool]]
+    """Waits up to that many seconds until this node has read its own entry, which names the targets
+    that left it; returns whether it has."""
+
+
 class ReadinessReport(msgspec.Struct, frozen=True):
     """What the readiness check says of this node."""
 
@@ -48,14 +59,31 @@
     decode: AnnouncementDecoder,
     admission: AdmissionController,
     registration: Registration,
+    checks: AnnouncementChecks,
     decisions: DecisionLog,
 ) -> web.Application:
     """Return the application that registers and deregisters the target.
 
-    When a target drains or deregisters, this node sends it no new calls from then on. The response
-    waits up to :data:`ACKNOWLEDGE_TIMEOUT_S` until the store has the change too.
+    When a target drains or deregisters, this node sends it no new calls from then on. That is
+    acknowledged only once the store has it, since this node would use the target again after a
+    restart; without the store's confirmation the response is 503.
+
+    Nothing is applied before this node has read its own entry: a delayed announcement may be of a
+    target that left before a restart.
     """
 
+    async def acknowledge_leave(target_id: str) -> web.Response:
+        if await registration.wait_written(ACKNOWLEDGE_TIMEOUT_S):
+            return web.json_response({})
+        reason = f"the store did not confirm the leave within {ACKNOWLEDGE_TIMEOUT_S} s"
+        decisions.event("leave not acknowledged", target=target_id, reason=reason)
+        return web.json_response({"error": reason}, status=SERVICE_UNAVAILABLE)
+
+    def not_loaded(target_id: str) -> web.Response:
+        reason = "this node has not read its own entry from the store yet"
+        decisions.event("announcement refused", target=target_id, reason=reason)
+        return web.json_response({"error": reason}, status=SERVICE_UNAVAILABLE)
+
     async def announce(request: web.Request) -> web.Response:
         target_id = request.match_info["target_id"]
         match decode(target_id, await request.read()):
@@ -64,6 +92,8 @@
                 return web.json_response({"error": reason}, status=400)
             case Ok((entry, endpoint)):
                 pass
+        if not await checks.wait_loaded(LOAD_TIMEOUT_S):
+            return not_loaded(target_id)
         if not admission.apply_announcement(entry, endpoint):
             decisions.event(
                 "announcement late",
@@ -72,13 +102,15 @@
                 sequence=entry.sequence,
             )
         elif entry.state is not TargetState.READY:
-            await registration.wait_written(ACKNOWLEDGE_TIMEOUT_S)
+            return await acknowledge_leave(target_id)
         return web.json_response({})
 
     async def deregister(request: web.Request) -> web.Response:
-        admission.remove_target(request.match_info["target_id"])
-        await registration.wait_written(ACKNOWLEDGE_TIMEOUT_S)
-        return web.json_response({})
+        target_id = request.match_info["target_id"]
+        if not await checks.wait_loaded(LOAD_TIMEOUT_S):
+            return not_loaded(target_id)
+        admission.remove_target(target_id)
+        return await acknowledge_leave(target_id)
 
     app = web.Application()
     app.router.add_put(paths.targets, announce)
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -131,6 +131,16 @@
     calls_per_s: float
 
 
+class DepartedTarget(msgspec.Struct, frozen=True):
+    """A target that left for good; its announcements are rejected from then on."""
+
+    target_id: str
+    incarnation: Count
+    """Latest start of the target whose announcements are rejected."""
+    at_ms: EpochMs
+    """Epoch milliseconds of the node's clock."""
+
+
 class CrashReport(_TargetProcess, msgspec.Struct, frozen=True):
     """A target process ended while it ran a request."""
 
@@ -167,6 +177,8 @@
     crash_reports: tuple[CrashReport, ...] = ()
     """Crashes of the targets beside the node, with the requests that they ran."""
     cleared_requests: tuple[ClearedRequest, ...] = ()
+    departed_targets: tuple[DepartedTarget, ...] = ()
+    """Targets that left the node recently."""
 
     @property
     def endpoint(self) -> tuple[str, int]:
--- a/src/bulrushflow/sidecar/records/replica.py
+++ b/src/bulrushflow/sidecar/records/replica.py
@@ -54,10 +54,10 @@
         "_handler",
         "_lag",
         "_lag_observers",
+        "_loaded",
         "_observers",
         "_peer_era",
         "_restarts",
-        "loaded",
         "offset",
         "topic",
     )
@@ -82,8 +82,21 @@
         """When the store confirmed the state last, directly or through another node."""
         self.offset: int | None = None
         """Start offset of the next read; ``None`` while the whole state has to be loaded."""
-        self.loaded = False
+        self._loaded = asyncio.Event()
+
+    @property
+    def loaded(self) -> bool:
         """Whether the whole state was loaded at least once since the start."""
+        return self._loaded.is_set()
+
+    async def wait_loaded(self, timeout_s: float) -> bool:
+        """Wait until the whole state was loaded once; return ``False`` on a timeout."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._loaded.wait()
+        except TimeoutError:
+            return False
+        return True
 
     @property
     def connected(self) -> bool:
@@ -268,7 +281,7 @@
             for record in changed:
                 self._handler.apply(record)
         self._advance(page)
-        self.loaded = True
+        self._loaded.set()
 
     def _apply_records(self, page: StorePage) -> None:
         """Apply the records of a page, leaving out those that later ones in it replace."""
--- /dev/null
+++ b/tests/sidecar/calls/test_acknowledged_leaves.py
@@ -0,0 +1,76 @@
+"""Leaves that a node acknowledged, and that have to hold whatever restarts next."""
+
+import json
+
+from bulrushflow.sidecar.records.codec import node_key
+from tests.sidecar.fleet import FleetTestCase
+from tests.waiting import until
+
+
+class AcknowledgedLeaveTests(FleetTestCase):
+    """Two nodes; the target beside the first one leaves, and runs on."""
+
+    async def deregister(self, number: int) -> int:
+        url = self.instances[number].url("announcements", f"/-/instances/t-{number}")
+        async with self.http.delete(url) as response:
+            return response.status
+
+    def stored_entry(self, number: int) -> dict[str, object]:
+        address = self.instances[number].settings.address
+        value = self.store.newest("keyed.nodes").get(node_key(address), b"{}")
+        entry: dict[str, object] = json.loads(value)
+        return entry
+
+    async def assert_no_call_reaches(self, number: int) -> None:
+        self.targets[number].received.clear()
+        for i in range(10):
+            for origin in range(self.node_count):
+                await self.call(origin, f"after-{i}-{origin}")
+        self.assertEqual(self.targets[number].received, [])
+
+    # DRAIN: the restarted node took an announcement from before the leave for a new one.
+    async def test_a_late_announcement_does_not_bring_back_a_target_after_a_restart(self) -> None:
+        await self.serve()
+        self.assertEqual(await self.deregister(0), 200)
+        await self.instances[0].restart()
+        await self.instances[0].until_serving(1)
+        await self.announce(0, sequence=2)
+        await self.assert_no_call_reaches(0)
+
+    # DRAIN: the leave was acknowledged though the store didn't have it.
+    async def test_a_leave_is_acknowledged_only_once_the_store_has_it(self) -> None:
+        await self.serve()
+        await until(lambda: bool(self.stored_entry(0).get("target")))
+        self.store.status = 503
+        self.assertEqual(await self.deregister(0), 503)
+        self.assertEqual(await self.announce(1, state="draining", sequence=2), 503)
+        self.store.status = 200
+        self.assertEqual(await self.deregister(0), 200)
+        self.assertIsNone(self.stored_entry(0)["target"])
+        self.assertEqual(await self.announce(1, state="draining", sequence=2), 200)
+
+    async def test_a_leave_without_the_store_holds_at_once_at_the_node_itself(self) -> None:
+        await self.serve()
+        self.store.status = 503
+        await self.deregister(0)
+        await self.assert_no_call_reaches(0)
+
+    # DRAIN: an announcement was taken before the node knew who had left.
+    async def test_nothing_is_announced_before_the_node_has_read_its_entry(self) -> None:
+        await self.serve()
+        self.assertEqual(await self.deregister(0), 200)
+        await self.instances[0].stop()
+        self.store.status = 503
+        self.instances[0].sidecar = self.instances[0].new_sidecar()
+        await self.instances[0].sidecar.start()
+        self.assertEqual(await self.announce(0, sequence=2), 503)
+        self.assertEqual(await self.deregister(0), 503)
+
+    async def test_the_departure_of_an_unknown_target_is_stored_too(self) -> None:
+        await self.serve()
+        url = self.instances[0].url("announcements", "/-/instances/t-9")
+        async with self.http.delete(url) as response:
+            self.assertEqual(response.status, 200)
+        departed = self.stored_entry(0)["departed_targets"]
+        assert isinstance(departed, list)
+        self.assertEqual([item["target_id"] for item in departed], ["t-9"])
