Refuse an announcement of a service that no configuration has

The instance's own service counts as known, since the first announcement may arrive before the first configuration.

The test failed before: the target beside the node was t-7.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -214,7 +214,7 @@
             self._adapter.decode_announcement,
             self._admission,
             self._registration,
-            AnnouncementChecks(self._node_replica.wait_loaded),
+            AnnouncementChecks(self._node_replica.wait_loaded, self._is_known_service),
             self._decisions,
         )
         serve = self.listeners.serve
@@ -273,6 +273,10 @@
         """Return whether callers should use this node."""
         return not self._stopping and bool(self.routing.version) and self._node_replica.loaded
 
+    def _is_known_service(self, service: str) -> bool:
+        """Return whether a service is this instance's own, or one of the configuration."""
+        return service == self.settings.own_service or service in self.routing.services_by_name
+
     def _readiness_report(self) -> ReadinessReport:
         return ReadinessReport(self.is_ready(), self.routing.version, self.rejected_configuration)
 
--- a/src/bulrushflow/sidecar/endpoints.py
+++ b/src/bulrushflow/sidecar/endpoints.py
@@ -41,6 +41,7 @@
     wait_loaded: t.Callable[[float], t.Awaitable[bool]]
     """Waits up to that many seconds until this node has read its own entry, which names the targets
     that left it; returns whether it has."""
+    is_known_service: t.Callable[[str], bool]
 
 
 class ReadinessReport(msgspec.Struct, frozen=True):
@@ -94,6 +95,10 @@
                 pass
         if not await checks.wait_loaded(LOAD_TIMEOUT_S):
             return not_loaded(target_id)
+        if not checks.is_known_service(entry.service):
+            reason = f"announcement: no configuration has service {entry.service!r}"
+            decisions.event("announcement refused", target=target_id, reason=reason)
+            return web.json_response({"error": reason}, status=400)
         if not admission.apply_announcement(entry, endpoint):
             decisions.event(
                 "announcement late",
--- a/tests/sidecar/calls/test_acknowledged_leaves.py
+++ b/tests/sidecar/calls/test_acknowledged_leaves.py
@@ -2,6 +2,8 @@
 
 import json
 
+import aiohttp
+
 from bulrushflow.sidecar.records.codec import node_key
 from tests.sidecar.fleet import FleetTestCase
 from tests.waiting import until
@@ -74,3 +76,23 @@
         departed = self.stored_entry(0)["departed_targets"]
         assert isinstance(departed, list)
         self.assertEqual([item["target_id"] for item in departed], ["t-9"])
+
+    # Another writer's announcement replaced the target beside the node.
+    async def test_an_announcement_of_an_unknown_service_changes_nothing(self) -> None:
+        await self.serve()
+        announcement = {
+            "service": "nobody",
+            "address": self.instances[0].target_address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "seq": 9,
+            "born": 9,
+        }
+        url = self.instances[0].url("announcements", "/-/instances/t-7")
+        async with aiohttp.ClientSession() as http, http.put(url, json=announcement) as response:
+            self.assertEqual(response.status, 400)
+        entry = self.instances[0].sidecar._admission.entry
+        assert entry is not None
+        self.assertEqual(entry.target_id, "t-0")
