Resolve the import circle between the node's program and its command line

`application` imported `node_command` for its options, and `node_command` imported `application` to run the node. The command line only parses now, and the program runs what it returns; the names of the environment variables are with the settings. Weighed: a third module with the program's entry, which would change the installed script. No behaviour changes; `--help` and a missing file were tried by hand.

--- a/src/bulrushflow/application.py
+++ b/src/bulrushflow/application.py
@@ -39,6 +39,7 @@
 from bulrushflow.recording import SnapshotWriter
 from bulrushflow.rollouts import SharedRollouts
 from bulrushflow.routing import ByteBudget
+from bulrushflow.settings import NODE_VARIABLES
 from bulrushflow.settings import Settings
 from bulrushflow.settings import load_settings
 from bulrushflow.targets import AdmissionController
@@ -47,12 +48,6 @@
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
 
-NODE_VARIABLES: t.Final = {
-    "node_id": "BULRUSHFLOW_NODE_ID",
-    "address": "BULRUSHFLOW_ADDRESS",
-    "data_centre": "BULRUSHFLOW_DATA_CENTRE",
-}
-"""Environment variables that override settings, by the setting's key."""
 CONNECTION_GRACE_S = 0.2
 GC_THRESHOLD = 5_000
 """Net number of new objects that starts a collection of the youngest generation."""
@@ -324,6 +319,7 @@
     if len(arguments) == 1 and not arguments[0].startswith("-"):
         # A single file needs no argument parser, whose library would stay in memory.
         sys.exit(run_node(pathlib.Path(arguments[0]), {}))
-    from bulrushflow.node_command import run_command
+    from bulrushflow.node_command import parse_command
 
-    run_command()
+    command = parse_command()
+    sys.exit(run_node(command.settings, command.overrides, command.check_settings))
--- a/src/bulrushflow/node_command.py
+++ b/src/bulrushflow/node_command.py
@@ -6,8 +6,7 @@
 
 import cappa
 
-from bulrushflow.application import NODE_VARIABLES
-from bulrushflow.application import run_node
+from bulrushflow.settings import NODE_VARIABLES
 
 
 @cappa.command(name="bulrushflow-node")
@@ -34,15 +33,16 @@
         bool, cappa.Arg(long=True, help="check the settings without starting the node")
     ] = False
 
-    def __call__(self) -> None:
-        overrides = {
+    @property
+    def overrides(self) -> dict[str, str | None]:
+        """Values that override the environment and the settings file, by the setting's key."""
+        return {
             "node_id": self.node_id,
             "address": self.address,
             "data_centre": self.data_centre,
         }
-        raise cappa.Exit(code=run_node(self.settings, overrides, self.check_settings))
 
 
-def run_command() -> None:
-    """Parse the command line and run the node."""
-    cappa.invoke(NodeCommand)
+def parse_command() -> NodeCommand:
+    """Parse the command line; exits with a message if it is invalid."""
+    return cappa.parse(NodeCommand)
--- a/src/bulrushflow/settings.py
+++ b/src/bulrushflow/settings.py
@@ -15,6 +15,13 @@
 
 from bulrushflow.addresses import parse_address
 
+NODE_VARIABLES: t.Final = {
+    "node_id": "BULRUSHFLOW_NODE_ID",
+    "address": "BULRUSHFLOW_ADDRESS",
+    "data_centre": "BULRUSHFLOW_DATA_CENTRE",
+}
+"""Environment variables that override settings, by the setting's key."""
+
 Port = t.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
 Name = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
