Disable a route of an unknown kind alone, and add the kind download

Cause: the configuration of a newer release may have a kind of route that a node doesn't know. One such route rejected the whole configuration, so each other change in it stayed out of force. Large responses have a kind of their own, download.

Weighed: leaving the route out lets its calls fall through to a shorter prefix, whose service would run them. It stays in the table instead, and is refused with 503 before anything is sent. Only the kind is an enumerated value of a route; a wrong type, prefix, duration, weight or service still rejects the whole configuration, also on a disabled route.

Change: Route.disabled has the reason; route disabled is logged once per node and change of the route.

--- a/src/bulrushflow/platform/configuration.py
+++ b/src/bulrushflow/platform/configuration.py
@@ -16,7 +16,13 @@
 from bulrushflow.sidecar.model import WeightedService
 
 CONFIGURATION_KEY = "config"
-IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "keyed": False, "upload": False}
+IDEMPOTENT_BY_KIND = {
+    "safe": True,
+    "download": True,
+    "unsafe": False,
+    "keyed": False,
+    "upload": False,
+}
 """Whether calls of a kind of route may be retried after they may have run."""
 
 
@@ -92,7 +98,11 @@
         self._hosts_by_document: dict[bytes, _HostRoutes] = {}
 
     def decode(self, data: bytes) -> Result[Routing, str]:
-        """Decode a configuration; one invalid part rejects all of it."""
+        """Decode a configuration; one invalid part rejects all of it.
+
+        A route of an unknown kind is valid and disabled: its operator knows a kind that this
+        release doesn't, and the other routes must not wait for the next release.
+        """
         match decode_document(data, _Configuration):
             case Err(reason):
                 return Err(f"configuration: {reason}")
@@ -203,8 +213,7 @@
         return Err("weights must not be negative and their sum must be positive")
     # A part of weight 0 is left out: its credit from an earlier weight would still bring it calls.
     weighted = [part for part in weighted if part.weight]
-    if rule.kind not in IDEMPOTENT_BY_KIND:
-        return Err(f"unknown kind {rule.kind!r}")
+    disabled = "" if rule.kind in IDEMPOTENT_BY_KIND else f"unknown kind {rule.kind[:40]!r}"
     prefix = rule.match.pathPrefix
     if not (prefix.startswith("/") and prefix.endswith("/")) or action.maxAttempts < 1:
         return Err(
@@ -217,10 +226,11 @@
             host=host,
             prefix=prefix,
             services=tuple(weighted),
-            idempotent=IDEMPOTENT_BY_KIND[rule.kind],
+            idempotent=IDEMPOTENT_BY_KIND.get(rule.kind, False),
             timeout_s=parse_duration(action.timeout),
             latency_objective_s=parse_duration(rule.targetLatency),
             max_attempts=action.maxAttempts,
             priority=rule.priority,
+            disabled=disabled,
         )
     )
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -306,6 +306,12 @@
         self._decisions.event(
             "configuration in force", version=routing.version, before=self.routing.version
         )
+        before = self.routing.disabled_routes()
+        for route in routing.disabled_routes():
+            if route not in before:
+                self._decisions.event(
+                    "route disabled", route=route.name, host=route.host, reason=route.disabled
+                )
         self.routing = routing
 
     def reject_configuration(self, reason: str) -> None:
--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -156,6 +156,9 @@
         route = routing.match(request.headers.get("Host", "").lower(), request.raw_path)
         if route is None:
             return self._missing_route_response(request, request_id, routing.version)
+        if route.disabled:
+            reason = f"route {route.name} is disabled: {route.disabled}"
+            return self._error_response(request_id, 503, reason)
         if not request_id:
             return self._error_response(
                 request_id, 400, f"missing header {self._header_names.request_id}"
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -43,6 +43,8 @@
     max_attempts: int
     priority: int
     """0 is the most important."""
+    disabled: str = ""
+    """Why the route's calls are refused; empty if they are served."""
 
 
 class ServiceSettings(msgspec.Struct, frozen=True):
@@ -64,7 +66,8 @@
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``, or ``None``.
 
-        A host with a port falls back to the routes of the host without one.
+        A host with a port falls back to the routes of the host without one. A disabled route is
+        returned too: its calls must not be sent to the services of a shorter prefix.
         """
         routes_by_prefix = self.routes_by_host.get(host)
         if routes_by_prefix is None:
@@ -78,6 +81,15 @@
                 return route
         return None
 
+    def disabled_routes(self) -> list[Route]:
+        """Return the routes whose calls are refused."""
+        return [
+            route
+            for routes_by_prefix in self.routes_by_host.values()
+            for route in routes_by_prefix.values()
+            if route.disabled
+        ]
+
 
 class TargetState(enum.StrEnum):
     """Whether a target accepts new calls."""
