Evacuate a data centre on the operator's order

Cause: the platform has a record evacuate/ZONE in the operator's topic, which orders that nothing more be sent to targets in a data centre. Nodes ignored it.

Weighed: a filter in the balancer (the retry budget, hedging and the rollouts need the same list), publishing the targets as draining (a write per node, which a node without the store can't make), notices between nodes (records arrive within a second as it is). Chosen: the directory leaves evacuated targets out of the ready ones, and the admission controller asks before a call begins, also after its wait, and refuses its queue on an order.

Change: OrderSink has order_evacuation and withdraw_evacuation; a record that is empty or missing from a whole load withdraws the order. placement.Evacuations is the immutable set. A service whose ready targets are all evacuated is refused at once. An admitting node refuses calls until it has read the operator's records, which only mattered between the loads of the two topics. Any value but an empty one is an order.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -49,6 +49,8 @@
         "configuration_rejected",
         "configuration_version",
         "control_bytes",
+        "evacuated_data_centres",
+        "evacuation_refusals",
         "log_behind",
         "members",
         "quarantined_requests",
@@ -138,6 +140,16 @@
             "Requests that are refused because they crash the targets that run them",
             registry=self.registry,
         )
+        self.evacuated_data_centres = Gauge(
+            "bulrushflow_evacuated_data_centres",
+            "Data centres that get no calls by the operator's orders that this node has read",
+            registry=self.registry,
+        )
+        self.evacuation_refusals = self._counter(
+            "bulrushflow_evacuation_refusals_total",
+            "Calls refused because of an evacuation, at the node that received them or at the "
+            "target's, there also those before it had read the operator's orders",
+        )
         self.admission = Gauge(
             "bulrushflow_admission", "Calls at the target by state", registry=self.registry
         )
@@ -190,6 +202,11 @@
         self.target_leaving.set({}, int(leaving))
         self.target_limit.set({}, math.inf if limit_per_s is None else limit_per_s)
 
+    def observe_evacuations(self, data_centre_count: int, refused_at_target: int) -> None:
+        """Record the evacuated data centres, and the calls refused so far beside the target."""
+        self.evacuated_data_centres.set({}, data_centre_count)
+        self.evacuation_refusals.set({"at": "target"}, refused_at_target)
+
     def observe_quarantine(self, count: int) -> None:
         """Record how many requests are quarantined."""
         self.quarantined_requests.set({}, count)
--- a/src/bulrushflow/platform/adapter.py
+++ b/src/bulrushflow/platform/adapter.py
@@ -35,6 +35,8 @@
         self._configurations = ConfigurationDecoder()
         self._ordered_services: set[str] = set()
         """Services whose order was passed on and not withdrawn since."""
+        self._evacuated_data_centres: set[str] = set()
+        """Data centres whose order was passed on and not withdrawn since."""
 
     def replace(self, records: t.Sequence[KeyedRecord]) -> None:
         """See :meth:`RecordHandler.replace`."""
@@ -42,6 +44,9 @@
         for service in sorted(self._ordered_services):
             if documents.ROLLOUT_KEY_PREFIX + service not in keys:
                 self._withdraw_rollout(service)
+        for data_centre in sorted(self._evacuated_data_centres):
+            if documents.EVACUATION_KEY_PREFIX + data_centre not in keys:
+                self._withdraw_evacuation(data_centre)
         for record in records:
             self.apply(record)
 
@@ -51,6 +56,8 @@
             self._apply_configuration(record)
         elif record.key.startswith(documents.ROLLOUT_KEY_PREFIX):
             self._apply_rollout_order(record)
+        elif record.key.startswith(documents.EVACUATION_KEY_PREFIX):
+            self._apply_evacuation_order(record)
 
     def _apply_configuration(self, record: KeyedRecord) -> None:
         match self._configurations.decode(record.value):
@@ -75,6 +82,21 @@
         self._ordered_services.discard(service)
         self._orders.withdraw_rollout(service)
 
+    def _apply_evacuation_order(self, record: KeyedRecord) -> None:
+        """Apply an order by the presence of its record, whatever value it has but an empty one."""
+        data_centre = record.key.removeprefix(documents.EVACUATION_KEY_PREFIX)
+        if not data_centre:
+            self._orders.report_unreadable(record.key, "names no data centre")
+        elif record.value:
+            self._evacuated_data_centres.add(data_centre)
+            self._orders.order_evacuation(data_centre)
+        else:
+            self._withdraw_evacuation(data_centre)
+
+    def _withdraw_evacuation(self, data_centre: str) -> None:
+        self._evacuated_data_centres.discard(data_centre)
+        self._orders.withdraw_evacuation(data_centre)
+
 
 class PlatformAdapter:
     """Implements :class:`Adapter` for this platform."""
--- a/src/bulrushflow/platform/documents.py
+++ b/src/bulrushflow/platform/documents.py
@@ -21,6 +21,8 @@
 
 ROLLOUT_KEY_PREFIX = "rollout/"
 """Prefix of the keys of orders, and of statuses in their own topic."""
+EVACUATION_KEY_PREFIX = "evacuate/"
+"""Prefix of the keys of orders to evacuate a data centre."""
 STATE_BY_PHASE = {
     RolloutPhase.RUNNING: "running",
     RolloutPhase.COMPLETED: "completed",
--- a/src/bulrushflow/sidecar/adapter.py
+++ b/src/bulrushflow/sidecar/adapter.py
@@ -21,7 +21,7 @@
     """Names of the store's topics."""
 
     orders: str
-    """The operator's configuration and rollout orders; read only."""
+    """The operator's configuration, and orders of rollouts and evacuations; read only."""
     statuses: str
     """Statuses of the ordered rollouts."""
     nodes: str
@@ -65,5 +65,11 @@
     def withdraw_rollout(self, service: str) -> None:
         """Remove a service's rollout, whose order was deleted."""
 
+    def order_evacuation(self, data_centre: str) -> None:
+        """Send no more calls to targets in a data centre; it may be ordered already."""
+
+    def withdraw_evacuation(self, data_centre: str) -> None:
+        """Withdraw the order to evacuate a data centre, whose record was deleted."""
+
     def report_unreadable(self, key: str, reason: str) -> None:
         """Report a record that can't be decoded, with the reason."""
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -8,6 +8,7 @@
 from msgspec.structs import fields
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.placement import Evacuations
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
@@ -118,6 +119,7 @@
             self._quarantine,
             self._decisions,
             self._clock,
+            self._suspension,
         )
         self._build_replicas(adapter, store)
         self._forwarder = PeerForwarder(
@@ -320,6 +322,34 @@
         """See :meth:`OrderSink.withdraw_rollout`."""
         self._rollouts.remove_order(service)
 
+    def order_evacuation(self, data_centre: str) -> None:
+        """See :meth:`OrderSink.order_evacuation`."""
+        self._apply_evacuations(self.directory.evacuations.with_order(data_centre))
+
+    def withdraw_evacuation(self, data_centre: str) -> None:
+        """See :meth:`OrderSink.withdraw_evacuation`."""
+        self._apply_evacuations(self.directory.evacuations.without_order(data_centre))
+
+    def _apply_evacuations(self, evacuations: Evacuations) -> None:
+        before = self.directory.evacuations
+        if evacuations == before:
+            return
+        self._decisions.event(
+            "evacuations in force",
+            data_centres=sorted(evacuations.data_centres),
+            before=sorted(before.data_centres),
+        )
+        self.directory.apply_evacuations(evacuations)
+        reason = evacuations.refusal(self.settings.data_centre)
+        if reason is not None:
+            self._admission.suspend(reason)
+
+    def _suspension(self) -> str | None:
+        """Return why the own target gets no calls whatever its state, or ``None``."""
+        if not self._operator_replica.loaded:
+            return "this node has not read the operator's orders yet"
+        return self.directory.evacuations.refusal(self.settings.data_centre)
+
     def report_unreadable(self, key: str, reason: str) -> None:
         """See :meth:`OrderSink.report_unreadable`."""
         self._decisions.event("record unreadable", key=key, reason=reason)
@@ -398,6 +428,9 @@
             self._metrics.observe_replica(
                 replica.topic, replica.records_behind, replica.connected, replica.confirmed_s_ago
             )
+        self._metrics.observe_evacuations(
+            len(self.directory.evacuations.data_centres), self._admission.suspended_count
+        )
         self._metrics.observe_quarantine(self._quarantine.size)
         self._metrics.observe_record_source(self.relay.source is None)
 
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -53,6 +53,8 @@
         objective leaves has the result ``None``.
     :param on_change: called with the new entry, or ``None`` without a target, when other nodes have
         to be informed.
+    :param suspension: returns why no call may begin at this node, whatever the state of its target,
+        or ``None``.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         quarantine: Quarantine,
         decisions: DecisionLog,
         clock: Clock,
+        suspension: t.Callable[[], str | None] = lambda: None,
     ) -> None:
         self.entry: TargetEntry | None = None
         self.endpoint: Endpoint | None = None
@@ -77,6 +80,9 @@
         self._quarantine = quarantine
         self._decisions = decisions
         self._clock = clock
+        self._suspension = suspension
+        self.suspended_count = 0
+        """Number of calls that were refused since no call may begin at this node."""
         self._slots = SlotPool(1)
         self._client: TargetClient | None = None
         self._crash_detector: CrashDetector | None = None
@@ -183,6 +189,11 @@
         self._slots.refuse_queued("the target left")
         self._on_change(None)
 
+    def suspend(self, reason: str) -> None:
+        """Refuse the calls that wait, since none may begin now; those in flight continue."""
+        self.suspended_count += self._slots.queued
+        self._slots.refuse_queued(reason)
+
     def refusal(self, call: Call) -> str | None:
         """Return why a call would be refused now, or ``None`` if it would start or wait."""
         refusal = self._refusal(call) or self._slots.refusal(_slot_request(call))
@@ -236,12 +247,18 @@
 
     def _accepts_calls(self) -> bool:
         entry = self.entry
-        return entry is not None and entry.state is TargetState.READY and self.reachable
+        if entry is None or entry.state is not TargetState.READY:
+            return False
+        return self.reachable and self._suspension() is None
 
     def _refusal(self, call: Call) -> str | None:
         entry = self.entry
         if entry is None:
             return "no target"
+        suspension = self._suspension()
+        if suspension is not None:
+            self.suspended_count += 1
+            return suspension
         if not self.reachable:
             return f"the target takes no connections at {self.endpoint}"
         if entry.state is not TargetState.READY:
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -182,6 +182,9 @@
                 break
             peer = self._choose(route, call, tried)
             if peer is None:
+                if self._directory.all_evacuated(call.service):
+                    self._refuse_evacuated(call, progress)
+                    break
                 if progress.deliveries or loop.time() + TARGET_POLL_S > wait_until:
                     break
                 tried.clear()
@@ -201,6 +204,12 @@
             if ended:
                 break
 
+    def _refuse_evacuated(self, call: Call, progress: CallProgress) -> None:
+        """Refuse a call at once that no target may get; waiting would only delay its retry."""
+        self._metrics.evacuation_refusals.inc({"at": "origin"})
+        reason = f"all targets of {call.service} are in evacuated data centres"
+        progress.record(not_run(reason), call.idempotent, 1)
+
     def _may_hedge(self, route: Route, call: Call, progress: CallProgress) -> bool:
         """Return whether a call may be sent to two targets at once."""
         if not call.idempotent or progress.possible_runs + 1 >= route.max_attempts:
--- a/src/bulrushflow/sidecar/records/directory.py
+++ b/src/bulrushflow/sidecar/records/directory.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bulrushflow.placement import Evacuations
 from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetState
@@ -87,17 +88,28 @@
 class Directory:
     """Nodes by key, and peers with a ready target by service.
 
+    Targets in evacuated data centres are listed apart from the ready ones, and get no calls.
+
     A target that announced its leave in a response to this node is never listed as ready again,
     whatever its entry says and even if the entry is lost and comes back.
     """
 
-    __slots__ = ("_leaving", "_ready_by_service", "peers_by_key")
+    __slots__ = (
+        "_evacuated_by_service",
+        "_leaving",
+        "_ready_by_service",
+        "evacuations",
+        "peers_by_key",
+    )
 
     def __init__(self) -> None:
         self.peers_by_key: dict[str, Peer] = {}
         self._leaving: collections.OrderedDict[tuple[str, int], None] = collections.OrderedDict()
         """Ids and incarnations of targets that leave, oldest first."""
         self._ready_by_service: dict[str, list[Peer]] = {}
+        self._evacuated_by_service: dict[str, list[Peer]] = {}
+        """Peers that would be ready if their data centre weren't evacuated."""
+        self.evacuations = Evacuations()
 
     def update(self, key: str, entry: NodeEntry) -> None:
         """Add or update a node. The statistics are kept as long as the target is the same."""
@@ -110,13 +122,15 @@
             current.entry = entry
         else:
             current = self.peers_by_key[key] = Peer(entry)
-        target = entry.target
-        if (
-            target is not None
-            and target.state is TargetState.READY
-            and target.process not in self._leaving
-        ):
-            self._ready_by_service.setdefault(target.service, []).append(current)
+        self._list_if_ready(current)
+
+    def apply_evacuations(self, evacuations: Evacuations) -> None:
+        """Replace the evacuated data centres."""
+        self.evacuations = evacuations
+        self._ready_by_service.clear()
+        self._evacuated_by_service.clear()
+        for peer in self.peers_by_key.values():
+            self._list_if_ready(peer)
 
     def mark_leaving(self, peer: Peer) -> bool:
         """List a peer's target as ready no more; return whether it was not marked before."""
@@ -150,17 +164,36 @@
             self.remove(key)
 
     def ready_peers(self, service: str) -> t.Sequence[Peer]:
-        """Return the peers with a ready target of a service."""
+        """Return the peers with a ready target of a service, evacuated ones left out."""
         return self._ready_by_service.get(service, ())
 
+    def all_evacuated(self, service: str) -> bool:
+        """Return whether all ready targets of a service are in evacuated data centres."""
+        return bool(self._evacuated_by_service.get(service)) and not self.ready_peers(service)
+
+    def _list_if_ready(self, peer: Peer) -> None:
+        target = peer.entry.target
+        if (
+            target is None
+            or target.state is not TargetState.READY
+            or target.process in self._leaving
+        ):
+            return
+        evacuated = peer.entry.data_centre in self.evacuations.data_centres
+        by_service = self._evacuated_by_service if evacuated else self._ready_by_service
+        by_service.setdefault(target.service, []).append(peer)
+
     def _remove_from_ready(self, peer: Peer) -> None:
         target = peer.entry.target
-        listed = self._ready_by_service.get(target.service, []) if target is not None else []
-        # Compared by identity, since two peers may have equal fields.
-        for i, other in enumerate(listed):
-            if other is peer:
-                del listed[i]
-                return
+        if target is None:
+            return
+        for by_service in (self._ready_by_service, self._evacuated_by_service):
+            listed = by_service.get(target.service, [])
+            # Compared by identity, since two peers may have equal fields.
+            for i, other in enumerate(listed):
+                if other is peer:
+                    del listed[i]
+                    return
 
 
 def _same_target(current: NodeEntry, entry: NodeEntry) -> bool:
--- a/tests/sidecar/calls/test_admission_controller.py
+++ b/tests/sidecar/calls/test_admission_controller.py
@@ -33,6 +33,7 @@
         self.forbidden: set[str] = set()
         self.failed: list[bool] = []
         self.cancelled_s: list[float] = []
+        self.suspension: str | None = None
         self.retry_budget = TargetRetryBudget(0.2, 20.0, 10.0)
         self.controller = AdmissionController(
             NAMES,
@@ -43,6 +44,7 @@
             quarantine(),
             DecisionLog(),
             FixedClock(1_000),
+            lambda: self.suspension,
         )
         self.addCleanup(self.controller.close)
 
@@ -232,3 +234,39 @@
         self.assertFalse(self.announce(target(incarnation=900, sequence=7)))
         self.assert_refused(await self.controller.run(call()))
         self.assertTrue(self.announce(target(incarnation=1_001)))
+
+    # EVACUATION: a call that waited for a slot was sent after the order.
+    async def test_a_suspension_refuses_queued_and_new_calls_but_no_call_in_flight(self) -> None:
+        self.announce(target(slots=1))
+        self.target.released.clear()
+        running = asyncio.ensure_future(self.controller.run(call("r-1")))
+        await until(lambda: self.target.received == ["r-1"])
+        queued = asyncio.ensure_future(self.controller.run(call("r-2")))
+        await until(lambda: self.controller.load == 2)
+        self.suspension = "data centre a is evacuated"
+        self.controller.suspend(self.suspension)
+        self.assert_refused(await queued)
+        self.assert_refused(await self.controller.run(call("r-3")))
+        self.assertEqual(self.controller.refusal(call("r-4")), self.suspension)
+        self.assertEqual(self.controller.capacity, 0)
+        self.target.released.set()
+        self.assertEqual((await running).unwrap().status, 200)
+        self.assertEqual(self.target.received, ["r-1"])
+        self.assertEqual(self.controller.suspended_count, 3)
+        self.suspension = None
+        self.assertEqual((await self.controller.run(call("r-5"))).unwrap().status, 200)
+
+    # EVACUATION: a call that was granted its slot just before the order was sent after it.
+    async def test_a_suspension_refuses_a_call_that_was_granted_a_slot_but_not_sent(self) -> None:
+        self.announce(target(slots=1))
+        self.target.released.clear()
+        running = asyncio.ensure_future(self.controller.run(call("r-1")))
+        await until(lambda: self.target.received == ["r-1"])
+        queued = asyncio.ensure_future(self.controller.run(call("r-2")))
+        await until(lambda: self.controller.load == 2)
+        self.suspension = "data centre a is evacuated"
+        self.target.released.set()
+        self.assert_refused(await queued)
+        await running
+        self.assertEqual(self.target.received, ["r-1"])
+        self.assertEqual(self.controller.load, 0)
--- a/tests/sidecar/calls/test_dispatcher.py
+++ b/tests/sidecar/calls/test_dispatcher.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.placement import Evacuations
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
@@ -15,6 +16,7 @@
 from bulrushflow.routing import not_run
 from bulrushflow.routing import refused
 from bulrushflow.routing import unknown
+from bulrushflow.sidecar.calls import dispatcher
 from bulrushflow.sidecar.calls.balancer import Balancer
 from bulrushflow.sidecar.calls.dispatcher import MAX_REFUSALS
 from bulrushflow.sidecar.calls.dispatcher import CallProgress
@@ -163,6 +165,22 @@
         self.responses[self.sent[0][0]].set_result(response_with(200).as_result())
         self.assertEqual((await running).unwrap().status, 200)
 
+    # EVACUATION: calls waited a tenth of their latency objective for a target that can't come.
+    async def test_a_call_whose_targets_are_all_evacuated_is_refused_without_waiting(self) -> None:
+        self.directory.apply_evacuations(Evacuations(frozenset("a")))
+        with mock.patch.object(dispatcher, "TARGET_POLL_S", None):
+            failure = (await self.start()).unwrap_err()
+        self.assertIs(failure.outcome, Outcome.NOT_RUN)
+        self.assertIn("evacuated", failure.reason)
+        self.assertEqual(self.sent, [])
+
+    async def test_an_evacuation_does_not_hide_an_attempt_that_may_have_run(self) -> None:
+        running = self.start()
+        await until(lambda: len(self.sent) == 1)
+        self.directory.apply_evacuations(Evacuations(frozenset("a")))
+        self.responses[self.sent[0][0]].set_result(unknown("cut"))
+        self.assertIs((await running).unwrap_err().outcome, Outcome.UNKNOWN)
+
     async def test_a_call_refused_until_its_deadline_has_not_run(self) -> None:
         running = self.dispatcher.dispatch(self.route(), call(idempotent=False, timeout_s=0.1))
         task = asyncio.ensure_future(running)
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import typing as t
 import unittest
 from unittest import mock
 
@@ -53,12 +54,14 @@
     The system picks the ports. The one for other nodes stays the same after a restart.
     """
 
-    def __init__(self, address: str, store: Endpoint, target: Endpoint) -> None:
+    def __init__(
+        self, address: str, store: Endpoint, target: Endpoint, data_centre: str = "a"
+    ) -> None:
         self.target_address = str(target)
         self.settings = SidecarSettings(
             node_id=f"n-{address}",
             address=address,
-            data_centre="a",
+            data_centre=data_centre,
             peer_port=free_port(address),
             metrics_port=0,
             callers=Endpoint(address, 0),
@@ -98,6 +101,8 @@
     """A test case with :attr:`node_count` sidecars of service ``s1``, with four slots each."""
 
     node_count = 2
+    data_centres: t.Sequence[str] = "a"
+    """The data centres of the nodes, assigned in turn."""
     target_type = FakeTarget
     configuration = configuration(1)
     """The configuration that :meth:`serve` publishes."""
@@ -117,7 +122,8 @@
         for number, target in enumerate(self.targets):
             target_endpoint = await target.start()
             self.addAsyncCleanup(target.stop)
-            instance = Instance(f"127.0.0.{number + 1}", endpoint, target_endpoint)
+            data_centre = self.data_centres[number % len(self.data_centres)]
+            instance = Instance(f"127.0.0.{number + 1}", endpoint, target_endpoint, data_centre)
             await instance.sidecar.start()
             self.instances.append(instance)
         self.addAsyncCleanup(self.stop_instances)
--- a/tests/sidecar/records/test_directory.py
+++ b/tests/sidecar/records/test_directory.py
@@ -3,6 +3,7 @@
 
 from msgspec.structs import replace
 
+from bulrushflow.placement import Evacuations
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.records.directory import Directory
@@ -62,3 +63,32 @@
         self.assertFalse(self.directory.mark_leaving(self.directory.peers_by_key["node/1"]))
         self.directory.update("node/1", self.changed(1, incarnation=2))
         self.assertEqual(self.ready(), {"n-1", "n-2", "n-3"})
+
+    def evacuate(self, *data_centres: str) -> None:
+        self.directory.apply_evacuations(Evacuations(frozenset(data_centres)))
+
+    # EVACUATION: an entry that changed during the order made its target available again.
+    def test_a_target_in_an_evacuated_data_centre_is_not_listed_whatever_its_entry(self) -> None:
+        self.directory.update("node/4", peer(4, data_centre="b").entry)
+        self.evacuate("a")
+        self.assertEqual(self.ready(), {"n-4"})
+        self.directory.update("node/1", self.changed(1, sequence=9))
+        self.directory.update("node/5", peer(5).entry)
+        self.directory.remove("node/3")
+        self.assertEqual(self.ready(), {"n-4"})
+        self.assertFalse(self.directory.all_evacuated("statements"))
+        self.evacuate()
+        self.assertEqual(self.ready(), {"n-1", "n-2", "n-4", "n-5"})
+
+    def test_overlapping_evacuations_may_leave_a_service_without_targets(self) -> None:
+        self.directory.update("node/4", peer(4, data_centre="b").entry)
+        self.evacuate("a", "b")
+        self.assertTrue(self.directory.all_evacuated("statements"))
+        self.assertFalse(self.directory.all_evacuated("unknown"))
+        self.evacuate("a")
+        self.assertEqual(self.ready(), {"n-4"})
+        self.directory.remove("node/4")
+        self.assertTrue(self.directory.all_evacuated("statements"))
+        for number in (1, 2, 3):
+            self.directory.remove(f"node/{number}")
+        self.assertFalse(self.directory.all_evacuated("statements"))
