Send large responses between nodes in chunks, paced by the node's link

A response of 90 to 540 KB is one frame on the connection that two nodes share, ahead of every small response behind it: 0.15 to 0.9 s on a link of 5 Mbit/s, and seconds with several at once.

Weighed: a second connection for large responses (its bytes still fill the link's queue), and HTTP/2 or another multiplexing protocol (a new transport for one kind of message). Instead frames of 8 to 16 KiB on the connection that there is, with a window that the receiver grants. Small frames count and never wait.

Nothing sends chunks yet: a node will do so only towards one whose call request has `chunk_window`.

Test on a virtual clock: sixteen downloads of 90 KB beside a small response every 10 ms through 5 Mbit/s; no small response takes longer than three chunks' time (39 ms). As frames, the last would wait 2.3 s (16 x 90 KB / 5 Mbit/s, computed).

--- /dev/null
+++ b/src/bulrushflow/wire/chunks.py
@@ -0,0 +1,190 @@
+"""Sending of large bodies in chunks, in turns and at the pace of the node's link."""
+
+import asyncio
+import collections
+import typing as t
+
+from bulrushflow.wire import messages
+
+MAX_UNSENT_BYTES = 32 << 10
+"""Unsent bytes of a connection above which no chunk is added to it. A small response waits behind
+these at most, besides one chunk."""
+BLOCKED_RECHECK_S = 0.01
+"""Time after which connections with too many unsent bytes are looked at again."""
+
+
+class Pacer(t.Protocol):
+    """Decides when the node's link may get the next chunk."""
+
+    @property
+    def chunk_bytes(self) -> int:
+        """Size of the chunks, in bytes."""
+
+    def record_written(self, size: int, now: float) -> None:
+        """Count bytes that were written to any connection."""
+
+    def next_chunk_at(self, now: float) -> float:
+        """Return when the next chunk may be written; ``now`` or earlier if it may be at once."""
+
+    def add_waiting(self, size: int) -> None:
+        """Count bytes of bodies that wait to be written; negative once they don't any more."""
+
+
+class UnpacedLink:
+    """A link of unknown bandwidth: chunks wait only for their window and for unsent bytes."""
+
+    __slots__ = ()
+    chunk_bytes = 16 << 10
+
+    def record_written(self, size: int, now: float) -> None:
+        """See :meth:`Pacer.record_written`."""
+
+    def next_chunk_at(self, now: float) -> float:
+        """See :meth:`Pacer.next_chunk_at`."""
+        return now
+
+    def add_waiting(self, size: int) -> None:
+        """See :meth:`Pacer.add_waiting`."""
+
+
+class ChunkLink(t.Protocol):
+    """A connection that carries chunks."""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the transport and the kernel that were not sent yet."""
+
+    def send(self, exchange: int = 0, **body: t.Any) -> bool:
+        """Send a frame."""
+
+
+class LoopTimers(t.Protocol):
+    """The parts of an event loop by which chunks are timed."""
+
+    def time(self) -> float:
+        """Return the time in seconds."""
+
+    def call_at(self, when: float, callback: t.Callable[[], object], /) -> asyncio.TimerHandle:
+        """Call back at a time."""
+
+
+class OutgoingBody:
+    """A body that is being sent as the response to one exchange.
+
+    :param window: bytes that may be sent before the receiver grants more.
+    :param on_sent: called once the last chunk was written.
+    """
+
+    __slots__ = ("data", "exchange", "link", "offset", "on_sent", "window_end")
+
+    def __init__(
+        self,
+        link: ChunkLink,
+        exchange: int,
+        data: bytes,
+        window: int,
+        on_sent: t.Callable[[], None],
+    ) -> None:
+        self.link = link
+        self.exchange = exchange
+        self.data = data
+        self.offset = 0
+        self.window_end = window
+        self.on_sent = on_sent
+
+    @property
+    def sendable_bytes(self) -> int:
+        """Bytes that the window allows to be sent now."""
+        return min(len(self.data), self.window_end) - self.offset
+
+
+class ChunkSender:
+    """Sends the bodies of all connections of a node in turns, at the pace of the node's link.
+
+    Round robin over the transfers, not over the connections: each response gets the same share.
+
+    :param timers: the event loop; by default the one that runs when the first body is sent.
+    """
+
+    def __init__(self, pacer: Pacer, timers: LoopTimers | None = None) -> None:
+        self._pacer = pacer
+        self._timers = timers
+        self._turns: collections.deque[OutgoingBody] = collections.deque()
+        """Bodies whose window allows a chunk, the next one first."""
+        self._timer: asyncio.TimerHandle | None = None
+        self._bodies: set[OutgoingBody] = set()
+
+    @property
+    def count(self) -> int:
+        """Number of bodies that are being sent."""
+        return len(self._bodies)
+
+    def record_written(self, size: int) -> None:
+        """Count bytes that a connection wrote, chunks and others."""
+        self._pacer.record_written(size, self._loop().time())
+
+    def start(self, body: OutgoingBody) -> None:
+        """Begin to send a body, which takes its turns from now on."""
+        self._bodies.add(body)
+        self._pacer.add_waiting(len(body.data))
+        if body.sendable_bytes > 0:
+            self._turns.append(body)
+        self._send_due()
+
+    def stop(self, body: OutgoingBody) -> None:
+        """Send no more of a body, and release it."""
+        if body not in self._bodies:
+            return
+        self._bodies.remove(body)
+        if body in self._turns:
+            self._turns.remove(body)
+        self._pacer.add_waiting(body.offset - len(body.data))
+        body.data = b""
+
+    def grant(self, body: OutgoingBody, size: int) -> None:
+        """Enlarge a body's window by ``size`` bytes."""
+        waited = body.sendable_bytes <= 0
+        body.window_end += size
+        if waited and body.sendable_bytes > 0 and body in self._bodies:
+            self._turns.append(body)
+            self._send_due()
+
+    def _loop(self) -> LoopTimers:
+        if self._timers is None:
+            self._timers = asyncio.get_running_loop()
+        return self._timers
+
+    def _send_due(self) -> None:
+        """Send the chunks that are due, and set the timer for the next one."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        loop = self._loop()
+        blocked = 0
+        while blocked < len(self._turns):
+            now = loop.time()
+            due_at = self._pacer.next_chunk_at(now)
+            if due_at > now:
+                self._timer = loop.call_at(due_at, self._send_due)
+                return
+            body = self._turns.popleft()
+            if body.link.unsent_bytes > MAX_UNSENT_BYTES:
+                self._turns.append(body)
+                blocked += 1
+                continue
+            blocked = 0
+            self._send_chunk(body)
+        if self._turns:
+            self._timer = loop.call_at(loop.time() + BLOCKED_RECHECK_S, self._send_due)
+
+    def _send_chunk(self, body: OutgoingBody) -> None:
+        size = min(self._pacer.chunk_bytes, body.sendable_bytes)
+        chunk = body.data[body.offset : body.offset + size]
+        body.offset += size
+        self._pacer.add_waiting(-size)
+        body.link.send(exchange=body.exchange, body_chunk=messages.BodyChunk(data=chunk))
+        if body.offset == len(body.data):
+            self.stop(body)
+            body.on_sent()
+        elif body.sendable_bytes > 0:
+            self._turns.append(body)
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -191,6 +191,7 @@
         62: (TType.I32, "useful_ms", False),
         63: (TType.STRUCT, "named_limit", NamedLimit, False),
         64: (TType.I64, "read_era", False),
+        120: (TType.I32, "chunk_window", False),
     }
     default_spec = [
         ("request_id", None),
@@ -210,6 +211,7 @@
         ("useful_ms", None),
         ("named_limit", None),
         ("read_era", None),
+        ("chunk_window", None),
     ]
 
 
@@ -225,6 +227,8 @@
         61: (TType.I64, "read_offset", False),
         62: (TType.BOOL, "arrived", False),
         64: (TType.I64, "read_era", False),
+        120: (TType.I32, "link_backlog_ms", False),
+        121: (TType.I32, "chunked_bytes", False),
     }
     default_spec = [
         ("outcome", None),
@@ -237,6 +241,8 @@
         ("read_offset", None),
         ("arrived", None),
         ("read_era", None),
+        ("link_backlog_ms", None),
+        ("chunked_bytes", None),
     ]
 
 
@@ -269,6 +275,24 @@
     ]
 
 
+class BodyChunk(TPayload):
+    thrift_spec = {
+        1: (TType.BINARY, "data", True),
+    }
+    default_spec = [
+        ("data", None),
+    ]
+
+
+class BodyGrant(TPayload):
+    thrift_spec = {
+        1: (TType.I32, "size", True),
+    }
+    default_spec = [
+        ("size", None),
+    ]
+
+
 class Record(TPayload):
     thrift_spec = {
         1: (TType.I64, "offset", True),
@@ -520,6 +544,8 @@
         71: (TType.STRUCT, "updates", Updates, False),
         80: (TType.STRUCT, "admission_request", AdmissionRequest, False),
         81: (TType.STRUCT, "admission_answer", AdmissionAnswer, False),
+        120: (TType.STRUCT, "body_chunk", BodyChunk, False),
+        121: (TType.STRUCT, "body_grant", BodyGrant, False),
     }
     default_spec = [
         ("exchange", None),
@@ -541,4 +567,6 @@
         ("updates", None),
         ("admission_request", None),
         ("admission_answer", None),
+        ("body_chunk", None),
+        ("body_grant", None),
     ]
--- a/src/bulrushflow/wire/keepalive.py
+++ b/src/bulrushflow/wire/keepalive.py
@@ -8,6 +8,8 @@
 import msgspec
 
 _QUEUED_BYTES = struct.Struct("i")
+_SIOCOUTQNSD = 0x894B
+"""Linux's request for the bytes of a socket's send queue that were not sent yet."""
 
 
 class Ping(msgspec.Struct):
@@ -41,16 +43,22 @@
 
     Where the system doesn't tell the second part, only the first is returned.
     """
-    raw = transport.get_extra_info("socket")
-    queued = 0 if raw is None else _send_queue_bytes(raw.fileno())
-    return transport.get_write_buffer_size() + queued
+    # SIOCOUTQ, by the name that Python has for the same number.
+    return transport.get_write_buffer_size() + _queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes in a transport's write buffer, and in the kernel's if they weren't sent."""
+    return transport.get_write_buffer_size() + _queued_bytes(transport, _SIOCOUTQNSD)
 
 
-def _send_queue_bytes(fileno: int) -> int:
-    """Return the bytes sent or to be sent by the kernel that the peer has not acknowledged."""
+def _queued_bytes(transport: asyncio.Transport, request: int) -> int:
+    """Return the answer to a request for the length of the kernel's send queue; 0 without one."""
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return 0
     try:
-        # SIOCOUTQ, by the name that Python has for the same number.
-        data = fcntl.ioctl(fileno, termios.TIOCOUTQ, bytes(_QUEUED_BYTES.size))
+        data = fcntl.ioctl(raw.fileno(), request, bytes(_QUEUED_BYTES.size))
     except (OSError, ValueError):
         return 0
     queued: int = _QUEUED_BYTES.unpack(data)[0]
--- a/src/bulrushflow/wire/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import itertools
-import struct
 import typing as t
 
 import msgspec
@@ -15,10 +14,20 @@
 from result import Result
 
 from bulrushflow.wire import messages
+from bulrushflow.wire.chunks import ChunkSender
+from bulrushflow.wire.chunks import UnpacedLink
+from bulrushflow.wire.frames import LENGTH
+from bulrushflow.wire.frames import MAX_FRAME_BYTES
+from bulrushflow.wire.frames import REQUEST_FIELDS
+from bulrushflow.wire.frames import RESPONSE_FIELDS
+from bulrushflow.wire.frames import encode_frame
 from bulrushflow.wire.keepalive import Ping
 from bulrushflow.wire.keepalive import unacknowledged_bytes
+from bulrushflow.wire.keepalive import unsent_bytes
+from bulrushflow.wire.transfers import ChunkedResponse
+from bulrushflow.wire.transfers import IncomingBody
+from bulrushflow.wire.transfers import LinkTransfers
 
-MAX_FRAME_BYTES = 16 << 20
 HIGH_WATER_BYTES = 1 << 20
 """Unwritten bytes above which new requests fail without being sent."""
 MAX_WRITE_BUFFER_BYTES = 64 << 20
@@ -33,28 +42,9 @@
 They start again whenever the peer acknowledges bytes that were queued ahead of the ping.
 """
 
-_LENGTH = struct.Struct(">I")
-_RESPONSE_FIELDS = (
-    "call_answer",
-    "records",
-    "members",
-    "pong",
-    "failure",
-    "updates",
-    "admission_answer",
-)
-_REQUEST_FIELDS = (
-    "call_request",
-    "records_request",
-    "members_request",
-    "evidence_report",
-    "records_push",
-    "state_notice",
-    "updates_request",
-    "admission_request",
-)
-
-Handler = t.Callable[[t.Any], t.Awaitable[dict[str, t.Any] | None]]
+_TOO_LARGE = f"the response does not fit into a frame of {MAX_FRAME_BYTES} bytes"
+
+Handler = t.Callable[[t.Any], t.Awaitable[dict[str, t.Any] | ChunkedResponse | None]]
 
 
 class LinkError(msgspec.Struct, frozen=True):
@@ -64,19 +54,35 @@
     reason: str
 
 
+class _Pending(t.NamedTuple):
+    """An exchange that waits for its response."""
+
+    future: asyncio.Future[t.Any]
+    window: int
+    """Bytes of the response's body that the peer may send in chunks; 0 if it may send none."""
+
+
 class Link(asyncio.Protocol):
     """One connection; requests may be sent in both directions.
 
     :param handlers: handler of each request, by its field in the frame.
     :param on_lost: called once the connection is lost.
+    :param sender: sends large bodies, in turns with those of other connections.
     """
 
-    def __init__(self, handlers: dict[str, Handler], on_lost: t.Callable[["Link"], None]) -> None:
+    def __init__(
+        self,
+        handlers: dict[str, Handler],
+        on_lost: t.Callable[["Link"], None],
+        sender: ChunkSender | None = None,
+    ) -> None:
         self._handlers = handlers
         self._on_lost = on_lost
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
-        self._pending: dict[int, asyncio.Future[t.Any]] = {}
+        self._sender = sender or ChunkSender(UnpacedLink())
+        self._transfers = LinkTransfers(self, self._sender)
+        self._pending: dict[int, _Pending] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._one_way_tasks: set[asyncio.Task[None]] = set()
         self._exchange_numbers = itertools.count(1)
@@ -97,10 +103,19 @@
     @property
     def busy(self) -> bool:
         """Whether an exchange is open in either direction or bytes are unwritten."""
-        if self._pending or self._tasks:
+        if self._exchanging:
             return True
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the transport and the kernel that were not sent yet."""
+        return 0 if self._transport is None else unsent_bytes(self._transport)
+
+    @property
+    def _exchanging(self) -> bool:
+        return bool(self._pending or self._tasks) or self._transfers.receiving
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
@@ -109,10 +124,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
-        for future in self._pending.values():
-            if not future.done():
-                future.set_result(Err(LinkError(True, f"connection lost: {exc}")))
+        for pending in self._pending.values():
+            if not pending.future.done():
+                pending.future.set_result(Err(LinkError(True, f"connection lost: {exc}")))
         self._pending.clear()
+        self._transfers.fail_all(f"connection lost: {exc}")
         for task in [*self._tasks.values(), *self._one_way_tasks]:
             task.cancel()
         self._on_lost(self)
@@ -129,8 +145,8 @@
         self._buffer += data
         start = 0
         available = len(self._buffer)
-        while available - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer, start)
+        while available - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(self._buffer, start)
             if length > MAX_FRAME_BYTES:
                 logger.warning(
                     "closing the connection: frame of {} bytes announced, at most {} are allowed",
@@ -139,10 +155,10 @@
                 )
                 self.abort()
                 return
-            end = start + _LENGTH.size + length
+            end = start + LENGTH.size + length
             if available < end:
                 break
-            self._handle_frame(bytes(self._buffer[start + _LENGTH.size : end]))
+            self._handle_frame(bytes(self._buffer[start + LENGTH.size : end]))
             if self.lost:
                 return
             start = end
@@ -152,7 +168,8 @@
     async def exchange(self, timeout_s: float, **body: t.Any) -> Result[t.Any, LinkError]:
         """Send a request and return the frame of its response.
 
-        If a call times out or is cancelled here, a cancellation is sent to the peer.
+        If a call times out or is cancelled here, a cancellation is sent to the peer. A body that
+        follows in chunks is taken with :meth:`take_body`.
 
         :param body: the request, by its field in the frame.
         """
@@ -166,7 +183,7 @@
                 )
             )
         number = next(self._exchange_numbers)
-        match _encode_frame(number, body):
+        match encode_frame(number, body):
             case Err(reason):
                 return Err(LinkError(False, reason))
             case Ok(data):
@@ -174,7 +191,8 @@
         loop = asyncio.get_running_loop()
         self.last_used_at = loop.time()
         future: asyncio.Future[t.Any] = loop.create_future()
-        self._pending[number] = future
+        window = getattr(body.get("call_request"), "chunk_window", None) or 0
+        self._pending[number] = _Pending(future, window)
         self._write(data)
         try:
             async with asyncio.timeout(timeout_s):
@@ -189,12 +207,19 @@
         finally:
             self._pending.pop(number, None)
 
+    def take_body(self, frame: t.Any) -> IncomingBody | None:
+        """Return the body that follows a response in chunks, if it does; the caller closes it.
+
+        :param frame: the frame that the exchange returned just now.
+        """
+        return self._transfers.take(frame.exchange)
+
     def send(self, exchange: int = 0, **body: t.Any) -> bool:
         """Send a frame without waiting for a response.
 
         :return: whether the message fitted into a frame.
         """
-        match _encode_frame(exchange, body):
+        match encode_frame(exchange, body):
             case Err(reason):
                 logger.warning("frame not sent: {}", reason)
                 return False
@@ -228,7 +253,7 @@
         if self.lost or self._transport is None:
             return
         if self._ping is None:
-            silence_s = BUSY_KEEPALIVE_S if self._pending or self._tasks else IDLE_KEEPALIVE_S
+            silence_s = BUSY_KEEPALIVE_S if self._exchanging else IDLE_KEEPALIVE_S
             if now - self._last_received_at >= silence_s:
                 self._send_ping(now, self._transport)
             return
@@ -252,7 +277,7 @@
     def _send_ping(self, now: float, transport: asyncio.Transport) -> None:
         acknowledged = self._written_bytes - unacknowledged_bytes(transport)
         self._ping = Ping(self._written_bytes, acknowledged, now)
-        self._write(_encode_frame(0, {"ping": messages.Heartbeat()}).unwrap())
+        self._write(encode_frame(0, {"ping": messages.Heartbeat()}).unwrap())
 
     def _write(self, data: bytes) -> None:
         if self._transport is None or self.lost:
@@ -266,6 +291,7 @@
             return
         self._transport.write(data)
         self._written_bytes += len(data)
+        self._sender.record_written(len(data))
 
     def _handle_frame(self, payload: bytes) -> None:
         match messages.decode(messages.Frame, payload):
@@ -276,7 +302,7 @@
             case Ok(frame):
                 pass
         if frame.ping is not None:
-            self._write(_encode_frame(frame.exchange, {"pong": messages.Heartbeat()}).unwrap())
+            self._write(encode_frame(frame.exchange, {"pong": messages.Heartbeat()}).unwrap())
             return
         if frame.goodbye is not None:
             self.peer_closing = True
@@ -286,24 +312,35 @@
             if task is not None:
                 task.cancel()
             return
-        if any(getattr(frame, name) is not None for name in _RESPONSE_FIELDS):
+        if frame.body_chunk is not None:
+            self._transfers.receive_chunk(frame.exchange, frame.body_chunk.data)
+            return
+        if frame.body_grant is not None:
+            self._transfers.receive_grant(frame.exchange, frame.body_grant.size)
+            return
+        if any(getattr(frame, name) is not None for name in RESPONSE_FIELDS):
             self._complete_exchange(frame)
             return
-        for name in _REQUEST_FIELDS:
+        for name in REQUEST_FIELDS:
             message = getattr(frame, name)
             if message is not None and name in self._handlers:
                 self._start_handler(frame.exchange, self._handlers[name], message)
                 return
 
     def _complete_exchange(self, frame: t.Any) -> None:
-        future = self._pending.get(frame.exchange)
+        if frame.failure is not None and self._transfers.fail(frame.exchange, frame.failure.reason):
+            return
+        pending = self._pending.get(frame.exchange)
         # The exchange of a late response is gone; the response is ignored.
-        if future is None or future.done():
+        if pending is None or pending.future.done():
             return
         if frame.failure is not None:
-            future.set_result(Err(LinkError(True, frame.failure.reason)))
+            pending.future.set_result(Err(LinkError(True, frame.failure.reason)))
             return
-        future.set_result(Ok(frame))
+        chunked_bytes = frame.call_answer and frame.call_answer.chunked_bytes
+        if chunked_bytes:
+            self._transfers.begin(frame.exchange, chunked_bytes, pending.window)
+        pending.future.set_result(Ok(frame))
 
     def _start_handler(self, number: int, handler: Handler, message: t.Any) -> None:
         if number in self._tasks:
@@ -330,24 +367,25 @@
                 number, "the peer failed to handle the request; its log has the exception"
             )
             return
-        if response is not None and not self.send(exchange=number, **response):
-            self._send_failure(
-                number, f"the response does not fit into a frame of {MAX_FRAME_BYTES} bytes"
-            )
+        if isinstance(response, ChunkedResponse):
+            await self._send_chunked(number, response)
+        elif response is not None and not self.send(exchange=number, **response):
+            self._send_failure(number, _TOO_LARGE)
+
+    async def _send_chunked(self, number: int, response: ChunkedResponse) -> None:
+        try:
+            if self.send(exchange=number, **response.head):
+                await self._transfers.send(number, response.body, response.window)
+            else:
+                self._send_failure(number, _TOO_LARGE)
+        finally:
+            response.on_end()
 
     def _send_failure(self, number: int, reason: str) -> None:
         if number:
             self.send(exchange=number, failure=messages.ExchangeFailure(reason=reason))
 
     def _cancel_exchange(self, number: int, body: dict[str, t.Any]) -> None:
+        self._transfers.discard(number)
         if "call_request" in body:
             self.send(call_cancel=messages.CallCancel(exchange=number))
-
-
-def _encode_frame(exchange: int, body: dict[str, t.Any]) -> Result[bytes, str]:
-    payload = messages.encode(messages.Frame(exchange=exchange, **body))
-    if len(payload) > MAX_FRAME_BYTES:
-        return Err(
-            f"message of {len(payload)} bytes exceeds the frame limit of {MAX_FRAME_BYTES} bytes"
-        )
-    return Ok(_LENGTH.pack(len(payload)) + payload)
--- a/src/bulrushflow/wire/links.py
+++ b/src/bulrushflow/wire/links.py
@@ -15,6 +15,9 @@
 
 from bulrushflow.timers import PauseDetector
 from bulrushflow.timers import Timers
+from bulrushflow.wire.chunks import ChunkSender
+from bulrushflow.wire.chunks import Pacer
+from bulrushflow.wire.chunks import UnpacedLink
 from bulrushflow.wire.link import Handler
 from bulrushflow.wire.link import Link
 from bulrushflow.wire.link import LinkError
@@ -37,13 +40,18 @@
 
 
 class Links(Service):
-    """Accepts connections from other nodes and opens outbound connections to them."""
+    """Accepts connections from other nodes and opens outbound connections to them.
 
-    def __init__(self, address: str, port: int, timers: Timers) -> None:
+    :param pacer: paces large bodies by the bandwidth of the node's link, if that is known.
+    """
+
+    def __init__(self, address: str, port: int, timers: Timers, pacer: Pacer | None = None) -> None:
         super().__init__()
         self._address = address
         self.port = port
         self._timers = timers
+        self.sender = ChunkSender(pacer or UnpacedLink())
+        """Sends the large bodies of all connections."""
         self._handlers: dict[str, Handler] = {}
         self._server: asyncio.Server | None = None
         self._accepted: set[Link] = set()
@@ -165,7 +173,7 @@
         return [*self._accepted, *self._outbound_by_endpoint.values()]
 
     def _accept(self) -> Link:
-        link = Link(self._handlers, self._accepted.discard)
+        link = Link(self._handlers, self._accepted.discard, self.sender)
         self._accepted.add(link)
         return link
 
@@ -174,7 +182,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, link = await loop.create_connection(
-                    lambda: Link(self._handlers, self._remove), *endpoint
+                    lambda: Link(self._handlers, self._remove, self.sender), *endpoint
                 )
         except (OSError, TimeoutError) as exc:
             self._retry_at_by_endpoint[endpoint] = loop.time() + RECONNECT_BACKOFF_S
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -110,6 +110,9 @@
   63: optional NamedLimit named_limit
   // Era of the store that read_offset is of; offsets of different eras can't be compared.
   64: optional i64 read_era
+  // Set if the sender takes a large response in chunks: bytes of the body that may be sent before
+  // it grants more.
+  120: optional i32 chunk_window
 }
 
 struct CallAnswer {
@@ -126,6 +129,10 @@
   62: optional bool arrived
   // Era of the store that read_offset is of.
   64: optional i64 read_era
+  // Time for which the sender's link is busy with the responses that it has accepted.
+  120: optional i32 link_backlog_ms
+  // Length of a body that follows in chunks; the field body is empty then.
+  121: optional i32 chunked_bytes
 }
 
 // Asks whether a call would be refused, before its large body is sent. The call's body is empty.
@@ -143,6 +150,16 @@
   1: required i64 exchange
 }
 
+// The next part of a response's body. The body is complete once all its bytes have arrived.
+struct BodyChunk {
+  1: required binary data
+}
+
+// Allows the sender of a body to send so many bytes more.
+struct BodyGrant {
+  1: required i32 size
+}
+
 struct Record {
   1: required i64 offset
   2: required i64 appended_at_ms
@@ -300,4 +317,6 @@
   71: optional Updates updates
   80: optional AdmissionRequest admission_request
   81: optional AdmissionAnswer admission_answer
+  120: optional BodyChunk body_chunk
+  121: optional BodyGrant body_grant
 }
--- /dev/null
+++ b/tests/wire/test_chunks.py
@@ -0,0 +1,176 @@
+"""Tests of the turns and the pace of large bodies, on a virtual clock without a network."""
+
+import heapq
+import itertools
+import typing as t
+import unittest
+
+from bulrushflow.placement import LinkPacer
+from bulrushflow.wire.chunks import MAX_UNSENT_BYTES
+from bulrushflow.wire.chunks import ChunkSender
+from bulrushflow.wire.chunks import OutgoingBody
+from bulrushflow.wire.chunks import UnpacedLink
+
+LINK_MBPS = 5.0
+LINK_BYTES_PER_S = LINK_MBPS * 1e6 / 8
+NO_WINDOW_LIMIT = 1 << 30
+
+
+class VirtualTimers:
+    """An event loop's timers on a clock that only :meth:`run_until` moves."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._numbers = itertools.count()
+        self._due: list[tuple[float, int, VirtualHandle]] = []
+
+    def time(self) -> float:
+        return self.now
+
+    def call_at(self, when: float, callback: t.Callable[[], object], /) -> t.Any:
+        handle = VirtualHandle(callback)
+        heapq.heappush(self._due, (when, next(self._numbers), handle))
+        return handle
+
+    def run_until(self, end: float) -> None:
+        while self._due and self._due[0][0] <= end:
+            when, _, handle = heapq.heappop(self._due)
+            self.now = max(self.now, when)
+            if not handle.cancelled:
+                handle.callback()
+        self.now = max(self.now, end)
+
+
+class VirtualHandle:
+    def __init__(self, callback: t.Callable[[], object]) -> None:
+        self.callback = callback
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class VirtualUplink:
+    """A node's link: a first-in-first-out queue that all connections share."""
+
+    def __init__(self, timers: VirtualTimers) -> None:
+        self._timers = timers
+        self._free_at = 0.0
+        self.pacer = LinkPacer(LINK_MBPS)
+        self.sender = ChunkSender(self.pacer, timers)
+
+    def transmit(self, size: int) -> float:
+        """Add bytes to the queue; return when the last of them has passed the link."""
+        self.sender.record_written(size)
+        self._free_at = max(self._free_at, self._timers.now) + size / LINK_BYTES_PER_S
+        return self._free_at
+
+
+class VirtualConnection:
+    """Records the exchange of each chunk that is written."""
+
+    def __init__(self, uplink: VirtualUplink | None = None) -> None:
+        self._uplink = uplink
+        self.unsent_bytes = 0
+        self.exchanges: list[int] = []
+        self.received_by_exchange: dict[int, bytes] = {}
+
+    def send(self, exchange: int = 0, **body: t.Any) -> bool:
+        data = body["body_chunk"].data
+        self.exchanges.append(exchange)
+        self.received_by_exchange[exchange] = self.received_by_exchange.get(exchange, b"") + data
+        if self._uplink is not None:
+            self._uplink.transmit(len(data) + 40)
+        return True
+
+
+class ChunkSenderTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.timers = VirtualTimers()
+        self.sent: list[int] = []
+
+    def body(
+        self, link: VirtualConnection, exchange: int, data: bytes, window: int = NO_WINDOW_LIMIT
+    ) -> OutgoingBody:
+        return OutgoingBody(link, exchange, data, window, lambda: self.sent.append(exchange))
+
+    def test_small_responses_pass_sixteen_downloads_on_a_narrow_link(self) -> None:
+        """Sent as whole frames, the downloads would delay small responses by up to 2.3 s."""
+        uplink = VirtualUplink(self.timers)
+        connections = [VirtualConnection(uplink) for _ in range(4)]
+        small_delays: list[float] = []
+
+        def send_small() -> None:
+            small_delays.append(uplink.transmit(500) - self.timers.now)
+            if self.timers.now < 6.0:
+                self.timers.call_at(self.timers.now + 0.01, send_small)
+
+        send_small()
+        for i in range(16):
+            uplink.sender.start(self.body(connections[i % 4], i, bytes([i]) * 90_000))
+        self.timers.run_until(7.0)
+        chunk_s = LinkPacer(LINK_MBPS).chunk_bytes / LINK_BYTES_PER_S
+        self.assertGreater(len(small_delays), 500)
+        self.assertLessEqual(max(small_delays), 3 * chunk_s)
+        self.assertEqual(sorted(self.sent), list(range(16)))
+        for i in range(16):
+            self.assertEqual(connections[i % 4].received_by_exchange[i], bytes([i]) * 90_000)
+
+    def test_transfers_take_turns_across_connections(self) -> None:
+        """One after the other, the last of many callers would wait for all others."""
+        uplink = VirtualUplink(self.timers)
+        connection = VirtualConnection(uplink)
+        for i in range(3):
+            uplink.sender.start(self.body(connection, i, bytes(90_000)))
+        self.timers.run_until(0.3)
+        counts = [connection.exchanges.count(i) for i in range(3)]
+        # The first one was alone for a turn.
+        self.assertLessEqual(max(counts) - min(counts), 2)
+        self.assertEqual(uplink.sender.count, 3)
+
+    def test_a_connection_with_unsent_bytes_is_passed_over_until_it_drains(self) -> None:
+        """Else the chunks would wait in its buffer, ahead of its small responses."""
+        sender = ChunkSender(UnpacedLink(), self.timers)
+        slow, fast = VirtualConnection(), VirtualConnection()
+        slow.unsent_bytes = MAX_UNSENT_BYTES + 1
+        sender.start(self.body(slow, 1, bytes(50_000)))
+        sender.start(self.body(fast, 2, bytes(50_000)))
+        self.timers.run_until(1.0)
+        self.assertEqual((self.sent, slow.exchanges), ([2], []))
+        slow.unsent_bytes = 0
+        self.timers.run_until(2.0)
+        self.assertEqual(self.sent, [2, 1])
+
+    def test_a_body_pauses_at_the_end_of_its_window(self) -> None:
+        sender = ChunkSender(UnpacedLink(), self.timers)
+        connection = VirtualConnection()
+        body = self.body(connection, 1, bytes(range(250)) * 200, window=20_000)
+        sender.start(body)
+        self.timers.run_until(1.0)
+        self.assertEqual(len(connection.received_by_exchange[1]), 20_000)
+        sender.grant(body, 10_000)
+        self.timers.run_until(2.0)
+        self.assertEqual(len(connection.received_by_exchange[1]), 30_000)
+        sender.grant(body, 1 << 20)
+        self.timers.run_until(3.0)
+        self.assertEqual(connection.received_by_exchange[1], bytes(range(250)) * 200)
+        self.assertEqual((self.sent, sender.count), ([1], 0))
+
+    def test_a_stopped_body_is_sent_no_further_and_leaves_no_backlog(self) -> None:
+        """Its bytes would count as waiting for good, and admission would refuse every download."""
+        uplink = VirtualUplink(self.timers)
+        pacer, sender = uplink.pacer, uplink.sender
+        connection = VirtualConnection(uplink)
+        for window in (NO_WINDOW_LIMIT, 10):
+            with self.subTest(window=window):
+                body = self.body(connection, 1, bytes(500_000), window)
+                sender.start(body)
+                self.timers.run_until(self.timers.now + 0.1)
+                self.assertGreater(pacer.backlog_s(self.timers.now), 0.5)
+                sender.stop(body)
+                count = len(connection.exchanges)
+                sender.grant(body, 1 << 20)
+                self.timers.run_until(self.timers.now + 1.0)
+                self.assertEqual(len(connection.exchanges), count)
+                self.assertEqual(pacer.backlog_s(self.timers.now), 0.0)
+                self.assertEqual((sender.count, body.data), (0, b""))
