Keep a version that was rolled back withdrawn until an order names it again

Cause: a node kept one order and one status for each service.

Weighed: a record of withdrawn versions of their own. It needs a second conditional append and can disagree with the status. The newest status carries them instead: from_version, the version in use before the order, and withdrawn, both optional. Each node keeps what it knew where a status of an earlier release names neither. What the store loses together with its order is written again.

Change: a target whose version is neither in use nor ordered gets no calls, from origin and from admitting nodes. Late responses of a withdrawn version are no evidence on the version in use. An order of the version in use completes at once and takes no calls from it.

Tests: test_a_later_order_replaces_an_earlier_one asserted that the rolled-back version is allowed under the next order, which is the fault; it now checks the new version, and a further test that the rolled-back one stays forbidden.

--- a/src/bulrushflow/rollouts/__init__.py
+++ b/src/bulrushflow/rollouts/__init__.py
@@ -17,6 +17,7 @@
 from bulrushflow.rollouts.shared import SharedRollouts
 from bulrushflow.rollouts.steps import StepDecision
 from bulrushflow.rollouts.steps import decide_step
+from bulrushflow.rollouts.versions import ServiceVersions
 from bulrushflow.rollouts.warmup import WarmUp
 from bulrushflow.rollouts.watch import CompletedRolloutWatch
 
@@ -33,6 +34,7 @@
     "RolloutSchedule",
     "RolloutTimes",
     "RouteCounts",
+    "ServiceVersions",
     "SharedRollout",
     "SharedRollouts",
     "StepDecision",
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -270,6 +270,10 @@
     decided_by: str = ""
     era: Count = 0
     """Era of the store in which the deciding node read the order; 0 if it isn't known."""
+    from_version: str = ""
+    """Version in use before the order; empty if it isn't known."""
+    withdrawn: tuple[str, ...] = ()
+    """Versions that were rolled back before the order and not ordered since, latest last."""
 
     def is_after(self, other: "RolloutStatus") -> bool:
         """Return whether this is a later step than ``other``, or one of a later order."""
--- a/src/bulrushflow/sidecar/rollouts/driver.py
+++ b/src/bulrushflow/sidecar/rollouts/driver.py
@@ -12,7 +12,6 @@
 import asyncio
 import typing as t
 
-from msgspec.structs import replace
 from result import Err
 from result import Ok
 
@@ -25,6 +24,7 @@
 from bulrushflow.sidecar.records.codec import decode_rollout_status
 from bulrushflow.sidecar.records.codec import encode_rollout_status
 from bulrushflow.sidecar.records.directory import Directory
+from bulrushflow.sidecar.rollouts.status_builder import StatusBuilder
 from bulrushflow.sidecar.rollouts.statuses import StatusLog
 from bulrushflow.sidecar.rollouts.tracker import FULL_PERMILLE
 from bulrushflow.sidecar.rollouts.tracker import Rollout
@@ -68,7 +68,7 @@
         decisions: DecisionLog,
     ) -> None:
         self._own_key = own_key
-        self._own_id = own_id
+        self._builder = StatusBuilder(own_id, rollouts, directory, clock)
         self._own_service = own_service
         self._rollouts = rollouts
         self._directory = directory
@@ -94,9 +94,10 @@
     async def check(self) -> None:
         """Check the rollout of this node's service once, and write the step that is due."""
         rollout = self._rollouts.by_service.get(self._own_service())
+        now = asyncio.get_running_loop().time()
         if rollout is None:
+            await self._restore_status(self._own_service(), now)
             return
-        now = asyncio.get_running_loop().time()
         if rollout.phase is RolloutPhase.RUNNING and not self._analyse(rollout, now):
             await self._advance(rollout, now)
         elif rollout.phase is RolloutPhase.COMPLETED:
@@ -105,7 +106,7 @@
         if unwritten is not None:
             if unwritten.phase is RolloutPhase.ROLLED_BACK:
                 self._send_notice(unwritten, now)
-            await self._write(rollout, unwritten)
+            await self._write_step(rollout, unwritten)
 
     def _unwritten_status(self, rollout: Rollout) -> RolloutStatus | None:
         """Return the rollback that is still to be written; one of an earlier order is dropped."""
@@ -125,12 +126,30 @@
         if status is None and rank < ANALYSIS_NODES and self._is_rollback_unrecorded(rollout):
             status = rollout.status
             rank += 1
-        if status is None or status.key != rollout.order.key:
+        if status is not None and status.key != rollout.order.key:
+            # The first status of the order in force has the withdrawn versions.
+            status = None
+        return status if self._is_turn(status, rank, now) else None
+
+    def _is_turn(self, status: RolloutStatus | None, rank: int, now: float) -> bool:
+        """Return whether a status has been pending long enough for this node to write it."""
+        if status is None:
             self._pending_since = None
-            return None
+            return False
         if self._pending_since is None:
             self._pending_since = now
-        return status if now - self._pending_since >= rank * RANK_DELAY_S else None
+        return now - self._pending_since >= rank * RANK_DELAY_S
+
+    async def _restore_status(self, service: str, now: float) -> None:
+        """Write a status again that the store lost together with its order.
+
+        Without it, a node that starts afterwards wouldn't know which versions are withdrawn.
+        """
+        status = self._rollouts.lost_status(service)
+        if status is not None and status.phase is RolloutPhase.RUNNING and not status.withdrawn:
+            status = None
+        if status is not None and self._is_turn(status, self._rank(), now):
+            await self._write(status, lambda: service not in self._rollouts.by_service)
 
     def _is_rollback_unrecorded(self, rollout: Rollout) -> bool:
         status = rollout.status
@@ -204,7 +223,7 @@
 
     def roll_back(self, rollout: Rollout, reason: str) -> None:
         """Roll a version back here and on every reachable node; :meth:`check` records it."""
-        status = self._next_status(rollout, 0, RolloutPhase.ROLLED_BACK, reason)
+        status = self._builder.next_status(rollout, 0, RolloutPhase.ROLLED_BACK, reason)
         self._rollouts.apply_status(status, asyncio.get_running_loop().time())
         self._unwritten[rollout.order.service] = status
         self._notice_sent_at = float("-inf")
@@ -235,57 +254,34 @@
         if step.phase is RolloutPhase.ROLLED_BACK:
             self.roll_back(rollout, step.reason)
             return
-        await self._write(rollout, step)
+        await self._write_step(rollout, step)
 
     def _due_step(self, rollout: Rollout, now: float) -> RolloutStatus | None:
         status = rollout.status
+        if status is None and self._rollouts.is_in_use(rollout):
+            reason = "the ordered version is in use"
+            return self._builder.next_status(rollout, FULL_PERMILLE, RolloutPhase.RUNNING, reason)
         if status is None:
-            return self._next_status(rollout, 0, RolloutPhase.RUNNING, "ordered")
+            return self._builder.next_status(rollout, 0, RolloutPhase.RUNNING, "ordered")
         if status.share_permille >= FULL_PERMILLE:
             if now - rollout.share_since < DRAIN_S:
                 return None
-            return self._next_status(rollout, FULL_PERMILLE, RolloutPhase.COMPLETED, status.reason)
+            return self._builder.next_status(
+                rollout, FULL_PERMILLE, RolloutPhase.COMPLETED, status.reason
+            )
         decision = self._rollouts.next_step(rollout, now, self._clock.wall_ms())
         reason = f"{decision.rule}; {rollout.controller.latest_result.evidence}"
         if decision.roll_back:
-            return self._next_status(rollout, 0, RolloutPhase.ROLLED_BACK, reason)
+            return self._builder.next_status(rollout, 0, RolloutPhase.ROLLED_BACK, reason)
         if decision.completed:
-            return self._next_status(rollout, FULL_PERMILLE, RolloutPhase.RUNNING, reason)
+            return self._builder.next_status(rollout, FULL_PERMILLE, RolloutPhase.RUNNING, reason)
         if decision.share_permille != status.share_permille:
-            return self._next_status(rollout, decision.share_permille, RolloutPhase.RUNNING, reason)
-        return None
-
-    def _next_status(
-        self, rollout: Rollout, share: int, phase: RolloutPhase, reason: str
-    ) -> RolloutStatus:
-        if rollout.status is not None:
-            return replace(
-                rollout.status,
-                step=rollout.status.step + 1,
-                share_permille=share,
-                phase=phase,
-                reason=reason,
-                decided_by=self._own_id,
-                era=rollout.order.era,
+            return self._builder.next_status(
+                rollout, decision.share_permille, RolloutPhase.RUNNING, reason
             )
-        now = asyncio.get_running_loop().time()
-        order = rollout.order
-        stated_at_ms = self._clock.wall_ms() - int((now - rollout.seen_at) * 1000)
-        return RolloutStatus(
-            service=order.service,
-            to_version=order.to_version,
-            order_id=order.order_id,
-            step=1,
-            share_permille=share,
-            phase=phase,
-            stated_at_ms=stated_at_ms,
-            finish_by_ms=stated_at_ms + int(order.duration_s * 1000),
-            reason=reason,
-            decided_by=self._own_id,
-            era=order.era,
-        )
+        return None
 
-    async def _write(self, rollout: Rollout, status: RolloutStatus) -> None:
+    async def _write_step(self, rollout: Rollout, status: RolloutStatus) -> None:
         service = status.service
         if self._rollouts.is_recorded(status):
             self._unwritten.pop(service, None)
@@ -296,6 +292,10 @@
             current = self._rollouts.by_service.get(service)
             return current is rollout and rollout.status is decided_on
 
+        await self._write(status, is_due)
+
+    async def _write(self, status: RolloutStatus, is_due: t.Callable[[], bool]) -> None:
+        service = status.service
         analysis = self._timers.subscribe(
             "moves during writes", CHECK_PERIOD_S, self.check_during_write
         )
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -9,6 +9,7 @@
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.rollouts import RolloutController
 from bulrushflow.rollouts import RolloutTimes
+from bulrushflow.rollouts import ServiceVersions
 from bulrushflow.rollouts import StepDecision
 from bulrushflow.rollouts.evidence import Evidence
 from bulrushflow.routing import Call
@@ -22,7 +23,8 @@
 FINISH_MARGIN_S = 2.5
 """Time reserved before the deadline for the last calls at the old version to end."""
 OLD_VERSION = "old"
-"""Stands for every other version of the service in the evidence."""
+"""Stands for the version in use in the evidence, or for all others while it isn't known."""
+NO_VERSIONS: t.Final = ServiceVersions()
 
 
 class Rollout:
@@ -77,6 +79,8 @@
         self.by_service: dict[str, Rollout] = {}
         self._evidence = EvidenceStore(own_id, incarnation)
         self._statuses_by_service: dict[str, RolloutStatus] = {}
+        self._versions_by_service: dict[str, ServiceVersions] = {}
+        """Versions of each service that has had a rollout."""
         self._recorded_ends_by_service: dict[str, RolloutStatus] = {}
         """Latest final status that the store has."""
         self._stored_by_service: dict[str, RolloutStatus] = {}
@@ -168,12 +172,45 @@
         if known is not None and not _supersedes(status, known, newly_recorded_end):
             return False
         self._statuses_by_service[status.service] = status
+        self._apply_versions(status)
         rollout = self.by_service.get(status.service)
         if rollout is None or rollout.order.key != status.key:
             return False
         self._set_status(rollout, status, now)
         return True
 
+    def _apply_versions(self, status: RolloutStatus) -> None:
+        """Update the service's versions; what nodes of earlier releases leave out is kept."""
+        before = self.versions(status.service)
+        known = before.merge_withdrawn(status.withdrawn)
+        match status.phase:
+            case RolloutPhase.RUNNING:
+                after = known.order(status.to_version, status.from_version)
+            case RolloutPhase.COMPLETED:
+                after = known.complete(status.to_version)
+            case RolloutPhase.ROLLED_BACK:
+                after = known.roll_back(status.to_version, status.from_version)
+        self._versions_by_service[status.service] = after
+        if after != before:
+            self._decisions.event(
+                "service versions",
+                service=status.service,
+                in_use=after.in_use,
+                withdrawn=after.withdrawn,
+                order=status.order_id,
+            )
+
+    def versions(self, service: str) -> ServiceVersions:
+        """Return the version in use of a service and its withdrawn versions, as far as known."""
+        return self._versions_by_service.get(service, NO_VERSIONS)
+
+    def is_in_use(self, rollout: Rollout) -> bool:
+        """Return whether the ordered version was in use already when it was ordered."""
+        ordered = rollout.order.to_version
+        if rollout.status is not None:
+            return rollout.status.from_version == ordered
+        return self.versions(rollout.order.service).in_use == ordered
+
     def _note_stored(self, status: RolloutStatus, known: RolloutStatus | None) -> None:
         current = self._stored_by_service.get(status.service)
         if current is None or status.is_after(current):
@@ -203,18 +240,23 @@
     def is_forbidden(self, service: str, version: str) -> bool:
         """Return whether a version may receive no new calls."""
         rollout = self.by_service.get(service)
-        if rollout is None or rollout.order.to_version != version:
-            return False
-        return rollout.phase is RolloutPhase.ROLLED_BACK
+        if rollout is not None and rollout.order.to_version == version:
+            return rollout.phase is RolloutPhase.ROLLED_BACK
+        return not self.versions(service).is_usable(version)
 
     def filter_peers(self, service: str, peers: t.Sequence[Peer]) -> t.Sequence[Peer]:
         """Choose one call's version by the traffic share and return the peers that run it."""
         rollout = self.by_service.get(service)
+        versions = self._versions_by_service.get(service)
         if rollout is None:
-            return peers
-        new = [peer for peer in peers if _version(peer) == rollout.order.to_version]
-        old = [peer for peer in peers if _version(peer) != rollout.order.to_version]
+            return peers if versions is None else _usable_peers(peers, versions, None)
+        ordered = rollout.order.to_version
+        new = [peer for peer in peers if _version(peer) == ordered]
+        old = _usable_peers(peers, versions or NO_VERSIONS, ordered)
         share = rollout.share_permille
+        if versions is not None and ordered == versions.in_use:
+            # An order of the version in use takes no calls from it.
+            share = FULL_PERMILLE
         if rollout.phase is RolloutPhase.ROLLED_BACK or not share:
             return old
         if share >= FULL_PERMILLE or self._rng.randrange(FULL_PERMILLE) < share:
@@ -234,7 +276,12 @@
             return
         if rollout.phase is RolloutPhase.COMPLETED and not attributable:
             return
-        version = call.version if call.version == rollout.order.to_version else OLD_VERSION
+        version = call.version
+        if version != rollout.order.to_version:
+            if not self.versions(call.service).is_usable(version):
+                # A late response of a withdrawn version says nothing about the one in use.
+                return
+            version = OLD_VERSION
         own = self._evidence.local(rollout.order.order_id)
         own.observe(version, call.route, failed, seconds, warming)
 
@@ -256,6 +303,9 @@
 
         :param target_count: targets of the new version.
         """
+        if self.is_in_use(rollout):
+            # There is no version to compare it with, and none to return to.
+            return None
         if rollout.watch is not None:
             reports = self._evidence.reports(rollout.order.order_id)
             signal, route = rollout.watch.update(reports, target_count, now)
@@ -274,6 +324,18 @@
         return rollout.controller.next_step(rollout.share_permille, elapsed_ms, now)
 
 
+def _usable_peers(
+    peers: t.Sequence[Peer], versions: ServiceVersions, ordered: str | None
+) -> list[Peer]:
+    """Return the peers of the versions in use, without those of the ordered version."""
+    usable: list[Peer] = []
+    for peer in peers:
+        version = _version(peer)
+        if version != ordered and versions.is_usable(version):
+            usable.append(peer)
+    return usable
+
+
 def _version(peer: Peer) -> str:
     target = peer.entry.target
     return target.version if target is not None else ""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -86,5 +86,17 @@
             self.assertEqual(json.loads(data)["targetVersion"], "v2")
             self.assertEqual(decode_status(data).unwrap(), status)
 
+    def test_a_status_keeps_the_versions_and_is_read_without_them(self) -> None:
+        status = RolloutStatus(
+            "s1", "v3", 5, 3, 100, RolloutPhase.RUNNING, 1, 2, from_version="v1", withdrawn=("v2",)
+        )
+        data = encode_status(status)
+        self.assertEqual(decode_status(data).unwrap(), status)
+        document = json.loads(data)
+        for name in ("from_version", "withdrawn"):
+            del document["move"][name]
+        earlier = decode_status(json.dumps(document).encode()).unwrap()
+        self.assertEqual((earlier.from_version, earlier.withdrawn), ("", ()))
+
     def test_a_status_without_the_projects_own_fields_is_rejected(self) -> None:
         self.assertTrue(decode_status(b'{"state":"running","targetVersion":"v2"}').is_err())
--- a/tests/sidecar/rollouts/test_tracker.py
+++ b/tests/sidecar/rollouts/test_tracker.py
@@ -67,11 +67,73 @@
         self.rollouts.apply_status(replace(STATUS, step=4, phase=RolloutPhase.COMPLETED), 0.0)
         self.assertEqual(self.versions(), {"v2"})
 
-    async def test_a_later_order_replaces_an_earlier_one(self) -> None:
+    # A version that was rolled back got half of the calls as soon as the next one was ordered.
+    async def test_a_version_rolled_back_stays_withdrawn_under_the_next_order(self) -> None:
         self.rollouts.apply_order(ORDER, 0.0)
         self.rollouts.apply_status(replace(STATUS, phase=RolloutPhase.ROLLED_BACK), 0.0)
         self.rollouts.apply_order(replace(ORDER, to_version="v3", order_id=9), 1.0)
+        self.assertTrue(self.rollouts.is_forbidden("statements", "v2"))
+        self.assertFalse(self.rollouts.is_forbidden("statements", "v1"))
+        self.assertEqual(self.versions(), {"v1"})
+
+    async def test_an_order_of_a_withdrawn_version_lets_it_have_calls_again(self) -> None:
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(replace(STATUS, phase=RolloutPhase.ROLLED_BACK), 0.0)
+        self.rollouts.apply_order(replace(ORDER, order_id=9), 1.0)
         self.assertFalse(self.rollouts.is_forbidden("statements", "v2"))
+        self.assertEqual(self.versions(), {"v1"})
+        self.rollouts.apply_status(replace(STATUS, order_id=9), 1.0)
+        self.assertEqual(self.versions(), {"v1", "v2"})
+
+    async def test_a_withdrawn_order_gives_its_version_no_calls(self) -> None:
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(replace(STATUS, from_version="v1"), 0.0)
+        self.rollouts.remove_order("statements")
+        self.assertTrue(self.rollouts.is_forbidden("statements", "v2"))
+        self.assertEqual(self.versions(), {"v1"})
+
+    async def test_a_version_neither_in_use_nor_ordered_gets_no_calls(self) -> None:
+        self.peers.append(peer(4, "v9"))
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(replace(STATUS, from_version="v1"), 0.0)
+        self.assertEqual(self.versions(), {"v1", "v2"})
+        self.assertTrue(self.rollouts.is_forbidden("statements", "v9"))
+
+    async def test_while_the_version_in_use_is_unknown_the_others_count_as_in_use(self) -> None:
+        self.peers.append(peer(4, "v9"))
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(STATUS, 0.0)
+        self.assertEqual(self.versions(), {"v1", "v2", "v9"})
+        self.assertFalse(self.rollouts.is_forbidden("statements", "v9"))
+
+    async def test_the_newest_status_alone_tells_a_node_the_withdrawn_versions(self) -> None:
+        status = replace(STATUS, to_version="v3", order_id=9, withdrawn=("v2",))
+        self.rollouts.apply_status(status, 0.0)
+        self.rollouts.apply_order(replace(ORDER, to_version="v3", order_id=9), 1.0)
+        self.assertTrue(self.rollouts.is_forbidden("statements", "v2"))
+        self.assertEqual(self.versions(), {"v1"})
+
+    async def test_a_status_of_an_earlier_release_keeps_the_known_versions(self) -> None:
+        self.rollouts.apply_status(
+            replace(STATUS, phase=RolloutPhase.ROLLED_BACK, from_version="v1"), 0.0
+        )
+        self.rollouts.apply_status(replace(STATUS, to_version="v3", order_id=9), 0.0)
+        versions = self.rollouts.versions("statements")
+        self.assertEqual((versions.in_use, versions.withdrawn), ("v1", ("v2",)))
+
+    async def test_late_responses_of_a_withdrawn_version_are_no_evidence(self) -> None:
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(replace(STATUS, phase=RolloutPhase.ROLLED_BACK), 0.0)
+        self.rollouts.apply_order(replace(ORDER, to_version="v3", order_id=9), 1.0)
+        self.rollouts.observe_call(call(version="v2"), True, 0.1, False)
+        rollout = self.rollouts.by_service["statements"]
+        self.assertEqual(self.rollouts.local_evidence(rollout).sequence, 0)
+
+    async def test_a_later_order_replaces_an_earlier_one(self) -> None:
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(replace(STATUS, phase=RolloutPhase.ROLLED_BACK), 0.0)
+        self.rollouts.apply_order(replace(ORDER, to_version="v3", order_id=9), 1.0)
+        self.assertFalse(self.rollouts.is_forbidden("statements", "v3"))
         self.rollouts.apply_order(ORDER, 2.0)
         self.assertEqual(self.rollouts.by_service["statements"].order.to_version, "v3")
 
