--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -51,6 +51,7 @@
         "control_bytes",
         "evacuated_data_centres",
         "evacuation_refusals",
+        "key_refusals",
         "log_behind",
         "members",
         "quarantined_requests",
@@ -76,6 +77,10 @@
         self.sheds = self._counter(
             "bulrushflow_sheds_total", "Calls refused as not run in front of the target"
         )
+        self.key_refusals = self._counter(
+            "bulrushflow_key_refusals_total",
+            "Requests refused for a missing or unknown key, by reason and status",
+        )
         self.control_bytes = self._counter(
             "bulrushflow_control_bytes_total", "Control bytes sent and received"
         )
@@ -207,6 +212,10 @@
         self.evacuated_data_centres.set({}, data_centre_count)
         self.evacuation_refusals.set({"at": "target"}, refused_at_target)
 
+    def count_key_refusal(self, reason: str, status: int) -> None:
+        """Count a request that was refused for its key."""
+        self.key_refusals.inc({"reason": reason, "status": str(status)})
+
     def observe_quarantine(self, count: int) -> None:
         """Record how many requests are quarantined."""
         self.quarantined_requests.set({}, count)
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -192,6 +192,7 @@
         63: (TType.STRUCT, "named_limit", NamedLimit, False),
         64: (TType.I64, "read_era", False),
         120: (TType.I32, "chunk_window", False),
+        100: (TType.STRING, "organisation", False),
     }
     default_spec = [
         ("request_id", None),
@@ -212,6 +213,7 @@
         ("named_limit", None),
         ("read_era", None),
         ("chunk_window", None),
+        ("organisation", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -113,6 +113,9 @@
   // Set if the sender takes a large response in chunks: bytes of the body that may be sent before
   // it grants more.
   120: optional i32 chunk_window
+
+  // Name of the organisation whose key the caller's request had; absent without one.
+  100: optional string organisation
 }
 
 struct CallAnswer {
