Compare each kind of failure of a new version with its own kind only

Cause: errors that a target returns and calls that reach their deadline were one count.

Weighed: dropping the calls at their deadline from the counts, which would hide a version that does not respond; comparing with the old version's earlier rate only, which would attribute a fault of both to the new one.

Change: nodes report errors that a target returned (180) and calls that ran into a deadline or lost their connection (181). Each kind has a detector of its own beside the one on the total, which the log design and nodes of the earlier release have alone. A block in which the old version's calls come from such nodes only isn't compared by kind.

Tests: without the kinds, the cases "beside slow old targets" and "at deadlines beside old errors" of tests.rollouts.test_analysis end as healthy (run with the kinds removed from the counts).

--- a/src/bulrushflow/rollouts/__init__.py
+++ b/src/bulrushflow/rollouts/__init__.py
@@ -7,6 +7,7 @@
 from bulrushflow.rollouts.controller import RolloutTimes
 from bulrushflow.rollouts.evidence import Evidence
 from bulrushflow.rollouts.evidence import EvidenceStore
+from bulrushflow.rollouts.evidence import FailureKind
 from bulrushflow.rollouts.evidence import RouteCounts
 from bulrushflow.rollouts.evidence import VersionRoute
 from bulrushflow.rollouts.evidence import empty_buckets
@@ -30,6 +31,7 @@
     "EvidenceStore",
     "ExposureBudget",
     "ExposureLimits",
+    "FailureKind",
     "RolloutController",
     "RolloutSchedule",
     "RolloutTimes",
--- a/src/bulrushflow/rollouts/comparison.py
+++ b/src/bulrushflow/rollouts/comparison.py
@@ -1,7 +1,10 @@
 """Compares the calls to the old and the new version on one route, block by block."""
 
+import typing as t
+
 import msgspec
 
+from bulrushflow.rollouts.evidence import FailureKind
 from bulrushflow.rollouts.evidence import RouteCounts
 from bulrushflow.rollouts.evidence import empty_buckets
 from bulrushflow.rollouts.sequential import MAX_UNCONTROLLED_LOG_RATIO
@@ -29,33 +32,52 @@
 """Calls to the old version that are needed to use its latency quantiles."""
 ERROR_TOLERANCE = 0.005
 SLOW_TOLERANCE = 0.05
+COMPARED_KINDS: t.Final = (FailureKind.RETURNED, FailureKind.UNANSWERED)
+"""Kinds of failure that are compared with their own kind only."""
 TYPICAL_QUANTILE = 0.5
 TAIL_QUANTILE = 0.95
 SLOW_BUCKET_MARGIN = 1
 """A call is slow if it is more than this many buckets above the old version's quantile."""
 
 
+class _DecayedRate(msgspec.Struct):
+    """Exponentially decayed calls, and how many of them failed in one way."""
+
+    calls: float = 0.0
+    bad: float = 0.0
+
+    def add(self, sample: Sample, decay_factor: float) -> None:
+        self.calls = self.calls * decay_factor + sample.calls
+        self.bad = self.bad * decay_factor + sample.bad
+
+    def value(self) -> float:
+        return (self.bad + 0.05) / (self.calls + 5)
+
+
 class _History(msgspec.Struct):
     """Exponentially decayed counts of the old version."""
 
     calls: float = 0.0
-    errors: float = 0.0
+    errors: _DecayedRate = msgspec.field(default_factory=_DecayedRate)
+    rates_by_kind: dict[FailureKind, _DecayedRate] = msgspec.field(
+        default_factory=lambda: {kind: _DecayedRate() for kind in COMPARED_KINDS}
+    )
     latency_buckets: list[float] = msgspec.field(
         default_factory=lambda: [0.0] * len(empty_buckets())
     )
 
-    def add(self, calls: int, errors: int, buckets: list[int], elapsed_s: float) -> None:
+    def add(self, block: RouteCounts, elapsed_s: float) -> None:
+        calls = block.calls
         decay_factor = 0.5 ** (elapsed_s / HALF_LIFE_S)
         if self.calls:
             decay_factor = max(decay_factor, min(1.0, (MIN_RETAINED_CALLS - calls) / self.calls))
         self.calls = self.calls * decay_factor + calls
-        self.errors = self.errors * decay_factor + errors
-        for i, count in enumerate(buckets):
+        self.errors.add(Sample(calls, block.errors), decay_factor)
+        for kind, rate in self.rates_by_kind.items():
+            rate.add(_sample_of_kind(block, kind), decay_factor)
+        for i, count in enumerate(block.latency_buckets):
             self.latency_buckets[i] = self.latency_buckets[i] * decay_factor + count
 
-    def error_rate(self) -> float:
-        return (self.errors + 0.05) / (self.calls + 5)
-
     def first_slow_bucket(self, quantile: float) -> int | None:
         """Return the first bucket that counts as slow, ``None`` if there are too few calls."""
         total = sum(self.latency_buckets)
@@ -90,6 +112,7 @@
     __slots__ = (
         "_block_started_s",
         "_errors",
+        "_errors_by_kind",
         "_history",
         "_new",
         "_old",
@@ -102,6 +125,10 @@
         self._new = RouteCounts()
         self._history = _History()
         self._errors = ChangeDetector(ERROR_TOLERANCE, MAX_UNCONTROLLED_LOG_RATIO)
+        self._errors_by_kind = {
+            kind: ChangeDetector(ERROR_TOLERANCE, MAX_UNCONTROLLED_LOG_RATIO)
+            for kind in COMPARED_KINDS
+        }
         self._slow = {
             quantile: ChangeDetector(SLOW_TOLERANCE)
             for quantile in (TYPICAL_QUANTILE, TAIL_QUANTILE)
@@ -111,14 +138,27 @@
         """Return the strongest regression signal."""
         new, old = self._new, self._old
         slow = max(detector.strength for detector in self._slow.values())
-        if self._errors.strength >= slow:
-            figures = f"{new.errors}/{new.calls} errors, old {old.errors}/{old.calls}"
-            return RegressionSignal(
-                self._errors.strength, "more errors than the old version", figures
-            )
+        errors = self._errors_signal()
+        if errors.strength >= slow:
+            return errors
         figures = f"mean {_mean_ms(new):.0f} ms, old {_mean_ms(old):.0f} ms"
         return RegressionSignal(slow, "slower than the old version", figures)
 
+    def _errors_signal(self) -> RegressionSignal:
+        """Return the strongest signal of errors: of one kind, or of all where it is as strong."""
+        new, old, strength = self._new, self._old, self._errors.strength
+        kind, detector = max(self._errors_by_kind.items(), key=lambda item: item[1].strength)
+        rule = "more errors than the old version"
+        if strength >= detector.strength:
+            figures = f"{new.errors}/{new.calls} errors, old {old.errors}/{old.calls}"
+            return RegressionSignal(strength, rule, figures)
+        new_sample, old_sample = _sample_of_kind(new, kind), _sample_of_kind(old, kind)
+        figures = (
+            f"{new_sample.bad:g}/{new_sample.calls:g} errors {kind.value}, "
+            f"old {old_sample.bad:g}/{old_sample.calls:g}"
+        )
+        return RegressionSignal(detector.strength, rule, figures)
+
     def update(self, old: RouteCounts, new: RouteCounts, now_s: float) -> None:
         """Update with cumulative counts, and close the current block if it is due."""
         age_s = now_s - self._block_started_s
@@ -128,20 +168,26 @@
         new_calls = new.calls - self._new.calls
         if not _is_block_due(old_calls, new_calls, age_s):
             return
+        old_block = _difference(old, self._old)
         if new_calls:
-            self._compare(old, new)
-        old_buckets = _difference(old.latency_buckets, self._old.latency_buckets)
-        self._history.add(old_calls, old.errors - self._old.errors, old_buckets, age_s)
+            self._compare(old_block, _difference(new, self._new))
+        self._history.add(old_block, age_s)
         self._block_started_s = now_s
         self._old = _copy(old)
         self._new = _copy(new)
 
     def _compare(self, old: RouteCounts, new: RouteCounts) -> None:
-        old_errors = Sample(old.calls - self._old.calls, old.errors - self._old.errors)
-        new_errors = Sample(new.calls - self._new.calls, new.errors - self._new.errors)
-        self._errors.add(old_errors, new_errors, self._history.error_rate())
-        old_buckets = _difference(old.latency_buckets, self._old.latency_buckets)
-        new_buckets = _difference(new.latency_buckets, self._new.latency_buckets)
+        """Compare the calls of one block."""
+        old_errors, new_errors = Sample(old.calls, old.errors), Sample(new.calls, new.errors)
+        self._errors.add(old_errors, new_errors, self._history.errors.value())
+        # Nodes of the earlier release don't tell kinds apart; what they alone saw isn't compared.
+        if new.classified and (old.classified or not old.calls):
+            for kind, detector in self._errors_by_kind.items():
+                expected = self._history.rates_by_kind[kind].value()
+                detector.add(_sample_of_kind(old, kind), _sample_of_kind(new, kind), expected)
+        self._compare_latencies(old.latency_buckets, new.latency_buckets)
+
+    def _compare_latencies(self, old_buckets: list[int], new_buckets: list[int]) -> None:
         new_total = sum(new_buckets)
         if not new_total:
             return
@@ -163,8 +209,22 @@
     return old_calls >= MIN_CONTROL_CALLS or age_s >= MAX_BLOCK_S
 
 
-def _difference(later: list[int], earlier: list[int]) -> list[int]:
-    return [a - b for a, b in zip(later, earlier, strict=True)]
+def _sample_of_kind(counts: RouteCounts, kind: FailureKind) -> Sample:
+    failed = counts.returned if kind is FailureKind.RETURNED else counts.unanswered
+    return Sample(counts.classified, failed)
+
+
+def _difference(later: RouteCounts, earlier: RouteCounts) -> RouteCounts:
+    """Return the counts of one block; latency sums are left out."""
+    buckets = zip(later.latency_buckets, earlier.latency_buckets, strict=True)
+    return RouteCounts(
+        calls=later.calls - earlier.calls,
+        errors=later.errors - earlier.errors,
+        latency_buckets=[a - b for a, b in buckets],
+        classified=later.classified - earlier.classified,
+        returned=later.returned - earlier.returned,
+        unanswered=later.unanswered - earlier.unanswered,
+    )
 
 
 def _copy(counts: RouteCounts) -> RouteCounts:
--- a/src/bulrushflow/rollouts/evidence.py
+++ b/src/bulrushflow/rollouts/evidence.py
@@ -1,6 +1,7 @@
 """Evidence on a rollout: counts and latencies of both versions' calls by route."""
 
 import bisect
+import enum
 import typing as t
 
 import msgspec
@@ -24,10 +25,21 @@
     return [0] * (len(LATENCY_BOUNDS_S) + 1)
 
 
+class FailureKind(enum.Enum):
+    """How a call to a target failed, if it did."""
+
+    NONE = "none"
+    RETURNED = "returned"
+    """The target itself responded with an error."""
+    UNANSWERED = "unanswered"
+    """The call reached its deadline or lost its connection, which slow targets cause as well."""
+
+
 class RouteCounts(msgspec.Struct):
     """Cumulative counts of the calls to one version on one route.
 
-    Calls to a target that is warming up are left out of the latency fields.
+    Calls to a target that is warming up are left out of the latency fields. Nodes of the earlier
+    release, and those of the log design, count ``errors`` without their kinds.
     """
 
     calls: int = 0
@@ -35,11 +47,28 @@
     latency_sum_s: float = 0.0
     latency_square_sum: float = 0.0
     latency_buckets: list[int] = msgspec.field(default_factory=empty_buckets)
+    classified: int = 0
+    """Calls of which the kind of failure is known."""
+    returned: int = 0
+    unanswered: int = 0
 
-    def observe(self, failed: bool, latency_s: float, warming: bool = False) -> None:
-        """Count one finished call."""
+    def observe(
+        self,
+        failed: bool,
+        latency_s: float,
+        warming: bool = False,
+        kind: FailureKind | None = None,
+    ) -> None:
+        """Count one finished call.
+
+        :param kind: ``None`` if the kinds aren't told apart.
+        """
         self.calls += 1
         self.errors += failed
+        if kind is not None:
+            self.classified += 1
+            self.returned += kind is FailureKind.RETURNED
+            self.unanswered += kind is FailureKind.UNANSWERED
         if warming:
             return
         self.latency_sum_s += latency_s
@@ -50,6 +79,9 @@
         """Add another node's counts."""
         self.calls += other.calls
         self.errors += other.errors
+        self.classified += other.classified
+        self.returned += other.returned
+        self.unanswered += other.unanswered
         self.latency_sum_s += other.latency_sum_s
         self.latency_square_sum += other.latency_square_sum
         for i, count in enumerate(other.latency_buckets):
@@ -79,7 +111,13 @@
         return self.node_id, self.incarnation
 
     def observe(
-        self, version: str, route: str, failed: bool, latency_s: float, warming: bool = False
+        self,
+        version: str,
+        route: str,
+        failed: bool,
+        latency_s: float,
+        warming: bool = False,
+        kind: FailureKind | None = None,
     ) -> None:
         """Count one finished call at this node's own target."""
         key = (version, route)
@@ -87,7 +125,7 @@
             if len(self.counts_by_version_route) >= MAX_ROUTES:
                 key = (version, OTHER_ROUTES)
             self.counts_by_version_route.setdefault(key, RouteCounts())
-        self.counts_by_version_route[key].observe(failed, latency_s, warming)
+        self.counts_by_version_route[key].observe(failed, latency_s, warming, kind)
         self.sequence += 1
 
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -333,16 +333,13 @@
         warming = entry is not None and entry.warm_at_ms > self._clock.wall_ms()
         now = asyncio.get_running_loop().time()
         if result is None:
-            self._rollouts.observe_call(call, now >= call.deadline, seconds, warming, False)
+            self._rollouts.observe_call(call, now >= call.deadline, seconds, warming, False, True)
             return
         failed = result.is_err() or result.unwrap().is_failure
         # A target that waits for a call of its own, or is overloaded, fails without being faulty.
-        attributable = (
-            result.is_ok()
-            and result.unwrap().status != GATEWAY_TIMEOUT
-            and self._callers.last_failure_at < now - seconds
-        )
-        self._rollouts.observe_call(call, failed, seconds, warming, attributable)
+        unanswered = result.is_err() or result.unwrap().status == GATEWAY_TIMEOUT
+        attributable = not unanswered and self._callers.last_failure_at < now - seconds
+        self._rollouts.observe_call(call, failed, seconds, warming, attributable, unanswered)
 
     def _publish_target(self, entry: TargetEntry | None) -> None:
         settings = self.settings
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -7,6 +7,7 @@
 from bulrushflow.rollouts import CompletedRolloutWatch
 from bulrushflow.rollouts import EvidenceStore
 from bulrushflow.rollouts import ExposureLimits
+from bulrushflow.rollouts import FailureKind
 from bulrushflow.rollouts import RolloutController
 from bulrushflow.rollouts import RolloutTimes
 from bulrushflow.rollouts import ServiceVersions
@@ -264,12 +265,19 @@
         return old or new
 
     def observe_call(
-        self, call: Call, failed: bool, seconds: float, warming: bool, attributable: bool = True
+        self,
+        call: Call,
+        failed: bool,
+        seconds: float,
+        warming: bool,
+        attributable: bool = True,
+        unanswered: bool = False,
     ) -> None:
         """Count a response of this node's own target.
 
         :param attributable: whether nothing but the target can have caused a failure. Calls of
             which this isn't certain count only while there is another version to compare with.
+        :param unanswered: whether a failed call reached its deadline or lost its connection.
         """
         rollout = self.by_service.get(call.service)
         if rollout is None or rollout.phase is RolloutPhase.ROLLED_BACK:
@@ -283,7 +291,10 @@
                 return
             version = OLD_VERSION
         own = self._evidence.local(rollout.order.order_id)
-        own.observe(version, call.route, failed, seconds, warming)
+        kind = FailureKind.UNANSWERED if unanswered else FailureKind.RETURNED
+        own.observe(
+            version, call.route, failed, seconds, warming, kind if failed else FailureKind.NONE
+        )
 
     def local_evidence(self, rollout: Rollout) -> Evidence:
         """Return the evidence from this node's own target."""
--- a/src/bulrushflow/wire/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -143,6 +143,8 @@
             latency_square_sum=counts.latency_square_sum,
             latency_buckets=[],
             sparse_buckets=_buckets_to_message(counts.latency_buckets),
+            returned_errors=counts.returned if counts.classified == counts.calls else None,
+            unanswered=counts.unanswered if counts.classified == counts.calls else None,
         )
         for (version, route), counts in evidence.counts_by_version_route.items()
     ]
@@ -167,6 +169,9 @@
             r.latency_sum_s,
             r.latency_square_sum,
             _buckets_from_message(r),
+            r.calls if r.returned_errors is not None else 0,
+            r.returned_errors or 0,
+            r.unanswered or 0,
         )
         for r in message.routes or ()
     }
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -359,6 +359,8 @@
         6: (TType.DOUBLE, "latency_square_sum", True),
         7: (TType.LIST, "latency_buckets", TType.I64, True),
         40: (TType.LIST, "sparse_buckets", TType.I32, False),
+        180: (TType.I64, "returned_errors", False),
+        181: (TType.I64, "unanswered", False),
     }
     default_spec = [
         ("version", None),
@@ -369,6 +371,8 @@
         ("latency_square_sum", None),
         ("latency_buckets", None),
         ("sparse_buckets", None),
+        ("returned_errors", None),
+        ("unanswered", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -200,6 +200,10 @@
   7: required list<i64> latency_buckets
   // Alternating index and count of each non-empty bucket; replaces latency_buckets.
   40: optional list<i32> sparse_buckets
+  // The errors by kind, from nodes that tell them apart: those that the target returned, and calls
+  // that reached their deadline or lost their connection.
+  180: optional i64 returned_errors
+  181: optional i64 unanswered
 }
 
 // Cumulative counts of one node's own target since a rollout began.
--- a/tests/rollouts/samples.py
+++ b/tests/rollouts/samples.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from bulrushflow.rollouts import FailureKind
 from bulrushflow.rollouts import RouteCounts
 from bulrushflow.rollouts import VersionRoute
 
@@ -25,7 +26,11 @@
         latency_s: float = 0.010,
         route: str = ROUTE,
         warming: bool = False,
+        kind: FailureKind | None = None,
     ) -> None:
         counts = self.counts.setdefault((version, route), RouteCounts())
         for i in range(calls):
-            counts.observe(i < errors, latency_s * (0.8 + 0.4 * (i % 5) / 4), warming)
+            failed = i < errors
+            own_kind = FailureKind.NONE if kind is not None and not failed else kind
+            seconds = latency_s * (0.8 + 0.4 * (i % 5) / 4)
+            counts.observe(failed, seconds, warming, own_kind)
--- a/tests/rollouts/test_analysis.py
+++ b/tests/rollouts/test_analysis.py
@@ -5,6 +5,7 @@
 
 from bulrushflow.rollouts import AnalysisOutcome
 from bulrushflow.rollouts import CanaryAnalysis
+from bulrushflow.rollouts import FailureKind
 from tests.rollouts.samples import NEW
 from tests.rollouts.samples import OLD
 from tests.rollouts.samples import Totals
@@ -53,6 +54,26 @@
     totals.add(NEW, 10, errors=5, latency_s=0.200, warming=True)
 
 
+def new_fails_while_old_is_slow(totals: Totals) -> None:
+    totals.add(OLD, 30, errors=3, kind=FailureKind.UNANSWERED)
+    totals.add(NEW, 14, errors=1, kind=FailureKind.RETURNED)
+
+
+def both_run_into_deadlines(totals: Totals) -> None:
+    totals.add(OLD, 30, errors=3, kind=FailureKind.UNANSWERED)
+    totals.add(NEW, 10, errors=1, kind=FailureKind.UNANSWERED)
+
+
+def new_runs_into_deadlines(totals: Totals) -> None:
+    totals.add(OLD, 30, errors=3, kind=FailureKind.RETURNED)
+    totals.add(NEW, 10, errors=1, kind=FailureKind.UNANSWERED)
+
+
+def new_fails_beside_old_that_tells_no_kinds(totals: Totals) -> None:
+    totals.add(OLD, 30, errors=3)
+    totals.add(NEW, 10, errors=1, kind=FailureKind.RETURNED)
+
+
 def without_old_calls(totals: Totals) -> None:
     totals.add(NEW, 10)
 
@@ -85,6 +106,10 @@
             "slow later": (((no_faults, 600), (new_slows, 20)), "slower"),
             "one route": (((no_faults, 10), (one_route_fails, 60)), "errors"),
             "cold and failing": (((new_is_cold_and_fails, 20),), "errors"),
+            # A version that fails 7% was found healthy beside old targets that let 10% of their
+            # calls run to their deadline.
+            "beside slow old targets": (((new_fails_while_old_is_slow, 200),), "errors"),
+            "at deadlines beside old errors": (((new_runs_into_deadlines, 200),), "errors"),
             "without control": (((no_faults, 60), (fails_without_old_calls, 400)), "errors"),
         }
         for name, (steps, rule) in cases.items():
@@ -102,6 +127,8 @@
         cases: dict[str, tuple[tuple[Step, int], ...]] = {
             "no faults": ((no_faults, 400),),
             "both fail": ((no_faults, 60), (both_fail, 60), (no_faults, 60)),
+            "both at their deadlines": ((both_run_into_deadlines, 200),),
+            "kinds unknown": ((new_fails_beside_old_that_tells_no_kinds, 200),),
             "both slow": ((no_faults, 60), (both_slow, 60), (no_faults, 60)),
             "cold": ((new_is_cold, 20), (no_faults, 60)),
             "no control": ((no_faults, 60), (without_old_calls, 60)),
