Withdraw keys on a node that the store refuses, the one that ranks first too

Cause: a key that a configuration removes must stop working on every node, also one that the store refuses. The test of this found a fault in the relay: the node that ranks first in its data centre, or is asked for records, reads the store and nothing else. While the store refused it, its neighbours turned elsewhere and it kept its last configuration for good (30 s in the test, which then ended).

Weighed: following another node like the others do. Being asked for records ends that each time, and a node that follows says that it is current, so two cut-off nodes could follow one another. Instead the comparison of offsets, which such a node makes anyway, asks for the records while its own reads fail or lag. It takes them only from a node that is current and was confirmed by the store in the last 7 s, so the age ends such a circle.

Change: RecordRelay._compare_offsets.

--- a/src/bulrushflow/sidecar/records/relay.py
+++ b/src/bulrushflow/sidecar/records/relay.py
@@ -20,6 +20,7 @@
 from bulrushflow.sidecar.records.relay_codec import position_to_message
 from bulrushflow.sidecar.records.relay_codec import update_from_message
 from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import TopicUpdate
 from bulrushflow.sidecar.records.store_reader import StoreReader
 from bulrushflow.sidecar.records.upstreams import FIRST_EXCLUSION_S
 from bulrushflow.sidecar.records.upstreams import STARTING_EXCLUSION_S
@@ -46,6 +47,9 @@
 """Nodes of other data centres whose offsets show whether this node's reads still work."""
 COMPARE_PAUSE_S = 0.1
 """Pause between such comparisons, since a node that is behind is answered at once."""
+MAX_CONFIRMED_AGE_S = 7.0
+"""Age of the store's last confirmation up to which a node takes records of one that it compares
+itself with. A read that waits for records is confirmed after 5 s at the latest."""
 PROBE_S = 0.4
 """Time that a node without an upstream waits for the store's answer to one read."""
 MIN_PROBE_PAUSE_S = 1.0
@@ -161,7 +165,8 @@
 
     async def _compare_offsets(self, key: str, until: float) -> None:
         while asyncio.get_running_loop().time() < until:
-            match await self._request(key, offsets_only=True):
+            reads_work = self._reads_work
+            match await self._request(key, offsets_only=reads_work):
                 case Err(_):
                     # The nodes that have their records from it turn elsewhere.
                     return
@@ -169,10 +174,22 @@
                     pass
             for update in updates:
                 replica = self._replica(update.topic)
-                if replica is not None:
-                    replica.note_peer_offset(update.end_offset, update.era)
+                if replica is None:
+                    continue
+                if not reads_work and _is_fresh(update):
+                    replica.apply_update(update)
+                replica.note_peer_offset(update.end_offset, update.era)
             await asyncio.sleep(COMPARE_PAUSE_S)
 
+    @property
+    def _reads_work(self) -> bool:
+        """Whether the store responds to this node's reads, and with all that others have read.
+
+        Otherwise a node that ranks first, or is asked for records, takes them from a node that it
+        compares itself with: the store may refuse this node alone.
+        """
+        return not any(reader.has_failed or reader.replica.stale for reader in self._readers)
+
     async def _read_alone(self) -> None:
         """Read the store, since no other node is available; one topic at first while it fails."""
         first = self._readers[0]
@@ -271,5 +288,14 @@
         return next((replica for replica in self._replicas if replica.topic == topic), None)
 
 
+def _is_fresh(update: TopicUpdate) -> bool:
+    """Return whether an update is from a node that reaches the store.
+
+    Two nodes that the store refuses, and that have their records from each other, would confirm
+    each other's state for ever; its age shows it.
+    """
+    return update.current and update.confirmed_s_ago <= MAX_CONFIRMED_AGE_S
+
+
 def _position(replica: Replica) -> TopicPosition:
     return TopicPosition(replica.topic, replica.offset, replica.era, replica.known_end)
--- a/tests/sidecar/records/test_relay.py
+++ b/tests/sidecar/records/test_relay.py
@@ -5,6 +5,8 @@
 import typing as t
 from unittest import mock
 
+from msgspec.structs import replace
+
 from bulrushflow.sidecar import application
 from bulrushflow.sidecar.records import relay
 from tests.sidecar.fleet import FleetTestCase
@@ -89,7 +91,8 @@
             self.store.put("keyed.op", "config", configuration(2))
             # Nodes of other data centres learn of it, and a call brings their offset.
             reader.sidecar._operator_replica.note_peer_offset(2, 1)
-            await self.until_in_force(self.others(reader), 2)
+            # The reader itself too, which asked no node and kept the former configuration.
+            await self.until_in_force(self.instances, 2)
 
     async def test_a_change_comes_into_force_though_the_store_refuses_the_reader(self) -> None:
         reader = await self.until_one_reads()
@@ -97,7 +100,16 @@
         for item in reader.sidecar._readers:
             item.interrupt_wait()
         self.store.put("keyed.op", "config", configuration(2))
-        await self.until_in_force(self.others(reader), 2)
+        await self.until_in_force(self.instances, 2)
+
+    # Two nodes that have their records from each other would confirm each other's state for ever.
+    async def test_records_are_taken_only_from_a_node_that_the_store_confirmed_lately(self) -> None:
+        replica = self.instances[0].sidecar._operator_replica
+        update = replica.update_since(0, replica.era)
+        self.assertTrue(relay._is_fresh(replace(update, confirmed_s_ago=1.0)))
+        self.assertFalse(relay._is_fresh(replace(update, confirmed_s_ago=1.0, current=False)))
+        age_s = relay.MAX_CONFIRMED_AGE_S + 0.1
+        self.assertFalse(relay._is_fresh(replace(update, confirmed_s_ago=age_s)))
 
     async def test_a_change_comes_into_force_after_the_reader_stopped(self) -> None:
         reader = await self.until_one_reads()
