Pass large responses on in chunks, with back-pressure from the caller

A call request now says that its sender takes a response in chunks (`chunk_window`, 128 KiB). A response above 16 KiB towards such a node is its head and then chunks; any other node gets one frame as before.

At the admitting node the target is read at full speed and as a whole, so its slot is free before the transfer, and a response that the target breaks off is never begun. What waits for the link is bounded by 32 MiB; beyond it a response is dropped and its call has the outcome unknown. Weighed: passing the target's bytes on as they arrive. It saves some milliseconds on loopback, keeps the slot for the transfer's whole time, and needs a mark for a response that the target breaks off.

At the origin node the attempt ends with the first bytes of the body: until then it may fail and be retried or hedged as before, from then on the head goes to the caller and the call isn't tried again. The body of a server error is read as a whole, since the call may be tried elsewhere after it. The bytes are read from the window as the caller's connection takes them. If the transfer breaks off, the caller's connection is aborted before the announced length, and the call counts as answer_lost, once, at its end. A disconnect counts as cancelled, however it is noticed.

The pace follows `limits.linkMbps` of the settings; without it there is none. The setting's default of 1 was only a weight among nodes, which stays 1 there.

Tests with two nodes: bodies of 0 bytes to 3 MB, with a length, in chunks and until close; a caller that leaves or doesn't read; a lost link; the deadline; a stop; a target that breaks off; an earlier release on either side.

--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -53,7 +53,7 @@
 
 
 class _Limits(msgspec.Struct):
-    linkMbps: float = 1.0  # noqa: N815  bandwidth of the instance's link
+    linkMbps: float | None = None  # noqa: N815  bandwidth of the instance's link
 
 
 class _Platform(msgspec.Struct):
--- a/src/bulrushflow/routing/__init__.py
+++ b/src/bulrushflow/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from bulrushflow.routing.limits import ByteBudget
 from bulrushflow.routing.limits import ConcurrencyLimit
+from bulrushflow.routing.model import BodyStream
 from bulrushflow.routing.model import Call
 from bulrushflow.routing.model import CallFailure
 from bulrushflow.routing.model import CallResult
@@ -24,6 +25,7 @@
 __all__ = [
     "FULL_SHARE_PERMILLE",
     "MAX_ATTEMPTS",
+    "BodyStream",
     "ByteBudget",
     "Call",
     "CallFailure",
--- a/src/bulrushflow/routing/model.py
+++ b/src/bulrushflow/routing/model.py
@@ -1,6 +1,7 @@
 """Calls, responses and the outcomes of calls."""
 
 import enum
+import typing as t
 
 import msgspec
 from msgspec.structs import replace
@@ -64,18 +65,39 @@
         return replace(self, version=version, attempt=self.attempt + retries)
 
 
+class BodyStream(t.Protocol):
+    """A response's body that is still arriving, for one reader that closes it."""
+
+    @property
+    def total(self) -> int:
+        """Length of the whole body, in bytes."""
+
+    async def read(self) -> Result[bytes, str]:
+        """Return the next bytes; none at the end. The error says why the rest won't arrive."""
+
+    def close(self) -> None:
+        """Stop the transfer, if it goes on, and discard what has arrived."""
+
+
 class Response(msgspec.Struct, frozen=True):
-    """A target's complete response."""
+    """A target's response, complete except for a body that is still arriving."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    stream: BodyStream | None = None
+    """The body, if it is still arriving; ``body`` is empty then."""
 
     @property
     def is_failure(self) -> bool:
         """Whether the status is a server error."""
         return self.status >= SERVER_ERROR
 
+    def close(self) -> None:
+        """Discard a body that is still arriving."""
+        if self.stream is not None:
+            self.stream.close()
+
     def as_result(self) -> "CallResult":
         """Return the response as the result of a call."""
         return Ok(self)
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -8,6 +8,7 @@
 from msgspec.structs import fields
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.placement import LinkPacer
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
@@ -20,6 +21,7 @@
 from bulrushflow.sidecar.calls.quarantine import Quarantine
 from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.calls.target_signals import SignalReader
+from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.endpoints import AnnouncementChecks
 from bulrushflow.sidecar.endpoints import ReadinessReport
@@ -63,6 +65,8 @@
 ANSWER_MARGIN_S = 0.1
 """Time before the end of the drain by which the callers' calls are answered."""
 DRAIN_POLL_S = 0.05
+DEFAULT_LINK_MBPS = 1.0
+"""Bandwidth by which a node whose settings don't state it is ranked among others."""
 GATEWAY_TIMEOUT = 504
 """Status with which a target answers at a call's deadline."""
 
@@ -89,7 +93,8 @@
         """Why the newest configuration was rejected; ``None`` if it is in force."""
         self.listeners = Listeners()
         self.timers = Timers(self._rng)
-        self._links = Links(settings.address, settings.peer_port, self.timers)
+        self._pacer = LinkPacer(settings.link_mbps) if settings.link_mbps else None
+        self._links = Links(settings.address, settings.peer_port, self.timers, self._pacer)
         self.directory = Directory()
         self._rollouts = Rollouts(
             settings.node_id,
@@ -125,6 +130,7 @@
             self._admission,
             self._operator_replica,
             self.directory.is_current,
+            ResponseTransfers(self._metrics, self._decisions),
             self._decisions,
         )
         self._dispatcher = Dispatcher(
@@ -340,7 +346,7 @@
         attributable = (
             result.is_ok()
             and result.unwrap().status != GATEWAY_TIMEOUT
-            and self._callers.last_failure_at < now - seconds
+            and self._callers.outcomes.last_failure_at < now - seconds
         )
         self._rollouts.observe_call(call, failed, seconds, warming, attributable)
 
@@ -354,7 +360,7 @@
             entry,
             relays_records=True,
             answers_admission=True,
-            link_mbps=settings.link_mbps,
+            link_mbps=settings.link_mbps or DEFAULT_LINK_MBPS,
             crash_reports=self._quarantine.own_reports,
             cleared_requests=self._quarantine.own_cleared,
             departed_targets=self._admission.departed.recent(),
--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -20,11 +20,12 @@
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import Response
-from bulrushflow.routing import outcome_label
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
 from bulrushflow.sidecar.calls.headers import HOP_BY_HOP_HEADERS
 from bulrushflow.sidecar.calls.headers import HeaderNames
+from bulrushflow.sidecar.calls.outcomes import CallOutcomes
+from bulrushflow.sidecar.calls.streaming import stream_body
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import Routing
@@ -84,12 +85,10 @@
         self._orders = orders
         self._own_service = own_service
         self._dispatcher = dispatcher
-        self._metrics = metrics
+        self.outcomes = CallOutcomes(metrics, decisions)
         self._decisions = decisions
         self._rng = rng
         self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
-        self.last_failure_at = float("-inf")
-        """Event loop time at which a call from this instance to another service failed last."""
         self.in_flight = 0
         self.stopping = False
         """Whether each response closes its connection, which makes the caller open another one."""
@@ -131,6 +130,9 @@
         self.in_flight += 1
         try:
             response = await self._serve(request)
+            if response.prepared:
+                # Its body was written as it arrived.
+                return response
             if self.stopping:
                 response.force_close()
             try:
@@ -147,7 +149,7 @@
         finally:
             self.in_flight -= 1
 
-    async def _serve(self, request: web.BaseRequest) -> web.Response:
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         started_at = asyncio.get_running_loop().time()
         request_id = request.headers.get(self._header_names.request_id, "")
         routing = self._routing()
@@ -178,15 +180,43 @@
         version: int,
         started_at: float,
         deadline: float,
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         call = self._build_call(request, route, body, started_at, deadline)
-        result = await self._dispatch(route, call, started_at)
-        seconds = asyncio.get_running_loop().time() - started_at
-        self._metrics.observe_call(route.name, call.service, outcome_label(result), seconds)
-        if call.service != call.tenant and (result.is_err() or result.unwrap().is_failure):
-            self.last_failure_at = started_at + seconds
+        result = await self._until_stop(call, self._dispatcher.dispatch(route, call), started_at)
+        if result.is_ok() and result.unwrap().stream is not None:
+            return await self._stream(request, call, result.unwrap(), version, started_at)
+        seconds = self.outcomes.count(call, result, started_at)
         return self._result_response(call, result, version, seconds)
 
+    async def _stream(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        target_response: Response,
+        version: int,
+        started_at: float,
+    ) -> web.StreamResponse:
+        """Pass a response on as its body arrives; the call's outcome is recorded at its end."""
+        response = web.StreamResponse(
+            status=target_response.status, headers=self._response_headers(call, target_response)
+        )
+        if self.stopping:
+            response.force_close()
+        streaming = stream_body(request, response, target_response, call.deadline)
+        try:
+            result = await self._until_stop(call, streaming, started_at)
+        except ConnectionResetError:
+            # A write noticed the disconnect before this task was cancelled for it.
+            self.outcomes.record_cancelled(call, started_at)
+            return response
+        seconds = self.outcomes.count(call, result, started_at)
+        if result.is_ok():
+            self.outcomes.log_answered(call, target_response, version, seconds)
+        else:
+            status = target_response.status
+            self.outcomes.log_failed(call, result.unwrap_err(), status, version, seconds)
+        return response
+
     def _missing_configuration_reason(self) -> str:
         rejected = self._rejected_configuration()
         if rejected is None:
@@ -214,20 +244,19 @@
             reason += ", which may be outdated"
         return self._error_response(request_id, status, reason)
 
-    async def _dispatch(self, route: Route, call: Call, started_at: float) -> CallResult:
+    async def _until_stop(
+        self, call: Call, running: t.Coroutine[t.Any, t.Any, CallResult], started_at: float
+    ) -> CallResult:
+        """Return a call's result, or that it is unknown once this node has to stop."""
         timeout = asyncio.timeout_at(None if math.isinf(self._answer_by) else self._answer_by)
         try:
             async with timeout:
                 self._timeouts.add(timeout)
-                return await self._dispatcher.dispatch(route, call)
+                return await running
         except TimeoutError:
             return unknown("this node stops, and the target has not answered")
         except asyncio.CancelledError:
-            seconds = asyncio.get_running_loop().time() - started_at
-            self._metrics.observe_call(route.name, call.service, "cancelled", seconds)
-            self._decisions.failed(
-                call, "cancelled", reason="the caller disconnected", seconds=round(seconds, 3)
-            )
+            self.outcomes.record_cancelled(call, started_at)
             raise
         finally:
             self._timeouts.discard(timeout)
@@ -294,24 +323,23 @@
     ) -> web.Response:
         match result:
             case Ok(target_response):
-                self._decisions.answered(
-                    call,
-                    target_response,
-                    asyncio.get_running_loop().time() > call.late_after,
-                    configuration=version,
-                    seconds=round(seconds, 3),
-                )
+                self.outcomes.log_answered(call, target_response, version, seconds)
                 return self._forward_response(call, target_response)
             case Err(failure):
                 return self._failure_response(call, failure, version, seconds)
 
     def _forward_response(self, call: Call, target_response: Response) -> web.Response:
-        headers = CIMultiDict(target_response.headers)
-        headers[self._header_names.request_id] = call.request_id
         return web.Response(
-            status=target_response.status, headers=headers, body=target_response.body
+            status=target_response.status,
+            headers=self._response_headers(call, target_response),
+            body=target_response.body,
         )
 
+    def _response_headers(self, call: Call, target_response: Response) -> CIMultiDict[str]:
+        headers = CIMultiDict(target_response.headers)
+        headers[self._header_names.request_id] = call.request_id
+        return headers
+
     def _failure_response(
         self, call: Call, failure: CallFailure, version: int, seconds: float
     ) -> web.Response:
@@ -324,14 +352,7 @@
             and asyncio.get_running_loop().time() >= call.deadline
         ):
             status = 504
-        self._decisions.failed(
-            call,
-            failure.outcome.name.lower(),
-            status=status,
-            reason=failure.reason,
-            configuration=version,
-            seconds=round(seconds, 3),
-        )
+        self.outcomes.log_failed(call, failure, status, version, seconds)
         return self._error_response(call.request_id, status, failure.reason, failure.retry_after_s)
 
     def _error_response(
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -75,6 +75,7 @@
         """Record an attempt's outcome; return whether the call must not be tried again."""
         match result:
             case Ok(response):
+                self.discard()
                 self.result = result
                 final = not response.is_failure
             case Err(failure) if failure.outcome in (Outcome.NOT_RUN, Outcome.REFUSED):
@@ -97,6 +98,10 @@
         self.deliveries += 1
         return final or not idempotent or self.possible_runs >= max_attempts
 
+    def discard(self) -> None:
+        """Stop the transfer of the recorded response, if its body is still arriving."""
+        _close_response(self.result)
+
     def result_at_deadline(self) -> CallResult:
         """Return the outcome of a call whose deadline has passed."""
         if self.abandoned and not self.result.is_ok():
@@ -168,6 +173,9 @@
                 await self._try_targets(route, call, progress)
         except TimeoutError:
             return progress.result_at_deadline()
+        except asyncio.CancelledError:
+            progress.discard()
+            raise
         return progress.result
 
     async def _try_targets(self, route: Route, call: Call, progress: CallProgress) -> None:
@@ -241,7 +249,10 @@
             for task in running:
                 task.cancel()
             # Cancelled attempts log their failure before the call's outcome is logged.
-            await asyncio.gather(*running, return_exceptions=True)
+            for result in await asyncio.gather(*running, return_exceptions=True):
+                # One that ended at the same moment has a response that nobody reads.
+                if not isinstance(result, BaseException):
+                    _close_response(result)
         return ended
 
     def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
@@ -327,3 +338,8 @@
             load=load,
             seconds=round(seconds, 3),
         )
+
+
+def _close_response(result: CallResult) -> None:
+    if result.is_ok():
+        result.unwrap().close()
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -17,6 +17,8 @@
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.calls.body_reservations import BodyReservations
+from bulrushflow.sidecar.calls.transfers import CHUNK_WINDOW_BYTES
+from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.records.directory import Peer
@@ -25,6 +27,7 @@
 from bulrushflow.wire import messages
 from bulrushflow.wire.link import Link
 from bulrushflow.wire.links import Links
+from bulrushflow.wire.transfers import ChunkedResponse
 
 CONNECT_TIMEOUT_S = 0.3
 """Time that a call waits for a connection to a node before another target is tried."""
@@ -57,6 +60,7 @@
 
     :param orders: replica of the operator's records.
     :param is_current: returns whether the directory still contains a peer.
+    :param transfers: sends and receives large responses.
     """
 
     def __init__(
@@ -65,12 +69,14 @@
         admission: AdmissionController,
         orders: Replica,
         is_current: t.Callable[[Peer], bool],
+        transfers: ResponseTransfers,
         decisions: DecisionLog,
     ) -> None:
         self._links = links
         self._admission = admission
         self._orders = orders
         self._is_current = is_current
+        self._transfers = transfers
         self._decisions = decisions
         self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
         self._reservations = BodyReservations(self.body_budget)
@@ -137,16 +143,21 @@
         request.read_offset = self._orders.offset
         request.read_era = self._orders.era
         request.named_limit = _limit_to_message(named_limit)
+        request.chunk_window = CHUNK_WINDOW_BYTES
         match await link.exchange(remaining_s, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
                 return result, PeerReport(False)
             case Ok(frame) if frame.call_answer is not None:
                 response = frame.call_answer
+                body = link.take_body(frame)
             case _:
                 return unknown("unexpected message instead of a call answer"), PeerReport(False)
         self._orders.note_peer_offset(response.read_offset or 0, response.read_era)
-        return codec.result_from_message(response), PeerReport(True, _load(response))
+        result = codec.result_from_message(response)
+        if body is not None:
+            result = await self._transfers.receive(result, body, call.deadline)
+        return result, PeerReport(not link.lost or result.is_ok(), _load(response))
 
     @property
     def recheck_count(self) -> int:
@@ -196,7 +207,7 @@
             return None
         return no_space_error(self.body_budget, body_bytes).reason
 
-    async def _serve(self, message: t.Any) -> dict[str, t.Any]:
+    async def _serve(self, message: t.Any) -> dict[str, t.Any] | ChunkedResponse:
         self._orders.note_peer_offset(message.read_offset or 0, message.read_era)
         if message.named_limit is not None:
             self._admission.apply_named_limit(_limit_from_message(message.named_limit))
@@ -204,7 +215,7 @@
         response = self._call_answer(await self._run(call))
         response.read_offset = self._orders.offset
         response.read_era = self._orders.era
-        return {"call_answer": response}
+        return self._transfers.answer(message, response)
 
     def _call_answer(self, result: CallResult) -> t.Any:
         admission = self._admission
--- /dev/null
+++ b/src/bulrushflow/sidecar/calls/transfers.py
@@ -0,0 +1,112 @@
+"""Large responses between nodes: what is sent in chunks, and what arrives in chunks."""
+
+import asyncio
+import typing as t
+
+from msgspec.structs import replace
+from result import Err
+from result import Ok
+
+from bulrushflow.metrics import Metrics
+from bulrushflow.placement.links import LARGE_RESPONSE_BYTES
+from bulrushflow.routing import ByteBudget
+from bulrushflow.routing import CallResult
+from bulrushflow.routing import Outcome
+from bulrushflow.routing import unknown
+from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.wire import messages
+from bulrushflow.wire.frames import MAX_FRAME_BYTES
+from bulrushflow.wire.transfers import ChunkedResponse
+from bulrushflow.wire.transfers import IncomingBody
+
+CHUNK_WINDOW_BYTES = 128 << 10
+"""Bytes of one response that are held for a slow caller. It covers a link of 20 Mbit/s with a round
+trip of 50 ms."""
+MAX_HELD_RESPONSE_BYTES = 32 << 20
+"""Bound on the responses that the target has delivered and the link has not. Instances have as
+little as 200 MB."""
+
+
+class ResponseTransfers:
+    """Sends large responses in chunks to nodes that take them, and receives them.
+
+    The target is read at full speed, so that its slot is free again, and the whole response waits
+    here within a bound.
+    """
+
+    def __init__(self, metrics: Metrics, decisions: DecisionLog) -> None:
+        self._metrics = metrics
+        self._decisions = decisions
+        self.budget = ByteBudget(MAX_HELD_RESPONSE_BYTES)
+
+    def answer(self, request: t.Any, answer: t.Any) -> dict[str, t.Any] | ChunkedResponse:
+        """Return how the answer to a call request is sent: as one frame, or in chunks.
+
+        A response without space is lost: its call may have run.
+        """
+        size = len(answer.body)
+        window = request.chunk_window or 0
+        if window <= 0 or size <= LARGE_RESPONSE_BYTES:
+            return {"call_answer": answer}
+        if not self.budget.reserve(size):
+            return {"call_answer": self._refuse_space(request, answer, size)}
+        body, answer.body, answer.chunked_bytes = answer.body, b"", size
+        return ChunkedResponse(
+            {"call_answer": answer}, body, window, lambda: self.budget.release(size)
+        )
+
+    async def receive(self, result: CallResult, body: IncomingBody, deadline: float) -> CallResult:
+        """Return the result of a call whose response's body follows in chunks.
+
+        Until the first bytes are there the call may still be tried elsewhere. The body of an error
+        is read as a whole, since the call may be tried elsewhere after it.
+
+        :param deadline: event loop time after which the body is no longer awaited.
+        """
+        taken = False
+        try:
+            async with asyncio.timeout_at(deadline):
+                received = await self._receive(result, body)
+            taken = received.is_ok() and received.unwrap().stream is not None
+            return received
+        except TimeoutError:
+            return unknown("no part of the response's body arrived in time")
+        finally:
+            if not taken:
+                body.close()
+
+    async def _receive(self, result: CallResult, body: IncomingBody) -> CallResult:
+        match result:
+            case Err():
+                return result
+            case Ok(response):
+                pass
+        if not response.is_failure:
+            match await body.wait_begun():
+                case Err(reason):
+                    return unknown(f"the response's body did not arrive: {reason}")
+                case Ok():
+                    return replace(response, stream=body).as_result()
+        if body.total > MAX_FRAME_BYTES:
+            return unknown(f"an error with a body of {body.total} bytes")
+        match await body.read_all():
+            case Err(reason):
+                return unknown(f"the response's body broke off: {reason}")
+            case Ok(data):
+                return replace(response, body=data).as_result()
+
+    def _refuse_space(self, request: t.Any, answer: t.Any, size: int) -> t.Any:
+        reason = (
+            f"no buffer space for a response of {size} bytes: {self.budget.used_bytes} of at "
+            f"most {self.budget.max_bytes} bytes wait for the link"
+        )
+        self._decisions.event("response dropped", request=request.request_id, reason=reason)
+        return messages.CallAnswer(
+            outcome=int(Outcome.UNKNOWN),
+            status=0,
+            headers=[],
+            body=b"",
+            reason=reason,
+            in_flight=answer.in_flight,
+            capacity=answer.capacity,
+        )
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -43,6 +43,7 @@
     target: Endpoint | None
     own_service: str
     store: Endpoint
-    link_mbps: float = 1.0
-    """Bandwidth of this instance's link in megabits per second."""
+    link_mbps: float | None = None
+    """Bandwidth of this instance's link in megabits per second, by which large responses are paced;
+    ``None`` if it isn't known."""
     bounds: Bounds = Bounds()
--- a/tests/sidecar/calls/test_dispatcher.py
+++ b/tests/sidecar/calls/test_dispatcher.py
@@ -153,6 +153,26 @@
         self.assertEqual((await running).unwrap().status, 200)
         await until(lambda: self.cancelled == [first])
 
+    async def test_responses_that_nobody_reads_are_closed(self) -> None:
+        """An unread body would hold its window, and its sender's memory, until the link ends."""
+        for name in ("both respond", "the caller leaves"):
+            with self.subTest(name):
+                self.sent.clear()
+                running = self.start()
+                await until(lambda: len(self.sent) == 2)
+                streams = [mock.Mock(), mock.Mock()]
+                for (address, _), stream in zip(self.sent, streams, strict=True):
+                    response = Response(200, (), b"", stream)
+                    self.responses[address].set_result(response.as_result())
+                if name == "the caller leaves":
+                    running.cancel()
+                    await asyncio.gather(running, return_exceptions=True)
+                    kept = []
+                else:
+                    kept = [(await running).unwrap().stream]
+                for stream in streams:
+                    self.assertEqual(stream.close.called, stream not in kept)
+
     async def test_a_call_is_not_hedged_without_a_free_slot(self) -> None:
         now = asyncio.get_running_loop().time()
         for target_peer in self.directory.ready_peers("statements"):
--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from bulrushflow.metrics import Metrics
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
@@ -14,6 +15,7 @@
 from bulrushflow.sidecar.calls.forwarding import LARGE_BODY_BYTES
 from bulrushflow.sidecar.calls.forwarding import PeerForwarder
 from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
+from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import TargetState
 from bulrushflow.sidecar.records.directory import Directory
@@ -22,6 +24,7 @@
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.timers import Timers
 from bulrushflow.wire import Links
+from bulrushflow.wire.transfers import ChunkedResponse
 from tests.clocks import stopped_loop_clock
 from tests.sidecar.samples import NAMES
 from tests.sidecar.samples import FixedClock
@@ -56,7 +59,12 @@
         )
         orders = Replica("orders", mock.Mock(), decisions)
         self.forwarder = PeerForwarder(
-            self.links, self.admission, orders, self.directory.is_current, decisions
+            self.links,
+            self.admission,
+            orders,
+            self.directory.is_current,
+            ResponseTransfers(Metrics(4), decisions),
+            decisions,
         )
 
     async def start(self) -> None:
@@ -213,7 +221,7 @@
         received_bytes: list[int] = []
         serve = self.remote.forwarder._serve
 
-        async def record_and_serve(message: t.Any) -> dict[str, t.Any]:
+        async def record_and_serve(message: t.Any) -> dict[str, t.Any] | ChunkedResponse:
             received_bytes.append(len(message.body))
             return await serve(message)
 
--- a/tests/sidecar/test_application.py
+++ b/tests/sidecar/test_application.py
@@ -38,9 +38,9 @@
             for target in self.targets:
                 target.status = 500
             await self.call(0, "c-1")
-            sidecar._callers.last_failure_at = asyncio.get_running_loop().time() + 60
+            sidecar._callers.outcomes.last_failure_at = asyncio.get_running_loop().time() + 60
             await self.call(0, "c-2")
-            sidecar._callers.last_failure_at = float("-inf")
+            sidecar._callers.outcomes.last_failure_at = float("-inf")
             for target in self.targets:
                 target.status = 504
             await self.call(0, "c-3")
