Bound the waits for a slot, and order waiting calls by what they are worth

Under demand past the capacity, calls waited for 0.5 to 1 s in front of a target, started late, and were refused after several such waits: 13,324 of 36,582 calls took over half of their latency objective to reach a target. Inner calls waited behind outer ones, so that running outer calls kept their slots and then failed.

The queue is a package without I/O now (overload/queue.py); SlotPool keeps the slots, the timers and asyncio. Where the settings' contracts have pool or health, a call is refused at once if no slot is expected within an eighth of its latency objective, counted from the call's arrival at its first node, and when that time has passed. Inner calls go first (short service time, as before, or a short latency objective) and may wait for half of theirs, since their refusal wastes a running call's work. Then strictly by priority, with an eighth of the slot time kept for less urgent kinds; within a priority organisations that outgrew the others go last, calls that returned first, then the earliest latest useful start. Without these contracts the order and the refusals are as before.

Weighed: deficit round robin over organisations. A queue of two or three calls for 77 organisations has nothing to rotate over, and equal shares would make the largest organisation pay for every peak. What is compared instead is each organisation's growth with that of the others, at the target.

--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -18,6 +18,8 @@
 
 SETTINGS_VARIABLE = "BULRUSHFLOW_NODE_FILE"
 DEFAULT_PATH = "/etc/bulrushflow/local.toml"
+LOAD_CONTRACTS = frozenset({"pool", "health"})
+"""Contracts of deployments whose callers share too little capacity."""
 MAX_DURATION_S = 10 * 365 * 86_400
 _DURATION = re.compile(r"^\s*([0-9]+(?:\.[0-9]+)?)\s*(ms|s)\s*$")
 
@@ -71,6 +73,7 @@
     service: str = ""  # service of that target
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    contracts: t.Any = ()  # names of guarantees, as a list or as the keys of a table
 
 
 def settings_path() -> pathlib.Path:
@@ -101,6 +104,7 @@
 
 def _convert_settings(file: _File) -> SidecarSettings:
     bounds = file.bounds
+    shares_capacity = not LOAD_CONTRACTS.isdisjoint(_contract_names(file.contracts))
     return SidecarSettings(
         node_id=file.nodeName,
         address=file.ip,
@@ -122,9 +126,18 @@
             unproved_share=bounds.canaryShare,
             unproved_slack=bounds.canarySlack,
         ),
+        limits_waits=shares_capacity,
+        places_by_work=shares_capacity,
     )
 
 
+def _contract_names(contracts: t.Any) -> list[str]:
+    """Return the names of contracts; another form than a list or a table has none."""
+    if not isinstance(contracts, list | dict):
+        return []
+    return [name for name in contracts if isinstance(name, str)]
+
+
 def parse_endpoint(text: str) -> Endpoint:
     """Parse an address such as ``10.1.0.5:8309``.
 
--- a/src/bulrushflow/routing/model.py
+++ b/src/bulrushflow/routing/model.py
@@ -52,6 +52,10 @@
     """0 is the highest priority."""
     late_after: float = 0.0
     """Time of the latency objective, on the deadline's clock; a later response counts as late."""
+    organisation: str = ""
+    """Organisation that sent the call; empty without one."""
+    returned: bool = False
+    """Whether the caller sent the call again after a refusal."""
 
     def for_attempt(self, version: str, retries: int) -> "Call":
         """Return the call for one attempt.
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -8,6 +8,8 @@
 from msgspec.structs import fields
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.overload import OVERLOAD_RULES
+from bulrushflow.overload import PLAIN_RULES
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
@@ -118,6 +120,7 @@
             self._quarantine,
             self._decisions,
             self._clock,
+            OVERLOAD_RULES if settings.limits_waits else PLAIN_RULES,
         )
         self._build_replicas(adapter, store)
         self._forwarder = PeerForwarder(
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -11,6 +11,8 @@
 from result import Err
 from result import Ok
 
+from bulrushflow.overload import PLAIN_RULES
+from bulrushflow.overload import QueueRules
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
@@ -51,6 +53,7 @@
     :param observer: called after each call that may have run, with the call, its result, and the
         seconds it took. A call that was cancelled after much of the time that its latency
         objective leaves has the result ``None``.
+    :param rules: how calls wait for a slot.
     :param on_change: called with the new entry, or ``None`` without a target, when other nodes have
         to be informed.
     """
@@ -65,6 +68,7 @@
         quarantine: Quarantine,
         decisions: DecisionLog,
         clock: Clock,
+        rules: QueueRules = PLAIN_RULES,
     ) -> None:
         self.entry: TargetEntry | None = None
         self.endpoint: Endpoint | None = None
@@ -77,7 +81,8 @@
         self._quarantine = quarantine
         self._decisions = decisions
         self._clock = clock
-        self._slots = SlotPool(1)
+        self._rules = rules
+        self._slots = SlotPool(1, rules)
         self._client: TargetClient | None = None
         self._crash_detector: CrashDetector | None = None
         self._limit = LimitTracker("", decisions)
@@ -361,7 +366,7 @@
         if self._crash_detector is not None:
             self._crash_detector.target_replaced()
         self._close_client()
-        self._slots = SlotPool(entry.slots)
+        self._slots = SlotPool(entry.slots, self._rules)
         limit = self._limit = LimitTracker(entry.target_id, self._decisions)
         self._client = TargetClient(
             endpoint,
@@ -376,7 +381,14 @@
 
 
 def _slot_request(call: Call) -> SlotRequest:
-    return SlotRequest(call.route, call.priority, call.late_after, call.deadline)
+    return SlotRequest(
+        call.route,
+        call.priority,
+        call.late_after,
+        call.deadline,
+        call.organisation,
+        call.returned,
+    )
 
 
 def _same_for_peers(current: TargetEntry, entry: TargetEntry) -> bool:
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -46,3 +46,7 @@
     link_mbps: float = 1.0
     """Bandwidth of this instance's link in megabits per second."""
     bounds: Bounds = Bounds()
+    limits_waits: bool = False
+    """Whether calls wait for a slot only briefly, and refusals say when to return."""
+    places_by_work: bool = False
+    """Whether targets are chosen by the work that they are expected to have left."""
--- a/src/bulrushflow/wire/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -60,6 +60,7 @@
         idempotent=call.idempotent,
         attempt=call.attempt,
         priority=call.priority,
+        returned=call.returned or None,
     )
 
 
@@ -86,6 +87,7 @@
         attempt=message.attempt or 0,
         priority=message.priority or 0,
         late_after=now + useful_ms / 1000,
+        returned=bool(message.returned),
     )
 
 
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -191,6 +191,7 @@
         62: (TType.I32, "useful_ms", False),
         63: (TType.STRUCT, "named_limit", NamedLimit, False),
         64: (TType.I64, "read_era", False),
+        140: (TType.BOOL, "returned", False),
     }
     default_spec = [
         ("request_id", None),
@@ -210,6 +211,7 @@
         ("useful_ms", None),
         ("named_limit", None),
         ("read_era", None),
+        ("returned", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -110,6 +110,8 @@
   63: optional NamedLimit named_limit
   // Era of the store that read_offset is of; offsets of different eras can't be compared.
   64: optional i64 read_era
+  // True if the caller sent the call again after a refusal.
+  140: optional bool returned
 }
 
 struct CallAnswer {
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -53,6 +53,22 @@
             with self.subTest(message=message):
                 self.assertIn(message, decode_settings(text.encode()).unwrap_err())
 
+    # Earlier deployments keep the behaviour that they rely on.
+    def test_only_contracts_of_shared_capacity_limit_waits_and_place_by_work(self) -> None:
+        cases = {
+            "": False,
+            'contracts = ["drain", "evac"]\n': False,
+            'contracts = "pool"\n': False,
+            'contracts = ["drain", "pool"]\n': True,
+            'contracts = { health = "1s" }\n': True,
+        }
+        for line, expected in cases.items():
+            with self.subTest(line=line):
+                settings = decode_settings((line + FILE).encode()).unwrap()
+                self.assertEqual(
+                    (settings.limits_waits, settings.places_by_work), (expected, expected)
+                )
+
     def test_bytes_that_are_not_utf8_are_rejected(self) -> None:
         self.assertTrue(decode_settings(b"\xff\xfe").is_err())
 
--- a/tests/sidecar/calls/test_slots.py
+++ b/tests/sidecar/calls/test_slots.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from bulrushflow.overload import OVERLOAD_RULES
 from bulrushflow.sidecar.calls import slots as slots_module
 from bulrushflow.sidecar.calls.slots import SlotPool
 from bulrushflow.sidecar.calls.slots import SlotRequest
@@ -186,6 +187,45 @@
         self.assertEqual((slots.active, slots.queued), (0, 0))
 
 
+class ShortQueueTests(unittest.IsolatedAsyncioTestCase):
+    """A pool whose callers compete for too little capacity."""
+
+    async def asyncSetUp(self) -> None:
+        self.slots = SlotPool(2, OVERLOAD_RULES)
+        for _ in range(2):
+            await self.slots.acquire(self.request())
+            self.slots.release("r", 0.2)
+        for _ in range(2):
+            await self.slots.acquire(self.request())
+
+    def request(self, organisation: str = "", objective_s: float = 1.0) -> SlotRequest:
+        now = asyncio.get_running_loop().time()
+        return SlotRequest("r", 0, now + objective_s, now + 5.0, organisation)
+
+    async def test_a_call_that_would_wait_too_long_is_refused_at_once(self) -> None:
+        waiting = asyncio.ensure_future(self.slots.acquire(self.request()))
+        await asyncio.sleep(0)
+        refusal = self.slots.refusal(self.request())
+        self.assertRegex(str(refusal), "a slot is expected in .* are waited")
+        self.assertEqual(await self.slots.acquire(self.request()), refusal)
+        self.slots.release("r", 0.2)
+        self.assertIsNone(await waiting)
+
+    # Calls whose estimate was wrong waited until their deadline, and their callers learned late.
+    async def test_a_call_that_gets_no_slot_within_its_bound_is_refused(self) -> None:
+        refusal = await self.slots.acquire(self.request())
+        self.assertRegex(str(refusal), "no slot within 0.12. s")
+        self.assertEqual((self.slots.active, self.slots.queued), (2, 0))
+
+    async def test_a_slot_that_is_granted_as_the_wait_ends_is_released(self) -> None:
+        waiting = asyncio.ensure_future(self.slots.acquire(self.request()))
+        await asyncio.sleep(0)
+        self.slots.release("r", None)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual((self.slots.active, self.slots.queued), (1, 0))
+
+
 class LimitedSlotPoolTests(unittest.IsolatedAsyncioTestCase):
     """A pool with free slots, whose target names a limit."""
 
