--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -8,6 +8,8 @@
 from msgspec.structs import fields
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.overload import OVERLOAD_RULES
+from bulrushflow.overload import PLAIN_RULES
 from bulrushflow.placement import Evacuations
 from bulrushflow.placement import LinkPacer
 from bulrushflow.rollouts import ExposureLimits
@@ -125,6 +127,7 @@
             self._decisions,
             self._clock,
             self._suspension,
+            OVERLOAD_RULES if settings.limits_waits else PLAIN_RULES,
         )
         self._build_replicas(adapter, store)
         self._forwarder = PeerForwarder(
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -11,6 +11,8 @@
 from result import Err
 from result import Ok
 
+from bulrushflow.overload import PLAIN_RULES
+from bulrushflow.overload import QueueRules
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
@@ -51,6 +53,7 @@
     :param observer: called after each call that may have run, with the call, its result, and the
         seconds it took. A call that was cancelled after much of the time that its latency
         objective leaves has the result ``None``.
+    :param rules: how calls wait for a slot.
     :param on_change: called with the new entry, or ``None`` without a target, when other nodes have
         to be informed.
     :param suspension: returns why no call may begin at this node, whatever the state of its target,
@@ -68,6 +71,7 @@
         decisions: DecisionLog,
         clock: Clock,
         suspension: t.Callable[[], str | None] = lambda: None,
+        rules: QueueRules = PLAIN_RULES,
     ) -> None:
         self.entry: TargetEntry | None = None
         self.endpoint: Endpoint | None = None
@@ -83,7 +87,9 @@
         self._suspension = suspension
         self.suspended_count = 0
         """Number of calls that were refused since no call may begin at this node."""
-        self._slots = SlotPool(1)
+
+        self._rules = rules
+        self._slots = SlotPool(1, rules)
         self._client: TargetClient | None = None
         self._crash_detector: CrashDetector | None = None
         self._limit = LimitTracker("", decisions)
@@ -378,7 +384,7 @@
         if self._crash_detector is not None:
             self._crash_detector.target_replaced()
         self._close_client()
-        self._slots = SlotPool(entry.slots)
+        self._slots = SlotPool(entry.slots, self._rules)
         limit = self._limit = LimitTracker(entry.target_id, self._decisions)
         self._client = TargetClient(
             endpoint,
@@ -393,7 +399,14 @@
 
 
 def _slot_request(call: Call) -> SlotRequest:
-    return SlotRequest(call.route, call.priority, call.late_after, call.deadline)
+    return SlotRequest(
+        call.route,
+        call.priority,
+        call.late_after,
+        call.deadline,
+        call.organisation,
+        call.returned,
+    )
 
 
 def _same_for_peers(current: TargetEntry, entry: TargetEntry) -> bool:
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -47,3 +47,7 @@
     """Bandwidth of this instance's link in megabits per second, by which large responses are paced;
     ``None`` if it isn't known."""
     bounds: Bounds = Bounds()
+    limits_waits: bool = False
+    """Whether calls wait for a slot only briefly, and refusals say when to return."""
+    places_by_work: bool = False
+    """Whether targets are chosen by the work that they are expected to have left."""
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -193,6 +193,7 @@
         64: (TType.I64, "read_era", False),
         120: (TType.I32, "chunk_window", False),
         100: (TType.STRING, "organisation", False),
+        140: (TType.BOOL, "returned", False),
     }
     default_spec = [
         ("request_id", None),
@@ -214,6 +215,7 @@
         ("read_era", None),
         ("chunk_window", None),
         ("organisation", None),
+        ("returned", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -116,6 +116,9 @@
 
   // Name of the organisation whose key the caller's request had; absent without one.
   100: optional string organisation
+
+  // True if the caller sent the call again after a refusal.
+  140: optional bool returned
 }
 
 struct CallAnswer {
