Limit the calls to cold targets, and choose them by what they take

Cause: a target of a service with coldPerS crashes when it gets well above that rate while it is cold, after a start, an evacuation or at any other moment. Nodes only doubled the latency that they expect of it.

Weighed: a part of the limit for each origin node (overdrawn by a partitioned node, lost where there are no callers), choice by the reported load alone (acts after refusals), the rate limit that targets name in place of a second one (its spacing doesn't know the calls of the second before), queueing at the cold target (seconds, while warm targets are free).

A call that would start too late for its latency objective is refused at once, also a queued one when the target turns cold. A new phase, or another end of it, is published; its ticking down isn't. Origin nodes choose cold targets in proportion to capacity (placement.cold_share). Only a service with coldPerS above 0 is concerned; coldOver and coldSlack are read from the settings' bounds.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -46,6 +46,8 @@
         "applied_offset",
         "call_seconds",
         "calls",
+        "cold_calls",
+        "cold_refusals",
         "configuration_rejected",
         "configuration_version",
         "control_bytes",
@@ -62,6 +64,7 @@
         "store_confirmed_seconds",
         "store_connected",
         "store_records_behind",
+        "target_cold",
         "target_leaving",
         "target_limit",
         "unrecorded",
@@ -135,6 +138,18 @@
             "1 if this node's target said in a response that it leaves, else 0",
             registry=self.registry,
         )
+        self.target_cold = Gauge(
+            "bulrushflow_target_cold",
+            "1 while the calls to this node's target are limited because it is cold, else 0",
+            registry=self.registry,
+        )
+        self.cold_calls = self._counter(
+            "bulrushflow_cold_calls_total", "Calls sent to this node's target while it was cold"
+        )
+        self.cold_refusals = self._counter(
+            "bulrushflow_cold_refusals_total",
+            "Calls refused because the limit of this node's cold target admits them too late",
+        )
         self.quarantined_requests = Gauge(
             "bulrushflow_quarantined_requests",
             "Requests that are refused because they crash the targets that run them",
@@ -207,6 +222,12 @@
         self.evacuated_data_centres.set({}, data_centre_count)
         self.evacuation_refusals.set({"at": "target"}, refused_at_target)
 
+    def observe_cold_target(self, cold: bool, sent: int, refused: int) -> None:
+        """Record whether this node's target is cold, and the calls sent and refused so far."""
+        self.target_cold.set({}, int(cold))
+        self.cold_calls.set({}, sent)
+        self.cold_refusals.set({}, refused)
+
     def observe_quarantine(self, count: int) -> None:
         """Record how many requests are quarantined."""
         self.quarantined_requests.set({}, count)
--- a/src/bulrushflow/platform/configuration.py
+++ b/src/bulrushflow/platform/configuration.py
@@ -54,6 +54,8 @@
     name: str
     healthPath: str = "/health"  # noqa: N815
     maxConnections: int = 100  # noqa: N815  to one target, from all nodes
+    coldStart: str = "0s"  # noqa: N815  for which a target is cold after its start
+    coldPerS: float = 0.0  # noqa: N815  calls per second that a cold target can take; 0: no limit
 
 
 class _Limits(msgspec.Struct):
@@ -104,10 +106,13 @@
             return Err(f"configuration: {exc}")
 
     def _convert(self, document: _Configuration) -> Result[Routing, str]:
-        services = {
-            c.name: ServiceSettings(c.name, c.healthPath, c.maxConnections)
-            for c in document.clusters
-        }
+        services: dict[str, ServiceSettings] = {}
+        for cluster in document.clusters:
+            match _convert_cluster(cluster):
+                case Err(reason):
+                    return Err(f"configuration {document.version}: {reason}")
+                case Ok(service_settings):
+                    services[cluster.name] = service_settings
         hosts_by_document: dict[bytes, _HostRoutes] = {}
         for raw in document.listeners:
             match self._host_routes(bytes(raw)):
@@ -183,6 +188,20 @@
     return routes_by_host
 
 
+def _convert_cluster(cluster: _Cluster) -> Result[ServiceSettings, str]:
+    if cluster.coldPerS < 0:
+        return Err(f"service {cluster.name!r}: coldPerS {cluster.coldPerS} must not be negative")
+    return Ok(
+        ServiceSettings(
+            cluster.name,
+            cluster.healthPath,
+            cluster.maxConnections,
+            parse_duration(cluster.coldStart),
+            cluster.coldPerS,
+        )
+    )
+
+
 def _decode_rule(host: str, document: bytes) -> Result[Route, str]:
     rule = msgspec.json.decode(document, type=_Rule)
     match _convert_rule(host, rule):
--- a/src/bulrushflow/platform/documents.py
+++ b/src/bulrushflow/platform/documents.py
@@ -50,7 +50,7 @@
     state: str
     seq: Count
     born: EpochMs  # start of the target, in epoch milliseconds
-    coldRemaining: str = "0ms"  # noqa: N815  time until the target is warm
+    coldRemaining: str | None = None  # noqa: N815  time until the target is warm
 
 
 def decode_rollout_order(record: KeyedRecord) -> Result[RolloutOrder, str]:
@@ -106,7 +106,7 @@
         case Ok(announcement):
             pass
     try:
-        cold_s = parse_duration(announcement.coldRemaining)
+        cold_s = parse_duration(announcement.coldRemaining or "0ms")
     except ValueError as exc:
         return Err(f"announcement: {exc}")
     state = TARGET_STATE_BY_NAME.get(announcement.state)
@@ -124,5 +124,6 @@
         slots=announcement.slots,
         state=state,
         warm_at_ms=warm_at_ms,
+        warmth_stated=announcement.coldRemaining is not None,
     )
     return Ok((entry, announcement.address))
--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -50,6 +50,8 @@
     retryBudgetSlack: float = 60.0  # noqa: N815
     canaryShare: float = 0.1  # noqa: N815  fraction of a service's calls for a faulty version
     canarySlack: float = 50.0  # noqa: N815  calls beyond that fraction
+    coldOver: float = 1.5  # noqa: N815  factor on a cold target's rate in any second
+    coldSlack: float = 8.0  # noqa: N815  calls beyond that
 
 
 class _Limits(msgspec.Struct):
@@ -121,6 +123,8 @@
             retry_slack=bounds.retryBudgetSlack,
             unproved_share=bounds.canaryShare,
             unproved_slack=bounds.canarySlack,
+            cold_over=bounds.coldOver,
+            cold_slack=bounds.coldSlack,
         ),
     )
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -8,7 +8,9 @@
 from msgspec.structs import fields
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.placement import ColdStart
 from bulrushflow.placement import Evacuations
+from bulrushflow.placement import cold_start
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
@@ -120,6 +122,7 @@
             self._decisions,
             self._clock,
             self._suspension,
+            self._cold_start,
         )
         self._build_replicas(adapter, store)
         self._forwarder = PeerForwarder(
@@ -141,6 +144,7 @@
             self._metrics,
             self._decisions,
             self._rng,
+            self._cold_start,
         )
         self._callers = CallerServer(
             adapter.header_names,
@@ -295,6 +299,7 @@
         bounds = settings.bounds
         self._retry_budget.configure(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
         self._rollouts.configure(_exposure_limits(bounds))
+        self._admission.refresh_cold_limit()
         changed = [
             f.name for f in fields(settings) if getattr(settings, f.name) != getattr(before, f.name)
         ]
@@ -309,6 +314,7 @@
             "configuration in force", version=routing.version, before=self.routing.version
         )
         self.routing = routing
+        self._admission.refresh_cold_limit()
 
     def reject_configuration(self, reason: str) -> None:
         """See :meth:`OrderSink.reject_configuration`."""
@@ -339,10 +345,20 @@
             data_centres=sorted(evacuations.data_centres),
             before=sorted(before.data_centres),
         )
-        self.directory.apply_evacuations(evacuations)
+        self.directory.apply_evacuations(evacuations, self._clock.wall_ms())
         reason = evacuations.refusal(self.settings.data_centre)
         if reason is not None:
             self._admission.suspend(reason)
+        elif before.refusal(self.settings.data_centre) is not None:
+            self._admission.await_warmth("end of an evacuation")
+
+    def _cold_start(self, service: str) -> ColdStart | None:
+        """Return the limits for the cold targets of a service; ``None`` if it has none."""
+        found = self.routing.services_by_name.get(service)
+        if found is None:
+            return None
+        bounds = self.settings.bounds
+        return cold_start(found.cold_per_s, found.cold_start_s, bounds.cold_over, bounds.cold_slack)
 
     def _suspension(self) -> str | None:
         """Return why the own target gets no calls whatever its state, or ``None``."""
@@ -410,7 +426,7 @@
         if not initial_load or self._admission.entry is not None or settings.target is None:
             return
         if stored is not None:
-            self._admission.apply_announcement(stored, settings.target)
+            self._admission.apply_announcement(stored, settings.target, restored=True)
 
     async def _update_retry_budget(self) -> None:
         service = self.settings.own_service
@@ -431,6 +447,9 @@
         self._metrics.observe_evacuations(
             len(self.directory.evacuations.data_centres), self._admission.suspended_count
         )
+        limit = self._admission.warmth.limit
+        is_cold = limit.per_s(asyncio.get_running_loop().time()) is not None
+        self._metrics.observe_cold_target(is_cold, limit.sent, limit.refused)
         self._metrics.observe_quarantine(self._quarantine.size)
         self._metrics.observe_record_source(self.relay.source is None)
 
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -26,6 +26,8 @@
 from bulrushflow.sidecar.calls.slots import SlotRequest
 from bulrushflow.sidecar.calls.target_client import TargetClient
 from bulrushflow.sidecar.calls.target_signals import TargetSignals
+from bulrushflow.sidecar.calls.target_warmth import ColdStartLookup
+from bulrushflow.sidecar.calls.target_warmth import TargetWarmth
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import TargetEntry
@@ -55,6 +57,7 @@
         to be informed.
     :param suspension: returns why no call may begin at this node, whatever the state of its target,
         or ``None``.
+    :param cold_start: returns the limits for the cold targets of a service, if it has any.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         decisions: DecisionLog,
         clock: Clock,
         suspension: t.Callable[[], str | None] = lambda: None,
+        cold_start: ColdStartLookup = lambda service: None,
     ) -> None:
         self.entry: TargetEntry | None = None
         self.endpoint: Endpoint | None = None
@@ -83,7 +87,8 @@
         self._suspension = suspension
         self.suspended_count = 0
         """Number of calls that were refused since no call may begin at this node."""
-        self._slots = SlotPool(1)
+        self.warmth = TargetWarmth(cold_start, decisions, clock)
+        self._slots = SlotPool(1, self.warmth.limit)
         self._client: TargetClient | None = None
         self._crash_detector: CrashDetector | None = None
         self._limit = LimitTracker("", decisions)
@@ -110,9 +115,13 @@
         """Number of calls that were sent to the target and have not ended."""
         return len(self._running)
 
-    def apply_announcement(self, entry: TargetEntry, endpoint: Endpoint) -> bool:
+    def apply_announcement(
+        self, entry: TargetEntry, endpoint: Endpoint, restored: bool = False
+    ) -> bool:
         """Apply a target's announcement.
 
+        :param restored: whether the entry is this node's own one in the store, which its target
+            announced before the node's start.
         :return: whether it was accepted; ``False`` when the target departed or a newer revision is
             known.
         """
@@ -128,16 +137,22 @@
             entry = replace(entry, state=TargetState.DRAINING, leaving=True)
         if replaced or endpoint != self.endpoint:
             self._replace(entry, endpoint)
+        if restored:
+            entry = self.warmth.restore(entry)
+        else:
+            entry = self.warmth.announce(entry, replaced, not self.reachable)
         self._slots.capacity = entry.slots
         changed = (
             replaced
             or not self.reachable
             or not _same_for_peers(t.cast(TargetEntry, current), entry)
+            or self.warmth.is_news(entry)
         )
         self.entry = entry
         self.reachable = True
         if entry.state is not TargetState.READY:
             self._slots.refuse_queued("the target takes no new calls")
+        self._slots.apply_cold_limit()
         if changed:
             self._decisions.event(
                 "target announced",
@@ -147,10 +162,31 @@
                 state=entry.state.value,
                 incarnation=entry.incarnation,
                 sequence=entry.sequence,
+                warm_at_ms=entry.warm_at_ms,
             )
-            self._on_change(entry)
+            self._publish(entry)
         return True
 
+    def await_warmth(self, cause: str) -> None:
+        """Count the target as cold until its next announcement, if its service has a limit."""
+        if self.entry is not None:
+            self._apply_warmth(self.warmth.await_announcement(self.entry, cause))
+
+    def refresh_cold_limit(self) -> None:
+        """Apply the limits for cold targets, which may have changed."""
+        if self.entry is not None:
+            self._apply_warmth(self.warmth.refresh(self.entry))
+
+    def _apply_warmth(self, entry: TargetEntry) -> None:
+        self.entry = entry
+        self._slots.apply_cold_limit()
+        if self.warmth.is_news(entry):
+            self._publish(entry)
+
+    def _publish(self, entry: TargetEntry) -> None:
+        self.warmth.note_published(entry)
+        self._on_change(entry)
+
     def apply_named_limit(self, limit: NamedLimit) -> None:
         """Apply the limit that the target named to another node."""
         entry = self.entry
@@ -378,7 +414,7 @@
         if self._crash_detector is not None:
             self._crash_detector.target_replaced()
         self._close_client()
-        self._slots = SlotPool(entry.slots)
+        self._slots = SlotPool(entry.slots, self.warmth.limit)
         limit = self._limit = LimitTracker(entry.target_id, self._decisions)
         self._client = TargetClient(
             endpoint,
--- a/src/bulrushflow/sidecar/calls/balancer.py
+++ b/src/bulrushflow/sidecar/calls/balancer.py
@@ -3,6 +3,8 @@
 import random
 import typing as t
 
+from bulrushflow.placement import ColdStart
+from bulrushflow.placement import cold_share
 from bulrushflow.sidecar.records.directory import Peer
 
 LOCAL_LATENCY_FRACTION = 0.8
@@ -44,12 +46,15 @@
         excluded: t.Collection[str],
         now: float,
         latency_objective_s: float,
+        cold_start: ColdStart | None = None,
     ) -> Peer | None:
         """Return a peer for one attempt, or ``None`` when none is available.
 
         :param excluded: addresses of nodes that this call was sent to already.
         :param now: event loop time in seconds.
         :param latency_objective_s: seconds within which the response is in time.
+        :param cold_start: limits for the service's cold targets, if it has any; such targets are
+            chosen in proportion to what they can take.
         """
         available = [
             peer
@@ -63,6 +68,15 @@
         healthy = [peer for peer in available if peer.ejected_until <= now]
         if len(healthy) < len(candidates) * MAX_EJECTED_FRACTION:
             healthy = available
+        if cold_start is not None:
+            now_ms = self._wall_ms()
+            cold = [peer for peer in healthy if peer.is_cold(now_ms, cold_start.start_s)]
+            if cold:
+                warm = [peer for peer in healthy if not peer.is_cold(now_ms, cold_start.start_s)]
+                chosen = self._choose_cold(cold, warm, cold_start, now)
+                if chosen is not None or not warm:
+                    return chosen or self._rng.choice(cold)
+                healthy = warm
         # A target without a measured latency counts as fast, so that it gets calls.
         measured = sorted(peer.latency_s for peer in healthy if peer.latency_s)
         fast_latency_s = (
@@ -83,6 +97,32 @@
             pool.append(self._rng.choice(local))
         return min(pool, key=lambda peer: self._overload_cost_s(peer, now, fast_latency_s))
 
+    def _choose_cold(
+        self,
+        cold: t.Sequence[Peer],
+        warm: t.Sequence[Peer],
+        cold_start: ColdStart,
+        now: float,
+    ) -> Peer | None:
+        """Return the cold target for a call, or ``None`` if a warm one is to get it.
+
+        Targets of the own data centre go first, as among warm ones, and a cold one that is full
+        gets no call while a warm one is left.
+        """
+        near = [peer for peer in cold if peer.load(now) < 1]
+        free = [peer for peer in warm if peer.load(now) < 1]
+        local_free = self._local(free)
+        near = self._local(near) or ([] if local_free else near)
+        if not near:
+            return None
+        warm_per_s = sum(_capacity_per_s(peer) for peer in local_free or free or warm)
+        if self._rng.random() >= cold_share(cold_start, len(near), warm_per_s):
+            return None
+        return self._rng.choice(near)
+
+    def _local(self, peers: t.Iterable[Peer]) -> list[Peer]:
+        return [peer for peer in peers if peer.entry.data_centre == self._data_centre]
+
     def _is_preferred(
         self, peer: Peer, now: float, fast_latency_s: float, latency_objective_s: float
     ) -> bool:
@@ -112,3 +152,9 @@
     def _cost_s(self, peer: Peer, now: float, fast_latency_s: float) -> float:
         """Return the cost by which other targets are compared; load counts before calls queue."""
         return self._expected_latency_s(peer, now, fast_latency_s) * (1 + peer.load(now))
+
+
+def _capacity_per_s(peer: Peer) -> float:
+    """Return the calls per second that a warm target can take, by its slots and latency."""
+    target = peer.entry.target
+    return target.slots / (peer.latency_s or DEFAULT_LATENCY_S) if target is not None else 0.0
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -21,6 +21,7 @@
 from bulrushflow.sidecar.calls.forwarding import PeerReport
 from bulrushflow.sidecar.calls.quarantine import Quarantine
 from bulrushflow.sidecar.calls.target_signals import SignalReader
+from bulrushflow.sidecar.calls.target_warmth import ColdStartLookup
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.records.directory import Directory
@@ -111,6 +112,7 @@
 
     :param own_address: address of this node, whose own target is called through ``admission``.
     :param signals: reads what a target says of itself in a response.
+    :param cold_start: returns the limits for the cold targets of a service, if it has any.
     :param filter_peers: returns those of a service's peers whose target has the version that a call
         is to go to.
     """
@@ -128,6 +130,7 @@
         metrics: Metrics,
         decisions: DecisionLog,
         rng: random.Random,
+        cold_start: ColdStartLookup = lambda service: None,
     ) -> None:
         self._own_address = own_address
         self._directory = directory
@@ -140,6 +143,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
+        self._cold_start = cold_start
         self._credit_by_route: dict[str, dict[str, float]] = {}
 
     def choose_service(self, route: Route) -> str:
@@ -256,7 +260,9 @@
     def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
         candidates = self._filter_peers(call.service, self._directory.ready_peers(call.service))
         now = asyncio.get_running_loop().time()
-        return self._balancer.choose(candidates, tried, now, route.latency_objective_s)
+        return self._balancer.choose(
+            candidates, tried, now, route.latency_objective_s, self._cold_start(call.service)
+        )
 
     async def _attempt(
         self, peer: Peer, call: Call, progress: CallProgress, deliveries: int
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -51,6 +51,10 @@
     name: str
     health_path: str
     max_connections: int
+    cold_start_s: float = 0.0
+    """Seconds for which a target is cold after its start."""
+    cold_per_s: float = 0.0
+    """Calls per second that a cold target can take; 0 for no limit."""
 
 
 class Routing(msgspec.Struct, frozen=True):
@@ -116,6 +120,8 @@
     """Epoch milliseconds at which the target is expected to reach its usual speed."""
     leaving: bool = False
     """Whether a response of the target announced that it leaves; such a target stays draining."""
+    warmth_stated: bool = True
+    """Whether the target's announcement said when it will be warm."""
 
     @property
     def revision(self) -> tuple[int, int]:
--- a/src/bulrushflow/sidecar/records/directory.py
+++ b/src/bulrushflow/sidecar/records/directory.py
@@ -41,6 +41,8 @@
     backoff_s: float = FIRST_BACKOFF_S
     limit_per_s: float | None = None
     """Rate limit in the target's latest response to this node; ``None`` without one."""
+    returned_at_ms: int = 0
+    """When the evacuation of the data centre ended; 0 once the node's entry has changed since."""
 
     @property
     def named_limit(self) -> NamedLimit | None:
@@ -50,6 +52,18 @@
             return None
         return NamedLimit(target.target_id, target.incarnation, self.limit_per_s)
 
+    def is_cold(self, now_ms: int, start_s: float) -> bool:
+        """Return whether the target is expected to be cold.
+
+        :param now_ms: epoch milliseconds.
+        :param start_s: seconds for which a target of the service is cold after a start.
+        """
+        target = self.entry.target
+        warm_at_ms = target.warm_at_ms if target is not None else 0
+        if self.returned_at_ms:
+            warm_at_ms = max(warm_at_ms, self.returned_at_ms + int(start_s * 1000))
+        return warm_at_ms > now_ms
+
     def load(self, now: float) -> float:
         """Return the load in calls per slot.
 
@@ -119,13 +133,22 @@
         if current is not None and _same_target(current.entry, entry):
             if current.entry.target != entry.target:
                 current.unavailable_until = 0.0
+                current.returned_at_ms = 0
             current.entry = entry
         else:
             current = self.peers_by_key[key] = Peer(entry)
         self._list_if_ready(current)
 
-    def apply_evacuations(self, evacuations: Evacuations) -> None:
-        """Replace the evacuated data centres."""
+    def apply_evacuations(self, evacuations: Evacuations, now_ms: int = 0) -> None:
+        """Replace the evacuated data centres.
+
+        :param now_ms: epoch milliseconds. Targets in data centres that are evacuated no more are
+            expected to be cold from then on.
+        """
+        returned = self.evacuations.data_centres - evacuations.data_centres
+        for peer in self.peers_by_key.values():
+            if peer.entry.data_centre in returned:
+                peer.returned_at_ms = now_ms
         self.evacuations = evacuations
         self._ready_by_service.clear()
         self._evacuated_by_service.clear()
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -27,6 +27,10 @@
     """Fraction of a service's calls until a rollout's deadline that a faulty version may get."""
     unproved_slack: float = 50.0
     """Calls beyond that fraction that a faulty version may get."""
+    cold_over: float = 1.5
+    """Factor on the rate of a cold target in the bound on its calls in any second."""
+    cold_slack: float = 8.0
+    """Calls beyond it that a cold target may get in any second."""
 
 
 class SidecarSettings(msgspec.Struct, frozen=True):
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -45,6 +45,18 @@
         for host, path in (("h.example", "/b/"), ("other", "/a/x"), ("h.example", "*")):
             self.assertIsNone(routing.match(host, path))
 
+    def test_a_service_may_limit_the_calls_to_its_cold_targets(self) -> None:
+        clusters = [{"name": "s1", "coldStart": "3s", "coldPerS": 9}, {"name": "s2"}]
+        services = decode(document(rule(), clusters=clusters)).unwrap().services_by_name
+        self.assertEqual((services["s1"].cold_start_s, services["s1"].cold_per_s), (3.0, 9.0))
+        self.assertEqual((services["s2"].cold_start_s, services["s2"].cold_per_s), (0.0, 0.0))
+
+    def test_invalid_limits_of_cold_targets_reject_the_configuration(self) -> None:
+        for changes in ({"coldPerS": -1}, {"coldPerS": "9"}, {"coldStart": "soon"}):
+            with self.subTest(changes=changes):
+                clusters = [{"name": "s1"} | changes]
+                self.assertTrue(decode(document(rule(), clusters=clusters)).is_err())
+
     def test_idempotency_follows_from_the_kind_of_route(self) -> None:
         kinds = (("safe", True), ("unsafe", False), ("keyed", False), ("upload", False))
         for kind, idempotent in kinds:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -48,6 +48,16 @@
             (entry.revision, entry.state), ((1_700_000_000_000, 3), TargetState.DRAINING)
         )
 
+    def test_an_announcement_may_leave_out_when_the_target_is_warm(self) -> None:
+        stated, _ = self.decode(coldRemaining="2s").unwrap()
+        self.assertTrue(stated.warmth_stated)
+        self.assertGreater(stated.warm_at_ms, 0)
+        warm, _ = self.decode().unwrap()
+        self.assertEqual((warm.warmth_stated, warm.warm_at_ms), (True, 0))
+        document = {key: value for key, value in ANNOUNCEMENT.items() if key != "coldRemaining"}
+        unstated, _ = decode_announcement("i-1", json.dumps(document).encode()).unwrap()
+        self.assertEqual((unstated.warmth_stated, unstated.warm_at_ms), (False, 0))
+
     def test_an_invalid_announcement_is_rejected(self) -> None:
         for changes in (
             {"state": "sleepy"},
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,6 +26,7 @@
 grace = "6s"
 retryBudgetSlack = 60
 canaryShare = 0.1
+coldOver = 2.0
 [platform]
 address = "10.200.1.7:8309"
 """
@@ -37,6 +38,7 @@
         self.assertEqual(settings.callers, Endpoint("10.1.0.8", 8304))
         self.assertEqual(settings.target, Endpoint("10.1.0.8", 8301))
         self.assertEqual((settings.bounds.grace_s, settings.bounds.retry_slack), (6.0, 60.0))
+        self.assertEqual((settings.bounds.cold_over, settings.bounds.cold_slack), (2.0, 8.0))
         self.assertEqual((settings.peer_port, settings.metrics_port), (7620, 7635))
 
     def test_an_error_in_a_file_names_the_field(self) -> None:
--- a/tests/sidecar/calls/test_balancer.py
+++ b/tests/sidecar/calls/test_balancer.py
@@ -2,6 +2,9 @@
 import unittest
 from collections import Counter
 
+from msgspec.structs import replace
+
+from bulrushflow.placement import ColdStart
 from bulrushflow.sidecar.calls.balancer import Balancer
 from bulrushflow.sidecar.records.directory import Peer
 from tests.sidecar.samples import peer
@@ -88,3 +91,65 @@
 
     def test_no_target_is_chosen_without_candidates(self) -> None:
         self.assertIsNone(self.balancer.choose([], (), 0.0, 0.5))
+
+
+class ColdTargetTests(unittest.TestCase):
+    """Targets 1 and 2 are in the own data centre, 3 and 4 in another; each takes 200 a second."""
+
+    COLD = ColdStart(per_s=10.0, start_s=3.0, max_calls=20)
+
+    def setUp(self) -> None:
+        self.balancer = Balancer("a", random.Random(5), lambda: 1_000)
+        self.peers = [peer(1), peer(2), peer(3, data_centre="b"), peer(4, data_centre="b")]
+
+    def turn_cold(self, *numbers: int) -> None:
+        for number in numbers:
+            cold = self.peers[number - 1]
+            assert cold.entry.target is not None
+            cold.entry = replace(cold.entry, target=replace(cold.entry.target, warm_at_ms=2_000))
+
+    def shares(self, cold_start: ColdStart | None = COLD, count: int = 4_000) -> dict[str, float]:
+        counts: Counter[str] = Counter()
+        for _ in range(count):
+            chosen = self.balancer.choose(self.peers, frozenset(), 10.0, 0.5, cold_start)
+            assert chosen is not None
+            counts[chosen.entry.node_id] += 1
+        return {node_id: count_ / count for node_id, count_ in counts.items()}
+
+    def test_a_cold_target_is_chosen_in_proportion_to_what_it_takes(self) -> None:
+        self.turn_cold(1)
+        shares = self.shares()
+        self.assertAlmostEqual(shares["n-1"], 8 / 208, delta=0.01)
+        self.assertEqual(set(shares), {"n-1", "n-2"})
+
+    def test_without_limits_for_cold_targets_the_choice_is_as_before(self) -> None:
+        self.turn_cold(1)
+        self.assertEqual(self.shares(None), {"n-2": 1.0})
+        for warm in self.peers[1:]:
+            warm.in_flight = 12
+        self.assertEqual(self.shares(None), {"n-1": 1.0})
+
+    def test_a_cold_data_centre_shares_its_calls_with_the_others(self) -> None:
+        self.turn_cold(1, 2)
+        shares = self.shares()
+        for number in (1, 2):
+            self.assertAlmostEqual(shares[f"n-{number}"], 8 / 416, delta=0.01)
+        self.assertGreater(min(shares["n-3"], shares["n-4"]), 0.4)
+
+    def test_cold_targets_elsewhere_get_calls_only_if_no_local_one_is_free(self) -> None:
+        self.turn_cold(3, 4)
+        self.assertEqual(set(self.shares()), {"n-1", "n-2"})
+        for local in self.peers[:2]:
+            local.in_flight = 100
+        self.assertTrue({"n-3", "n-4"} <= set(self.shares()))
+
+    def test_cold_targets_that_are_full_get_calls_only_if_all_are_cold(self) -> None:
+        self.turn_cold(1, 2)
+        for local in self.peers[:2]:
+            local.record_load(1.0, 10.0)
+        self.assertEqual(set(self.shares()), {"n-3", "n-4"})
+        self.turn_cold(3, 4)
+        self.assertEqual(set(self.shares()), {"n-3", "n-4"})
+        for remote in self.peers[2:]:
+            remote.record_load(1.0, 10.0)
+        self.assertEqual(len(self.shares()), 4)
--- a/tests/sidecar/records/test_directory.py
+++ b/tests/sidecar/records/test_directory.py
@@ -92,3 +92,17 @@
         for number in (1, 2, 3):
             self.directory.remove(f"node/{number}")
         self.assertFalse(self.directory.all_evacuated("statements"))
+
+    # COLD: nodes learn of the end of an evacuation before the entries say that targets are cold.
+    def test_targets_that_return_are_expected_to_be_cold_until_their_entry_changes(self) -> None:
+        self.directory.update("node/4", peer(4, data_centre="b").entry)
+        self.directory.apply_evacuations(Evacuations(frozenset("a")), 5_000)
+        self.directory.apply_evacuations(Evacuations(), 10_000)
+        returned, other = (self.directory.peers_by_key[f"node/{i}"] for i in (1, 4))
+        self.assertTrue(returned.is_cold(12_000, 3.0))
+        self.assertFalse(returned.is_cold(13_000, 3.0))
+        self.assertFalse(other.is_cold(10_000, 3.0))
+        self.directory.update("node/1", self.changed(1, sequence=2))
+        self.assertFalse(returned.is_cold(10_000, 3.0))
+        self.directory.update("node/1", self.changed(1, warm_at_ms=20_000))
+        self.assertTrue(returned.is_cold(19_999, 3.0))
