Give an unproven version no more calls than its allowance, in flight included

Weighed: a bound at the admitting nodes, each target taking a part of the allowance and refusing beyond it with "not run". It holds however late evidence is, but parts of unevenly loaded targets stay unused, each change of the targets needs a further status, and calls are refused that an old target could serve. The test share is chosen such that it uses about the allowance if it lasts to the deadline, so that without any evidence the version still stays near the limit; only a proof raises it.

The version gets 5% at first, then the share at which the planned calls last until the last share is due. Nodes report the calls that they sent to the target, ended or not (182); calls sent since the last reports are estimated. While it has less than the last share, a version takes no calls in place of old targets that are missing.

--- /dev/null
+++ b/src/bulrushflow/rollouts/bounded_steps.py
@@ -0,0 +1,106 @@
+"""Steps of a rollout whose new version has an allowance of calls until it is proven healthy.
+
+The test share is chosen so that the allowance lasts until the last share is due, as late as the
+deadline permits: evidence grows with the calls, and a fault that begins later is met by few of
+them. Without proof the version gets a share only if the allowance covers it up to the deadline.
+"""
+
+from bulrushflow.rollouts.analysis import UNCLEAR_STRENGTH
+from bulrushflow.rollouts.analysis import AnalysisOutcome
+from bulrushflow.rollouts.analysis import AnalysisResult
+from bulrushflow.rollouts.schedule import MIN_BAKE_S
+from bulrushflow.rollouts.schedule import MIN_LAST_PERMILLE
+from bulrushflow.rollouts.schedule import MIN_STAGE_S
+from bulrushflow.rollouts.schedule import RolloutSchedule
+from bulrushflow.rollouts.steps import StepDecision
+from bulrushflow.rollouts.steps import bake
+from bulrushflow.rollouts.steps import deadline_passed
+
+FIRST_PERMILLE = 50
+"""First share, which is within any allowance while the call rate is hardly known."""
+MAX_TEST_PERMILLE = 600
+"""Highest share before the last one; the old version's calls are needed for comparison."""
+MIN_SHARE_FACTOR = 1.25
+"""Smallest change of the test share that is worth a step."""
+
+
+def decide_bounded_step(
+    schedule: RolloutSchedule,
+    share_permille: int,
+    result: AnalysisResult,
+    now_s: float,
+    stage_s: float,
+) -> StepDecision:
+    """Return the next step; see :func:`~bulrushflow.rollouts.steps.decide_step`."""
+    if result.outcome is AnalysisOutcome.FAULTY:
+        return StepDecision(share_permille, result.rule, roll_back=True)
+    if share_permille and _is_exhausted(schedule, share_permille, result, now_s):
+        rule = f"{result.rule}, and no calls are left that it may get unproved"
+        return StepDecision(share_permille, rule, roll_back=True)
+    if share_permille >= MIN_LAST_PERMILLE:
+        return bake(schedule, share_permille, result, now_s, stage_s)
+    if now_s >= schedule.finish_by_s:
+        return deadline_passed(share_permille, result)
+    if now_s > schedule.latest_bake_start_s:
+        rule = f"too little time for {MIN_BAKE_S:g} s at the last share: {result.rule}"
+        return StepDecision(share_permille, rule, at_risk=True)
+    if share_permille == 0:
+        if now_s < schedule.baseline_s:
+            return StepDecision(0, "learning the old version's figures")
+        return StepDecision(FIRST_PERMILLE, "first share")
+    if now_s >= schedule.bake_start_s:
+        return _raise_to_last(schedule, share_permille, result, now_s)
+    return _adjust_test_share(schedule, share_permille, result, now_s, stage_s)
+
+
+def _is_exhausted(
+    schedule: RolloutSchedule, share_permille: int, result: AnalysisResult, now_s: float
+) -> bool:
+    """Return whether the version has had all calls that the evidence allows."""
+    due = schedule.calls_before_rollback(share_permille)
+    if schedule.proven:
+        if result.strength < UNCLEAR_STRENGTH:
+            return False
+        # A weakening signal from before this stage is no fault that appears at this share.
+        grows = result.strength > result.stage_strength
+        return schedule.exposure.is_exhausted or (grows and not schedule.exposure.allows(due))
+    return not schedule.exposure.allows(min(due, schedule.calls_left(share_permille, now_s)))
+
+
+def _raise_to_last(
+    schedule: RolloutSchedule, share_permille: int, result: AnalysisResult, now_s: float
+) -> StepDecision:
+    last = schedule.last_permille
+    if result.outcome is AnalysisOutcome.SUSPECT:
+        return StepDecision(share_permille, f"held: {result.rule}", at_risk=True)
+    unclear = result.strength >= UNCLEAR_STRENGTH or not schedule.proven
+    if schedule.is_covered(last, now_s):
+        return StepDecision(last, "its allowance lasts until the deadline")
+    if unclear:
+        rule = f"{result.rule}, not proven healthy after {schedule.exposure.used} calls"
+        return StepDecision(share_permille, rule, at_risk=True)
+    if not schedule.exposure.allows_by_rule(schedule.calls_before_rollback(last)):
+        rule = f"{last / 10:g}% would bring too many calls if it is faulty"
+        return StepDecision(share_permille, rule, at_risk=True)
+    return StepDecision(last, "proven healthy and due by the schedule")
+
+
+def _adjust_test_share(
+    schedule: RolloutSchedule,
+    share_permille: int,
+    result: AnalysisResult,
+    now_s: float,
+    stage_s: float,
+) -> StepDecision:
+    """Spread what is left of the planned test calls over the time until the last share."""
+    if stage_s < MIN_STAGE_S or now_s > schedule.bake_start_s - MIN_STAGE_S:
+        return StepDecision(share_permille, "ahead of the schedule")
+    left = schedule.test_calls - schedule.exposure.used
+    left_s = max(MIN_STAGE_S, schedule.bake_start_s - now_s)
+    share = int(1000 * max(0.0, left) / (max(1e-6, schedule.calls_per_s) * left_s))
+    share = max(FIRST_PERMILLE, min(MAX_TEST_PERMILLE, share))
+    if MIN_SHARE_FACTOR > share / share_permille > 1 / MIN_SHARE_FACTOR:
+        return StepDecision(share_permille, "ahead of the schedule")
+    if share > share_permille and result.outcome is AnalysisOutcome.SUSPECT:
+        return StepDecision(share_permille, f"held: {result.rule}")
+    return StepDecision(share, "share for which its allowance lasts")
--- a/src/bulrushflow/rollouts/evidence.py
+++ b/src/bulrushflow/rollouts/evidence.py
@@ -99,6 +99,9 @@
     sequence: int = 0
     counts_by_version_route: dict[VersionRoute, RouteCounts] = msgspec.field(default_factory=dict)
     incarnation: int = 0
+    given: int = 0
+    """Calls of the version under test that were sent to this node's target, ended or not; 0 from a
+    node of the earlier release."""
 
     @property
     def error_count(self) -> int:
@@ -128,6 +131,19 @@
         self.counts_by_version_route[key].observe(failed, latency_s, warming, kind)
         self.sequence += 1
 
+    def count_given(self) -> None:
+        """Count a call of the version under test that is sent to this node's target."""
+        self.given += 1
+        self.sequence += 1
+
+    def calls(self, version: str) -> int:
+        """Return the ended calls to a version on all routes."""
+        return sum(
+            counts.calls
+            for (of, _), counts in self.counts_by_version_route.items()
+            if of == version
+        )
+
 
 class EvidenceStore:
     """The newest evidence of each node's process on each rollout, and when it was received.
@@ -181,6 +197,10 @@
                 totals.setdefault(key, RouteCounts()).add(counts)
         return totals
 
+    def given(self, rollout_id: int, version: str) -> int:
+        """Return the calls to the version under test that all nodes sent to their targets."""
+        return sum(max(report.given, report.calls(version)) for report in self.reports(rollout_id))
+
     def reports(self, rollout_id: int) -> t.Collection[Evidence]:
         """Return the newest evidence of each node's process."""
         return self.by_rollout.get(rollout_id, {}).values()
--- a/src/bulrushflow/rollouts/exposure.py
+++ b/src/bulrushflow/rollouts/exposure.py
@@ -8,6 +8,12 @@
 """Fraction of the limit to plan with, since evidence arrives late and call rates change."""
 STAGES_BEFORE_LAST = 2
 """Number of stages before the last one that the calls are divided between."""
+MIN_TEST_FRACTION = 0.3
+MAX_TEST_FRACTION = 0.6
+"""Bounds on the fraction of the planned calls for the shares before the last one. The remainder is
+what a fault that appears at the last share may affect before it is rolled back."""
+RESERVE_FACTOR = 1.25
+"""Factor on the calls reserved for the last share, since a test share overruns its calls."""
 
 
 class ExposureLimits(msgspec.Struct, frozen=True):
@@ -43,6 +49,20 @@
         """Return whether the limit allows this many further calls."""
         return self.used + calls <= self.limit
 
+    def allows_by_rule(self, calls: float) -> bool:
+        """Return whether the limit without the planning reserve allows this many further calls."""
+        return self.used + calls <= self.limit / SAFETY_FACTOR
+
+    def test_calls(self, reserved: float) -> float:
+        """Return the number of calls for the shares before the last one.
+
+        :param reserved: calls reserved for the last share.
+        """
+        most = MAX_TEST_FRACTION * self.limit
+        return max(
+            MIN_TEST_FRACTION * self.limit, min(most, self.limit - RESERVE_FACTOR * reserved)
+        )
+
     def calls_per_stage(self, reserved: float) -> float:
         """Return the number of calls for each stage before the last.
 
--- a/src/bulrushflow/rollouts/schedule.py
+++ b/src/bulrushflow/rollouts/schedule.py
@@ -44,6 +44,10 @@
     finish_by_s: float
     calls_per_s: float
     exposure: ExposureBudget = UNBOUNDED
+    proven: bool = False
+    """Whether the new version is proven healthy, so that the exposure budget binds it no more."""
+    deadline_s: float | None = None
+    """End of the time in which calls count, if it is after ``finish_by_s``."""
 
     @property
     def margin_s(self) -> float:
@@ -86,6 +90,22 @@
         """Return the number of calls that a fault affects before it is rolled back."""
         return self.new_calls_per_s(share_permille) * ROLLBACK_DELAY_S
 
+    @property
+    def test_calls(self) -> float:
+        """Number of calls for the shares before the last one, under an exposure limit."""
+        return self.exposure.test_calls(self.calls_before_rollback(self.last_permille))
+
+    def calls_left(self, share_permille: int, now_s: float) -> float:
+        """Return the number of calls up to the deadline at a traffic share."""
+        end_s = self.finish_by_s if self.deadline_s is None else self.deadline_s
+        return self.new_calls_per_s(share_permille) * max(0.0, end_s - now_s)
+
+    def is_covered(self, share_permille: int, now_s: float) -> bool:
+        """Return whether the budget lasts at a share until the rollout ends, and then for all."""
+        end_s = self.finish_by_s - self.margin_s
+        calls = self.new_calls_per_s(share_permille) * max(0.0, end_s - now_s)
+        return self.exposure.allows(calls + self.calls_left(1000, end_s))
+
     def stages_above(self, share_permille: int) -> list[int]:
         """Return the traffic shares that may follow one, including the last."""
         # A stage barely above the current share would only cost time.
--- a/src/bulrushflow/rollouts/steps.py
+++ b/src/bulrushflow/rollouts/steps.py
@@ -58,9 +58,9 @@
         rule = f"{result.rule}, and no calls are left that it may get unproved"
         return StepDecision(share_permille, rule, roll_back=True)
     if share_permille >= MIN_LAST_PERMILLE:
-        return _bake(schedule, share_permille, result, now_s, stage_s)
+        return bake(schedule, share_permille, result, now_s, stage_s)
     if now_s >= schedule.finish_by_s:
-        return _deadline_passed(share_permille, result)
+        return deadline_passed(share_permille, result)
     if now_s > schedule.latest_bake_start_s:
         return StepDecision(
             share_permille,
@@ -171,13 +171,14 @@
     return stages[min(step, len(stages)) - 1]
 
 
-def _bake(
+def bake(
     schedule: RolloutSchedule,
     share_permille: int,
     result: AnalysisResult,
     now_s: float,
     stage_s: float,
 ) -> StepDecision:
+    """Return the step of a rollout at its last share."""
     # A baked rollout completes even if the log takes its record only after the deadline.
     if stage_s >= schedule.bake_s and result.outcome is AnalysisOutcome.HEALTHY:
         return StepDecision(share_permille, "bake time at the last share is over", completed=True)
@@ -195,10 +196,11 @@
         rule = f"the deadline cut the bake time to {stage_s:.0f} s"
         return StepDecision(share_permille, rule, completed=True)
     if now_s >= schedule.finish_by_s:
-        return _deadline_passed(share_permille, result)
+        return deadline_passed(share_permille, result)
     return StepDecision(share_permille, result.rule, at_risk=True)
 
 
-def _deadline_passed(share_permille: int, result: AnalysisResult) -> StepDecision:
+def deadline_passed(share_permille: int, result: AnalysisResult) -> StepDecision:
+    """Return the rollback of a rollout that did not complete in time."""
     rule = f"the deadline passed at {share_permille / 10:g}%: {result.rule}"
     return StepDecision(share_permille, rule, roll_back=True)
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -112,6 +112,7 @@
         self._admission = AdmissionController(
             adapter.header_names,
             self._rollouts.is_forbidden,
+            self._rollouts.count_sent,
             self._record_result,
             self._publish_target,
             self._retry_budget,
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -48,6 +48,7 @@
     and counts against the retry budget if it is a retry.
 
     :param is_forbidden: returns whether a version of a service may receive no new calls.
+    :param on_send: called with each call that is about to be sent to the target.
     :param observer: called after each call that may have run, with the call, its result, and the
         seconds it took. A call that was cancelled after much of the time that its latency
         objective leaves has the result ``None``.
@@ -59,6 +60,7 @@
         self,
         header_names: HeaderNames,
         is_forbidden: t.Callable[[str, str], bool],
+        on_send: t.Callable[[Call], None],
         observer: ResultObserver,
         on_change: EntryCallback,
         retry_budget: TargetRetryBudget,
@@ -71,6 +73,7 @@
         self.reachable = True
         self._header_names = header_names
         self._is_forbidden = is_forbidden
+        self._on_send = on_send
         self._observer = observer
         self._on_change = on_change
         self._retry_budget = retry_budget
@@ -270,6 +273,7 @@
         return None if self._retry_budget.try_consume(now) else BUDGET_EXHAUSTED
 
     async def _send(self, call: Call, slots: SlotPool) -> CallResult:
+        self._on_send(call)
         task = asyncio.get_running_loop().create_task(self._exchange(call, slots))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -13,6 +13,7 @@
 from bulrushflow.rollouts import ServiceVersions
 from bulrushflow.rollouts import StepDecision
 from bulrushflow.rollouts.evidence import Evidence
+from bulrushflow.rollouts.schedule import MIN_LAST_PERMILLE
 from bulrushflow.routing import Call
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import RolloutOrder
@@ -38,7 +39,8 @@
         self.seen_at = seen_at
         self.share_since = seen_at
         self.status: RolloutStatus | None = None
-        times = RolloutTimes(0, int(max(1.0, order.duration_s - FINISH_MARGIN_S) * 1000))
+        finish_by_s = max(1.0, order.duration_s - FINISH_MARGIN_S)
+        times = RolloutTimes(0, int(finish_by_s * 1000), order.duration_s - finish_by_s)
         self.watch: CompletedRolloutWatch | None = None
         """Analysis after the rollout's completion."""
         self.controller = RolloutController(OLD_VERSION, order.to_version, times, seen_at, limits)
@@ -262,7 +264,16 @@
             return old
         if share >= FULL_PERMILLE or self._rng.randrange(FULL_PERMILLE) < share:
             return new or old
-        return old or new
+        # Before the last share, the version isn't proven healthy and can't replace the old one.
+        return old or new if share >= MIN_LAST_PERMILLE else old
+
+    def count_sent(self, call: Call) -> None:
+        """Count a call that is sent to this node's own target."""
+        rollout = self.by_service.get(call.service)
+        if rollout is None or rollout.phase is not RolloutPhase.RUNNING:
+            return
+        if call.version == rollout.order.to_version:
+            self._evidence.local(rollout.order.order_id).count_given()
 
     def observe_call(
         self,
@@ -324,7 +335,8 @@
                 return None
             return f"{signal.rule}: route {route}: {signal.figures}"
         totals = self._evidence.totals(rollout.order.order_id)
-        result = rollout.controller.update_analysis(totals, rollout.share_permille, now)
+        given = self._evidence.given(rollout.order.order_id, rollout.order.to_version)
+        result = rollout.controller.update_analysis(totals, rollout.share_permille, now, given)
         if result.outcome is not AnalysisOutcome.FAULTY:
             return None
         return f"{result.rule}: {result.evidence}"
--- a/src/bulrushflow/wire/codec.py
+++ b/src/bulrushflow/wire/codec.py
@@ -154,6 +154,7 @@
         sequence=evidence.sequence,
         routes=routes,
         incarnation=evidence.incarnation,
+        given=evidence.given or None,
     )
 
 
@@ -175,8 +176,14 @@
         )
         for r in message.routes or ()
     }
-    incarnation = message.incarnation or 0
-    return Evidence(message.move, message.node_id, message.sequence, counts, incarnation)
+    return Evidence(
+        message.move,
+        message.node_id,
+        message.sequence,
+        counts,
+        message.incarnation or 0,
+        message.given or 0,
+    )
 
 
 def _buckets_to_message(buckets: list[int]) -> list[int]:
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -383,6 +383,7 @@
         3: (TType.I64, "sequence", True),
         4: (TType.LIST, "routes", (TType.STRUCT, RouteEvidence), True),
         40: (TType.I64, "incarnation", False),
+        182: (TType.I64, "given", False),
     }
     default_spec = [
         ("move", None),
@@ -390,6 +391,7 @@
         ("sequence", None),
         ("routes", None),
         ("incarnation", None),
+        ("given", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -214,6 +214,8 @@
   4: required list<RouteEvidence> routes
   // Distinguishes a node's process from the one before its restart.
   40: optional i64 incarnation
+  // Calls of the version under test that were sent to the target, ended or not.
+  182: optional i64 given
 }
 
 struct Heartbeat {
--- /dev/null
+++ b/tests/rollouts/test_bounded_steps.py
@@ -0,0 +1,103 @@
+"""Tests of the steps of a rollout whose new version has an allowance of calls."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from bulrushflow.rollouts import AnalysisOutcome
+from bulrushflow.rollouts import AnalysisResult
+from bulrushflow.rollouts import ExposureBudget
+from bulrushflow.rollouts import ExposureLimits
+from bulrushflow.rollouts import RolloutSchedule
+from bulrushflow.rollouts import StepDecision
+from bulrushflow.rollouts.bounded_steps import decide_bounded_step
+from bulrushflow.rollouts.exposure import SAFETY_FACTOR
+from bulrushflow.rollouts.schedule import MIN_LAST_PERMILLE
+
+LIMITS = ExposureLimits(0.1, 50)
+DEADLINE_S = 15.0
+FINISH_S = 12.5
+HEALTHY = AnalysisResult(AnalysisOutcome.HEALTHY, "rule", "evidence", 100)
+UNCLEAR = AnalysisResult(AnalysisOutcome.INSUFFICIENT, "unclear", "evidence", 100, 0.5, 0.1)
+SUSPECT = AnalysisResult(AnalysisOutcome.SUSPECT, "suspect", "evidence", 100, 0.7, 0.1)
+
+
+def schedule(rate: float, used: float = 0.0, proven: bool = False) -> RolloutSchedule:
+    limit = LIMITS.max_calls(rate, DEADLINE_S)
+    budget = ExposureBudget(limit, round(used))
+    return RolloutSchedule(FINISH_S, rate, budget, proven=proven, deadline_s=DEADLINE_S)
+
+
+def play(rate: float, result: AnalysisResult, proven_from: float) -> tuple[StepDecision, float]:
+    """Return the last decision, and the calls that the version got up to its deadline."""
+    share, stage_started_s, used, now_s = 0, 0.0, 0.0, 0.0
+    decision = StepDecision(0, "")
+    while now_s < FINISH_S and not decision.roll_back and not decision.completed:
+        decision = decide_bounded_step(
+            schedule(rate, used, used >= proven_from), share, result, now_s, now_s - stage_started_s
+        )
+        if decision.share_permille != share:
+            share, stage_started_s = decision.share_permille, now_s
+        used += rate * share / 1000 * 0.25
+        now_s += 0.25
+    if decision.completed:
+        used += rate * (DEADLINE_S - now_s)
+    elif not decision.roll_back:
+        used += rate * share / 1000 * (DEADLINE_S - now_s)
+    return decision, used
+
+
+class BoundedStepsTests(unittest.TestCase):
+    # With few calls an unproven version got 80% of them, however little was left of its allowance.
+    @settings(max_examples=80)
+    @given(st.floats(1, 2000), st.sampled_from((HEALTHY, UNCLEAR, SUSPECT)))
+    def test_a_version_that_is_never_proven_stays_within_its_allowance(
+        self, rate: float, result: AnalysisResult
+    ) -> None:
+        _, used = play(rate, result, float("inf"))
+        self.assertLessEqual(used, LIMITS.max_calls(rate, DEADLINE_S) / SAFETY_FACTOR)
+
+    @settings(max_examples=80)
+    @given(st.floats(0.5, 2000))
+    def test_a_version_proven_by_its_test_calls_completes(self, rate: float) -> None:
+        proven_from = 0.75 * schedule(rate).test_calls
+        decision, _ = play(rate, HEALTHY, proven_from)
+        self.assertTrue(decision.completed, decision.rule)
+
+    def test_a_service_with_few_calls_completes_without_proof(self) -> None:
+        for rate in (0.5, 2.0, 4.0):
+            with self.subTest(rate=rate):
+                decision, used = play(rate, HEALTHY, float("inf"))
+                self.assertTrue(decision.completed, decision.rule)
+                self.assertLessEqual(used, LIMITS.max_calls(rate, DEADLINE_S))
+
+    def test_unclear_evidence_does_not_raise_the_share_to_the_last(self) -> None:
+        cases = (
+            (schedule(50.0, 60.0), HEALTHY, False),
+            (schedule(50.0, 60.0, proven=True), HEALTHY, True),
+            (schedule(50.0, 60.0, proven=True), UNCLEAR, False),
+            (schedule(50.0, 60.0, proven=True), SUSPECT, False),
+            (schedule(50.0, 100.0, proven=True), HEALTHY, False),
+            (schedule(3.0, 5.0), UNCLEAR, True),
+        )
+        for planned, result, raised in cases:
+            with self.subTest(planned=planned, result=result.outcome):
+                decision = decide_bounded_step(planned, 200, result, 8.5, 4.0)
+                self.assertEqual(decision.share_permille >= MIN_LAST_PERMILLE, raised)
+                self.assertFalse(decision.roll_back)
+
+    def test_an_unproven_version_is_rolled_back_before_its_allowance_ends(self) -> None:
+        limit = LIMITS.max_calls(200.0, DEADLINE_S)
+        for used, rolled_back in ((limit - 40, False), (limit - 10, True)):
+            decision = decide_bounded_step(schedule(200.0, used), 100, HEALTHY, 8.0, 4.0)
+            self.assertEqual(decision.roll_back, rolled_back)
+
+    def test_a_proven_version_may_exceed_its_allowance_without_a_signal(self) -> None:
+        planned = schedule(200.0, 500.0, proven=True)
+        self.assertFalse(decide_bounded_step(planned, 800, HEALTHY, 10.0, 1.0).roll_back)
+        self.assertTrue(decide_bounded_step(planned, 800, UNCLEAR, 10.0, 1.0).roll_back)
+        unproven = replace(planned, proven=False)
+        self.assertTrue(decide_bounded_step(unproven, 800, HEALTHY, 10.0, 1.0).roll_back)
--- a/tests/rollouts/test_evidence.py
+++ b/tests/rollouts/test_evidence.py
@@ -45,6 +45,17 @@
         book.merge(evidence("n2", 2, incarnation=2), 2.0)
         self.assertEqual(book.totals(7)["v2", "/dues"].calls, 11)
 
+    def test_calls_in_flight_count_as_given(self) -> None:
+        book = EvidenceStore("n1", 1)
+        report = evidence("n2", 5)
+        for _ in range(7):
+            report.count_given()
+        book.merge(report, 1.0)
+        # A node of the earlier release reports the calls that have ended only.
+        book.merge(evidence("n3", 4), 1.0)
+        self.assertEqual(book.given(7, "v2"), 11)
+        self.assertEqual(book.given(7, "v1"), 7)
+
     def test_own_evidence_is_not_accepted_from_others(self) -> None:
         book = EvidenceStore("n1", 1)
         book.merge(evidence("n1", 50, incarnation=1), 1.0)
--- a/tests/sidecar/calls/test_admission_controller.py
+++ b/tests/sidecar/calls/test_admission_controller.py
@@ -31,12 +31,14 @@
         self.addAsyncCleanup(self.target.stop)
         self.published: list[TargetEntry | None] = []
         self.forbidden: set[str] = set()
+        self.sent: list[Call] = []
         self.failed: list[bool] = []
         self.cancelled_s: list[float] = []
         self.retry_budget = TargetRetryBudget(0.2, 20.0, 10.0)
         self.controller = AdmissionController(
             NAMES,
             lambda service, version: version in self.forbidden,
+            self.sent.append,
             self.observe,
             self.published.append,
             self.retry_budget,
@@ -52,6 +54,21 @@
         else:
             self.failed.append(result.is_err() or result.unwrap().is_failure)
 
+    # EXPOSURE: calls in flight weren't counted, and a version got a few more than it may get.
+    async def test_a_call_counts_as_sent_while_it_is_in_flight_and_not_if_it_is_refused(
+        self,
+    ) -> None:
+        self.announce(target())
+        self.target.released.clear()
+        running = asyncio.create_task(self.controller.run(call("r-1")))
+        await until(lambda: bool(self.sent))
+        self.assertEqual((len(self.sent), self.failed), (1, []))
+        self.forbidden.add("v1")
+        await self.controller.run(call("r-2"))
+        self.assertEqual(len(self.sent), 1)
+        self.target.released.set()
+        await running
+
     # EXPOSURE: a slow version looked fast, since its slow calls were cancelled and not counted.
     async def test_a_call_that_is_cancelled_since_it_is_slow_is_counted(self) -> None:
         self.announce(target())
--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -47,6 +47,7 @@
         self.admission = AdmissionController(
             NAMES,
             lambda service, version: False,
+            lambda call: None,
             lambda call, failed, seconds: None,
             lambda entry: None,
             TargetRetryBudget(0.2, 60.0, 10.0),
--- a/tests/sidecar/rollouts/test_tracker.py
+++ b/tests/sidecar/rollouts/test_tracker.py
@@ -62,6 +62,25 @@
         self.assertTrue(self.rollouts.is_forbidden("statements", "v2"))
         self.assertFalse(self.rollouts.is_forbidden("statements", "v1"))
 
+    # Without old targets, a version that isn't proven healthy got all calls.
+    async def test_an_unproven_version_gets_no_calls_in_place_of_old_targets(self) -> None:
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(STATUS, 0.0)
+        shares = [bool(self.rollouts.filter_peers("statements", self.new)) for _ in range(300)]
+        self.assertLess(shares.count(True), 100)
+        self.rollouts.apply_status(replace(STATUS, step=2, share_permille=800), 0.0)
+        shares = [bool(self.rollouts.filter_peers("statements", self.new)) for _ in range(300)]
+        self.assertEqual(shares.count(True), 300)
+
+    async def test_calls_in_flight_are_part_of_the_evidence(self) -> None:
+        self.rollouts.count_sent(call(version="v2"))
+        self.rollouts.apply_order(ORDER, 0.0)
+        self.rollouts.apply_status(STATUS, 0.0)
+        for version in ("v1", "v2", "v2"):
+            self.rollouts.count_sent(call(version=version))
+        rollout = self.rollouts.by_service["statements"]
+        self.assertEqual(self.rollouts.local_evidence(rollout).given, 2)
+
     async def test_a_completed_rollout_uses_the_new_version_only(self) -> None:
         self.rollouts.apply_order(ORDER, 0.0)
         self.rollouts.apply_status(replace(STATUS, step=4, phase=RolloutPhase.COMPLETED), 0.0)
--- a/tests/wire/test_evidence_messages.py
+++ b/tests/wire/test_evidence_messages.py
@@ -35,3 +35,13 @@
         message = codec.evidence_to_message(evidence(None, None))
         self.assertIsNone(message.routes[0].returned_errors)
         self.assertEqual(self.received(message), (2, 0, 0, 0))
+
+    def test_calls_in_flight_are_reported(self) -> None:
+        report = evidence(FailureKind.NONE)
+        for _ in range(3):
+            report.count_given()
+        received = codec.evidence_from_message(codec.evidence_to_message(report))
+        self.assertEqual((received.given, received.sequence), (3, 4))
+        message = codec.evidence_to_message(report)
+        message.given = None
+        self.assertEqual(codec.evidence_from_message(message).given, 0)
