Leave calls that began while a target was cold out of the latencies

Cause: whether a call's latency counts was decided when it ended. Calls that began while the target was cold and ended after it had become warm, or after an announcement that no longer said cold, counted as slow calls of a warm target. Several new targets that become warm one after the other each add such calls, and a good version was rolled back as "slower than the old version".

Not ruled out: targets that are cold without saying so, and new targets that are fewer than the old ones and slower under 80% of the calls.

Change: the latest time until which the target's process said that it is cold is kept, and a call counts if it began after it. What becomes of calls moves out of the application into CallEvidence.

--- a/src/bulrushflow/rollouts/__init__.py
+++ b/src/bulrushflow/rollouts/__init__.py
@@ -19,6 +19,7 @@
 from bulrushflow.rollouts.steps import StepDecision
 from bulrushflow.rollouts.steps import decide_step
 from bulrushflow.rollouts.versions import ServiceVersions
+from bulrushflow.rollouts.warmup import ColdPeriod
 from bulrushflow.rollouts.warmup import WarmUp
 from bulrushflow.rollouts.watch import CompletedRolloutWatch
 
@@ -26,6 +27,7 @@
     "AnalysisOutcome",
     "AnalysisResult",
     "CanaryAnalysis",
+    "ColdPeriod",
     "CompletedRolloutWatch",
     "Evidence",
     "EvidenceStore",
--- a/src/bulrushflow/rollouts/warmup.py
+++ b/src/bulrushflow/rollouts/warmup.py
@@ -35,3 +35,31 @@
             self._first_call_at = now_s
         self._calls += 1
         return self._calls <= WARM_UP_CALLS or now_s - self._first_call_at < WARM_UP_S
+
+
+class ColdPeriod:
+    """The latest time until which the own target said that it is cold.
+
+    A call that begins while the target is cold is slow, though it may end after the target became
+    warm and said so.
+    """
+
+    __slots__ = ("_process", "_warm_at_ms")
+
+    def __init__(self) -> None:
+        self._process: tuple[str, int] | None = None
+        self._warm_at_ms = 0
+
+    def note(self, process: tuple[str, int], warm_at_ms: int) -> None:
+        """Note what a run of the target says.
+
+        :param warm_at_ms: epoch milliseconds from which it expects to be warm, 0 if it is.
+        """
+        if process != self._process:
+            self._process = process
+            self._warm_at_ms = 0
+        self._warm_at_ms = max(self._warm_at_ms, warm_at_ms)
+
+    def includes(self, began_ms: float) -> bool:
+        """Return whether a call that began then met a cold target."""
+        return began_ms < self._warm_at_ms
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -9,8 +9,6 @@
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.rollouts import ExposureLimits
-from bulrushflow.routing import Call
-from bulrushflow.routing import CallResult
 from bulrushflow.sidecar.adapter import Adapter
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.calls.balancer import Balancer
@@ -43,6 +41,7 @@
 from bulrushflow.sidecar.records.store_reader import StoreReader
 from bulrushflow.sidecar.records.update_server import UpdateServer
 from bulrushflow.sidecar.records.upstreams import Upstreams
+from bulrushflow.sidecar.rollouts.call_evidence import CallEvidence
 from bulrushflow.sidecar.rollouts.driver import RolloutDriver
 from bulrushflow.sidecar.rollouts.statuses import StatusLog
 from bulrushflow.sidecar.rollouts.tracker import Rollouts
@@ -63,8 +62,6 @@
 ANSWER_MARGIN_S = 0.1
 """Time before the end of the drain by which the callers' calls are answered."""
 DRAIN_POLL_S = 0.05
-GATEWAY_TIMEOUT = 504
-"""Status with which a target answers at a call's deadline."""
 
 
 class Sidecar(Service):
@@ -109,11 +106,17 @@
             self._decisions,
             self._clock,
         )
+        evidence = CallEvidence(
+            self._rollouts,
+            lambda: self._admission.entry,
+            lambda: self._callers.last_failure_at,
+            self._clock,
+        )
         self._admission = AdmissionController(
             adapter.header_names,
             self._rollouts.is_forbidden,
-            self._rollouts.count_sent,
-            self._record_result,
+            evidence.record_sent,
+            evidence.record_result,
             self._publish_target,
             self._retry_budget,
             self._quarantine,
@@ -328,20 +331,6 @@
     def _apply_status(self, status: RolloutStatus) -> None:
         self._rollouts.apply_status(status, asyncio.get_running_loop().time(), recorded=True)
 
-    def _record_result(self, call: Call, result: CallResult | None, seconds: float) -> None:
-        """Count a call to the own target as evidence on its version."""
-        entry = self._admission.entry
-        warming = entry is not None and entry.warm_at_ms > self._clock.wall_ms()
-        now = asyncio.get_running_loop().time()
-        if result is None:
-            self._rollouts.observe_call(call, now >= call.deadline, seconds, warming, False, True)
-            return
-        failed = result.is_err() or result.unwrap().is_failure
-        # A target that waits for a call of its own, or is overloaded, fails without being faulty.
-        unanswered = result.is_err() or result.unwrap().status == GATEWAY_TIMEOUT
-        attributable = not unanswered and self._callers.last_failure_at < now - seconds
-        self._rollouts.observe_call(call, failed, seconds, warming, attributable, unanswered)
-
     def _publish_target(self, entry: TargetEntry | None) -> None:
         settings = self.settings
         own = NodeEntry(
