--- a/src/bulrushflow/sidecar/rollouts/call_evidence.py
+++ b/src/bulrushflow/sidecar/rollouts/call_evidence.py
@@ -48,13 +48,16 @@
         warming = self._cold_period.includes(self._clock.wall_ms() - 1000 * seconds)
         now = asyncio.get_running_loop().time()
         if result is None:
-            self._rollouts.observe_call(call, now >= call.deadline, seconds, warming, False, True)
+            reached = now >= call.deadline
+            self._rollouts.observe_call(call, reached, seconds, warming, False, unanswered=True)
             return
         failed = result.is_err() or result.unwrap().is_failure
         unanswered = result.is_err() or result.unwrap().status == GATEWAY_TIMEOUT
         # A target that waits for a call of its own, or is overloaded, fails without being faulty.
         attributable = not unanswered and self._last_failure_at() < now - seconds
-        self._rollouts.observe_call(call, failed, seconds, warming, attributable, unanswered)
+        self._rollouts.observe_call(
+            call, failed, seconds, warming, attributable, unanswered=unanswered
+        )
 
     def _note_cold_period(self) -> None:
         entry = self._own_target()
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -282,6 +282,7 @@
         seconds: float,
         warming: bool,
         attributable: bool = True,
+        *,
         unanswered: bool = False,
     ) -> None:
         """Count a response of this node's own target.
