Say in each answer for how long the target is cold

Cause: other nodes learn of a cold phase from the entry in the store, some tenths of a second later, and not at all while the store is down; the calls that they go on to send are refused.

Weighed: the load that answers report already, which keeps nodes off for a fraction of a second each time; messages to all nodes, one for each node and phase.

Change: CallAnswer has cold_ms (field 170), set only for services with a limit for cold targets. An origin node goes by it until the target's entry changes.

--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -105,6 +105,11 @@
         """Number of slots that calls can keep in use; 0 while the target accepts no calls."""
         return self._slots.usable if self._accepts_calls() else 0
 
+    @property
+    def cold_ms(self) -> int | None:
+        """Milliseconds for which the target is expected to be cold; ``None`` without a limit."""
+        return self.warmth.cold_ms(self.entry) if self.entry is not None else None
+
     @property
     def limit_per_s(self) -> float | None:
         """Calls per second that the target says it accepts; ``None`` without a limit."""
--- a/src/bulrushflow/sidecar/calls/balancer.py
+++ b/src/bulrushflow/sidecar/calls/balancer.py
@@ -70,9 +70,10 @@
             healthy = available
         if cold_start is not None:
             now_ms = self._wall_ms()
-            cold = [peer for peer in healthy if peer.is_cold(now_ms, cold_start.start_s)]
+            start_s = cold_start.start_s
+            cold = [peer for peer in healthy if peer.is_cold(now, now_ms, start_s)]
             if cold:
-                warm = [peer for peer in healthy if not peer.is_cold(now_ms, cold_start.start_s)]
+                warm = [peer for peer in healthy if not peer.is_cold(now, now_ms, start_s)]
                 chosen = self._choose_cold(cold, warm, cold_start, now)
                 if chosen is not None or not warm:
                     return chosen or self._rng.choice(cold)
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -305,6 +305,8 @@
         self, peer: Peer, call: Call, result: CallResult, report: PeerReport, seconds: float
     ) -> None:
         now = asyncio.get_running_loop().time()
+        if report.cold_ms is not None:
+            peer.record_cold(report.cold_ms, now)
         match result:
             case Ok(response):
                 peer.record_response(seconds, response.is_failure, now)
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -47,6 +47,8 @@
     """Whether the node responded at all."""
     load: float | None = None
     """Calls per slot; ``None`` while the node's target accepts no calls."""
+    cold_ms: int | None = None
+    """Milliseconds for which the target is expected to be cold; ``None`` if the node didn't say."""
 
 
 class PeerForwarder:
@@ -122,7 +124,7 @@
                 return not_run(reason), PeerReport(False)
         if response is None:
             return None
-        return codec.result_from_message(response), PeerReport(True, _load(response))
+        return codec.result_from_message(response), _report(response)
 
     async def _send_call(
         self, link: Link, call: Call, named_limit: NamedLimit | None
@@ -146,7 +148,7 @@
             case _:
                 return unknown("unexpected message instead of a call answer"), PeerReport(False)
         self._orders.note_peer_offset(response.read_offset or 0, response.read_era)
-        return codec.result_from_message(response), PeerReport(True, _load(response))
+        return codec.result_from_message(response), _report(response)
 
     @property
     def recheck_count(self) -> int:
@@ -208,7 +210,9 @@
 
     def _call_answer(self, result: CallResult) -> t.Any:
         admission = self._admission
-        return codec.result_to_message(result, admission.load, admission.capacity)
+        response = codec.result_to_message(result, admission.load, admission.capacity)
+        response.cold_ms = admission.cold_ms
+        return response
 
     async def _run(self, call: Call) -> CallResult:
         size = len(call.body)
@@ -229,8 +233,9 @@
     return message
 
 
-def _load(response: t.Any) -> float | None:
-    return response.in_flight / response.capacity if response.capacity else None
+def _report(response: t.Any) -> PeerReport:
+    load = response.in_flight / response.capacity if response.capacity else None
+    return PeerReport(True, load, response.cold_ms)
 
 
 def _limit_to_message(limit: NamedLimit | None) -> t.Any:
--- a/src/bulrushflow/sidecar/calls/target_warmth.py
+++ b/src/bulrushflow/sidecar/calls/target_warmth.py
@@ -14,6 +14,10 @@
 from bulrushflow.sidecar.model import TargetEntry
 from bulrushflow.timers import Clock
 
+AWAITED_MS = 500
+"""Time that is reported while the announcement that ends a cold phase is overdue."""
+MAX_COLD_MS = 2**31 - 1
+"""Greatest number that the message has space for."""
 ColdStartLookup = t.Callable[[str], ColdStart | None]
 """Returns the limits for the cold targets of a service; ``None`` if it has none."""
 
@@ -74,6 +78,18 @@
         """Apply limits that may have changed."""
         return self._update(entry, "configuration")
 
+    def cold_ms(self, entry: TargetEntry) -> int | None:
+        """Return for how many milliseconds the target is expected to be cold.
+
+        :return: ``None`` if its service has no limit for cold targets.
+        """
+        if self._cold_start(entry.service) is None:
+            return None
+        remaining_ms = max(0, entry.warm_at_ms - self._clock.wall_ms())
+        if math.isinf(self.limit.until):
+            remaining_ms = max(remaining_ms, AWAITED_MS if self.limit.until > 0 else 0)
+        return min(remaining_ms, MAX_COLD_MS)
+
     def is_news(self, entry: TargetEntry) -> bool:
         """Return whether other nodes have to learn of another cold phase, or of its earlier end."""
         if self._cold_start(entry.service) is None:
--- a/src/bulrushflow/sidecar/records/directory.py
+++ b/src/bulrushflow/sidecar/records/directory.py
@@ -43,6 +43,9 @@
     """Rate limit in the target's latest response to this node; ``None`` without one."""
     returned_at_ms: int = 0
     """When the evacuation of the data centre ended; 0 once the node's entry has changed since."""
+    reported_warm_at: float | None = None
+    """Event loop time at which the target is expected to be warm, by the node's latest response;
+    ``None`` once the node's entry has changed since."""
 
     @property
     def named_limit(self) -> NamedLimit | None:
@@ -52,12 +55,22 @@
             return None
         return NamedLimit(target.target_id, target.incarnation, self.limit_per_s)
 
-    def is_cold(self, now_ms: int, start_s: float) -> bool:
+    def record_cold(self, cold_ms: int, now: float) -> None:
+        """Record for how many milliseconds the target is cold, as the peer reported it."""
+        self.reported_warm_at = now + cold_ms / 1000
+        self.returned_at_ms = 0
+
+    def is_cold(self, now: float, now_ms: int, start_s: float) -> bool:
         """Return whether the target is expected to be cold.
 
+        A response says so before the entry does, also while the store is down.
+
+        :param now: event loop time in seconds.
         :param now_ms: epoch milliseconds.
         :param start_s: seconds for which a target of the service is cold after a start.
         """
+        if self.reported_warm_at is not None:
+            return self.reported_warm_at > now
         target = self.entry.target
         warm_at_ms = target.warm_at_ms if target is not None else 0
         if self.returned_at_ms:
@@ -134,6 +147,7 @@
             if current.entry.target != entry.target:
                 current.unavailable_until = 0.0
                 current.returned_at_ms = 0
+                current.reported_warm_at = None
             current.entry = entry
         else:
             current = self.peers_by_key[key] = Peer(entry)
@@ -149,6 +163,7 @@
         for peer in self.peers_by_key.values():
             if peer.entry.data_centre in returned:
                 peer.returned_at_ms = now_ms
+                peer.reported_warm_at = None
         self.evacuations = evacuations
         self._ready_by_service.clear()
         self._evacuated_by_service.clear()
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -225,6 +225,7 @@
         61: (TType.I64, "read_offset", False),
         62: (TType.BOOL, "arrived", False),
         64: (TType.I64, "read_era", False),
+        170: (TType.I32, "cold_ms", False),
     }
     default_spec = [
         ("outcome", None),
@@ -237,6 +238,7 @@
         ("read_offset", None),
         ("arrived", None),
         ("read_era", None),
+        ("cold_ms", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -126,6 +126,9 @@
   62: optional bool arrived
   // Era of the store that read_offset is of.
   64: optional i64 read_era
+  // Milliseconds for which the sender's target is expected to be cold; not set if its service has no
+  // limit for cold targets.
+  170: optional i32 cold_ms
 }
 
 // Asks whether a call would be refused, before its large body is sent. The call's body is empty.
--- a/tests/sidecar/calls/test_cold_targets.py
+++ b/tests/sidecar/calls/test_cold_targets.py
@@ -111,6 +111,29 @@
             with self.subTest(seed=seed):
                 run_virtually(replay(seed))
 
+    # COLD: other nodes knew of no phase that began while the store was down, and were refused.
+    def test_while_the_store_is_down_nodes_learn_of_a_cold_target_from_its_responses(self) -> None:
+        async def replay(seed: int) -> None:
+            fleet = ColdFleet(seed)
+            loop = asyncio.get_running_loop()
+            await fleet.until_listed()
+            await fleet.press(220, 2)
+            fleet.store_down = True
+            turned = fleet.in_data_centre("b")[:2]
+            since = loop.time()
+            for target in turned:
+                target.turn_cold(6)
+            self.assertGreater(await fleet.press(220, 6), 0.99)
+            self.assert_bounded(turned, since, since + 6)
+            self.assertLess(self.refused(turned), 10)
+            warm_at = loop.time()
+            self.assertGreater(await fleet.press(220, 4), 0.99)
+            self.assertGreater(sum(len(one.received_since(warm_at)) for one in turned), 100)
+
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run_virtually(replay(seed))
+
     def test_all_targets_cold_at_once_get_their_rate_and_the_rest_is_refused(self) -> None:
         async def replay(seed: int) -> None:
             assert COLD is not None
--- a/tests/sidecar/cold_fleet.py
+++ b/tests/sidecar/cold_fleet.py
@@ -112,6 +112,8 @@
         return self._fleet.evacuations.refusal(self._node.data_centre)
 
     def _publish(self, entry: TargetEntry | None) -> None:
+        if self._fleet.store_down:
+            return
         node = replace(self._node, target=entry)
         loop = asyncio.get_running_loop()
         for origin in self._fleet.origins:
@@ -145,7 +147,8 @@
         admission = self._fleet.targets_by_address[peer.entry.address].admission
         result = await admission.run(sent)
         capacity = admission.capacity
-        return result, PeerReport(True, admission.load / capacity if capacity else None)
+        load = admission.load / capacity if capacity else None
+        return result, PeerReport(True, load, admission.cold_ms)
 
 
 class ColdFleet:
@@ -154,6 +157,8 @@
     def __init__(self, seed: int, per_data_centre: int = 3) -> None:
         self.rng = random.Random(seed)
         self.evacuations = Evacuations()
+        self.store_down = False
+        """Whether entries reach no other node."""
         self.origins = [Origin(data_centre, self) for data_centre in "ab"]
         self.targets = [
             ColdTarget(number, "ab"[number % 2], self) for number in range(2 * per_data_centre)
--- a/tests/sidecar/records/test_directory.py
+++ b/tests/sidecar/records/test_directory.py
@@ -99,10 +99,21 @@
         self.directory.apply_evacuations(Evacuations(frozenset("a")), 5_000)
         self.directory.apply_evacuations(Evacuations(), 10_000)
         returned, other = (self.directory.peers_by_key[f"node/{i}"] for i in (1, 4))
-        self.assertTrue(returned.is_cold(12_000, 3.0))
-        self.assertFalse(returned.is_cold(13_000, 3.0))
-        self.assertFalse(other.is_cold(10_000, 3.0))
+        self.assertTrue(returned.is_cold(0.0, 12_000, 3.0))
+        self.assertFalse(returned.is_cold(0.0, 13_000, 3.0))
+        self.assertFalse(other.is_cold(0.0, 10_000, 3.0))
         self.directory.update("node/1", self.changed(1, sequence=2))
-        self.assertFalse(returned.is_cold(10_000, 3.0))
+        self.assertFalse(returned.is_cold(0.0, 10_000, 3.0))
         self.directory.update("node/1", self.changed(1, warm_at_ms=20_000))
-        self.assertTrue(returned.is_cold(19_999, 3.0))
+        self.assertTrue(returned.is_cold(0.0, 19_999, 3.0))
+
+    # COLD: while the store was down, nodes went on to send a cold target its usual share.
+    def test_what_a_response_says_holds_until_the_entry_changes(self) -> None:
+        known = self.directory.peers_by_key["node/1"]
+        known.record_cold(2_000, 50.0)
+        self.assertTrue(known.is_cold(51.9, 0, 3.0))
+        self.assertFalse(known.is_cold(52.0, 0, 3.0))
+        self.directory.update("node/1", self.changed(1, warm_at_ms=20_000))
+        self.assertTrue(known.is_cold(60.0, 19_000, 3.0))
+        known.record_cold(0, 60.0)
+        self.assertFalse(known.is_cold(60.0, 19_000, 3.0))
--- a/tests/sidecar/test_cold_data_centre.py
+++ b/tests/sidecar/test_cold_data_centre.py
@@ -107,6 +107,10 @@
         made = [self.call(i % 2, f"c-{i}") for i in range(60)]
         statuses = {status for status, _ in await asyncio.gather(*made)}
         self.assertLessEqual(statuses, {200, 503})
+        self.assertEqual(self.listed(0, 1).warm_at_ms, 0)
+        key = node_key(self.instances[1].settings.address)
+        peer = self.instances[0].sidecar.directory.peers_by_key[key]
+        self.assertTrue(peer.is_cold(asyncio.get_running_loop().time(), 0, COLD_S))
         sidecar = self.instances[1].sidecar
         self.assertEqual(sidecar._admission.warmth.limit.sent, len(self.targets[1].received))
         await sidecar._observe_state()
