Join the limits of a target in one type, and refuse the queue when it turns cold

Cause: the pool of slots asked two limits at five places, and went through its queue to refuse what a cold target can't take in time, which ties it to how the queue is kept.

Change: StartLimits joins the limit that the target names with the one of a cold target. When the target turns cold, all calls that wait are refused, "not run"; while it is cold, a call that would be late isn't queued. The queue itself is as before cold limits.

--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -157,7 +157,7 @@
         self.reachable = True
         if entry.state is not TargetState.READY:
             self._slots.refuse_queued("the target takes no new calls")
-        self._slots.apply_cold_limit()
+        self._slots.apply_cold_limit(self.warmth.turned_cold)
         if changed:
             self._decisions.event(
                 "target announced",
@@ -184,7 +184,7 @@
 
     def _apply_warmth(self, entry: TargetEntry) -> None:
         self.entry = entry
-        self._slots.apply_cold_limit()
+        self._slots.apply_cold_limit(self.warmth.turned_cold)
         if self.warmth.is_news(entry):
             self._publish(entry)
 
--- a/src/bulrushflow/sidecar/calls/slots.py
+++ b/src/bulrushflow/sidecar/calls/slots.py
@@ -19,7 +19,7 @@
 
 from bulrushflow.exceptions import InvariantError
 from bulrushflow.placement import ColdLimit
-from bulrushflow.sidecar.calls.rate_limit import RateLimit
+from bulrushflow.sidecar.calls.start_limits import StartLimits
 
 SERVICE_TIME_SMOOTHING = 0.1
 """Weight of the newest call in the exponential moving average of service times."""
@@ -78,14 +78,12 @@
 class SlotPool:
     """Grants slots, and refuses at once a call whose response would come too late.
 
-    Under a rate limit a free slot is granted only when the limit admits another call. Of the
-    target's own limit and the one of a cold target, the stricter one holds.
+    Under a rate limit a free slot is granted only when the limit admits another call.
 
     :param cold_limit: limit while the target is cold; it is shared by the pools of one address.
     """
 
     __slots__ = (
-        "_cold_limit",
         "_late_queue",
         "_limit",
         "_limit_timer",
@@ -104,15 +102,13 @@
         self._late_queue: collections.deque[_QueuedRequest] = collections.deque()
         """Queued calls that miss their latency objective, in the order in which that was found."""
         self._service_time_by_route: dict[str, float] = {}
-        self._limit = RateLimit()
-        self._cold_limit = ColdLimit() if cold_limit is None else cold_limit
+        self._limit = StartLimits(cold_limit)
         self._limit_timer: asyncio.TimerHandle | None = None
 
     @property
     def usable(self) -> int:
         """Number of slots that calls can be expected to keep in use under the rate limit."""
-        limits = (self._limit.per_s, self._cold_limit.per_s(asyncio.get_running_loop().time()))
-        per_s = min((limit for limit in limits if limit is not None), default=None)
+        per_s = self._limit.per_s(asyncio.get_running_loop().time())
         if per_s is None:
             return self.capacity
         return min(self.capacity, max(1, math.ceil(per_s * self._mean_time_s())))
@@ -134,33 +130,19 @@
 
     def limit_rate(self, per_s: float | None) -> None:
         """Set the calls per second that may start; ``None`` lifts the limit."""
-        self._limit.change(per_s, asyncio.get_running_loop().time())
+        self._limit.change_named(per_s, asyncio.get_running_loop().time())
         self._grant()
 
-    def apply_cold_limit(self) -> None:
-        """Apply the cold target's limit, which has changed, to the calls that wait."""
-        now = asyncio.get_running_loop().time()
-        if self._cold_limit.per_s(now) is not None:
-            self._refuse_beyond_cold_limit(now)
-        self._grant()
-
-    def _refuse_beyond_cold_limit(self, now: float) -> None:
-        """Refuse the calls that wait and are late under the cold target's limit.
+    def apply_cold_limit(self, turned_cold: bool) -> None:
+        """Apply a changed limit of the cold target.
 
-        They were queued while the target was warm, and still reach another one in time.
+        :param turned_cold: whether a cold phase begins. The calls that wait were admitted to a
+            warm target, and other targets take them sooner.
         """
-        admitted = 0
-        for item in [*sorted(self._queue), *self._late_queue]:
-            if item.decision.done():
-                continue
-            wait_s = self._cold_limit.wait_s(now, admitted)
-            if not wait_s or self._meets_objective(item.request, now + wait_s):
-                admitted += 1
-                continue
-            self._cold_limit.refused += 1
-            item.decision.set_result(
-                f"the target turned cold and admits the call in {wait_s:.2f} s"
-            )
+        if turned_cold:
+            self._limit.refuse_cold(self.queued)
+            self.refuse_queued("the target turned cold")
+        self._grant()
 
     def refusal(self, request: SlotRequest) -> str | None:
         """Return why a call would be refused now, or ``None`` if it would start or wait."""
@@ -210,11 +192,7 @@
         return request.deadline - self.service_time_s(request.route) * MIN_SERVICE_FRACTION
 
     def _starts_at_once(self, now: float) -> bool:
-        return self.active < self.capacity and not self.queued and not self._limit_wait_s(now)
-
-    def _limit_wait_s(self, now: float, calls_ahead: int = 0) -> float:
-        """Return the seconds until both limits admit a call behind others that wait."""
-        return max(self._limit.wait_s(now, calls_ahead), self._cold_limit.wait_s(now, calls_ahead))
+        return self.active < self.capacity and not self.queued and not self._limit.wait_s(now)
 
     def _place(
         self, request: SlotRequest, now: float, last_start: float
@@ -222,11 +200,6 @@
         """Return where a call would wait, or why its response would come too late."""
         rank = self._rank(request)
         ahead = [item for item in self._queue if item.rank <= rank and not item.decision.done()]
-        cold_wait_s = self._cold_limit.wait_s(now, len(ahead))
-        if cold_wait_s and not self._meets_objective(request, now + cold_wait_s):
-            # Other targets are mostly warm, and a queue for a cold one would grow to its bound.
-            self._cold_limit.refused += 1
-            return Err(f"the cold target's limit admits the call in {cold_wait_s:.2f} s, too late")
         limit_wait_s = self._limit.wait_s(now, len(ahead))
         # Checked first, so that no late call is evicted for one that can't be served.
         if limit_wait_s and now + limit_wait_s > last_start:
@@ -238,6 +211,10 @@
         expected_wait_s = self._expected_wait_s(ahead, now)
         if rank == SHORT_ROUTE_RANK or self._meets_objective(request, now + expected_wait_s):
             return Ok(_Placement(rank, late=False, evicts=full))
+        if self._limit.is_cold(now):
+            # Other targets are mostly warm, and a queue for a cold one would grow to its bound.
+            self._limit.refuse_cold()
+            return Err(f"the cold target takes the call in {expected_wait_s:.2f} s, too late")
         service_time_s = self.service_time_s(request.route)
         remaining = late[1:] if full else late
         expected_wait_s = self._expected_wait_s(itertools.chain(self._queue, remaining), now)
@@ -275,8 +252,7 @@
 
     def release_unused(self) -> None:
         """Free a slot whose call was not sent, which doesn't count against the rate limit."""
-        self._limit.refund()
-        self._cold_limit.refund(asyncio.get_running_loop().time())
+        self._limit.refund(asyncio.get_running_loop().time())
         self.release("", None)
 
     def refuse_queued(self, reason: str) -> None:
@@ -309,7 +285,7 @@
         work_s = sum(self.service_time_s(route) for route in waiting)
         # Running calls have half of their service time left on average.
         slot_wait_s = (work_s + self._mean_time_s() / 2) / max(1, self.capacity)
-        return max(slot_wait_s, self._limit_wait_s(now, len(waiting)))
+        return max(slot_wait_s, self._limit.wait_s(now, len(waiting)))
 
     def _mean_time_s(self) -> float:
         """Return the mean of the routes' service times; 0 before the first response."""
@@ -323,7 +299,7 @@
     def _grant(self) -> None:
         now = asyncio.get_running_loop().time()
         while self.active < self.capacity:
-            wait_s = self._limit_wait_s(now)
+            wait_s = self._limit.wait_s(now)
             if wait_s:
                 self._grant_later(wait_s)
                 return
@@ -340,7 +316,6 @@
     def _start(self, now: float) -> None:
         self.active += 1
         self._limit.consume(now)
-        self._cold_limit.consume(now)
 
     def _grant_later(self, wait_s: float) -> None:
         """Grant slots once the rate limit admits a call, if one is queued."""
--- a/src/bulrushflow/sidecar/calls/target_warmth.py
+++ b/src/bulrushflow/sidecar/calls/target_warmth.py
@@ -36,6 +36,8 @@
         self._decisions = decisions
         self._clock = clock
         self._phase = ColdPhase()
+        self.turned_cold = False
+        """Whether a cold phase began at the latest event."""
         self._published_ms = 0
         """The end of the cold phase that other nodes know."""
 
@@ -105,13 +107,15 @@
         settings = self._cold_start(entry.service)
         now = asyncio.get_running_loop().time()
         was_cold = self.limit.per_s(now) is not None
+        self.turned_cold = False
         if settings is None:
             self.limit.configure(None, -math.inf)
             return entry
         cold_s = (self._phase.ends_at_ms(settings.start_s) - self._clock.wall_ms()) / 1000
         self.limit.configure(settings, now + cold_s)
         expected_ms = self._phase.expected_ms(settings.start_s)
-        if cold_s > 0 and not was_cold:
+        self.turned_cold = cold_s > 0 and not was_cold
+        if self.turned_cold:
             self._decisions.event(
                 "target cold",
                 target=entry.target_id,
--- a/tests/sidecar/calls/test_target_warmth.py
+++ b/tests/sidecar/calls/test_target_warmth.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from bulrushflow.placement import ColdStart
+from bulrushflow.routing import Outcome
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.model import TargetEntry
@@ -174,21 +175,41 @@
         self.assertEqual(self.cold_s(), 0.0)
 
     # COLD: calls that were queued at a target when it turned cold waited there for their deadline.
-    async def test_queued_calls_that_a_cold_target_cannot_take_in_time_are_refused(self) -> None:
+    async def test_calls_that_wait_when_the_target_turns_cold_are_refused(self) -> None:
         self.announce(1)
         self.target.released.clear()
-        pressing = [
-            asyncio.ensure_future(self.controller.run(call(f"r-{i}", timeout_s=0.6)))
-            for i in range(10)
-        ]
+        running = [asyncio.ensure_future(self.controller.run(call(f"r-{i}"))) for i in range(2)]
+        await until(lambda: len(self.target.received) == 2)
+        queued = [asyncio.ensure_future(self.controller.run(call(f"q-{i}"))) for i in range(8)]
         await until(lambda: self.controller.load == 10)
         self.announce(2, 60_000)
-        await until(lambda: self.limit.refused > 0)
-        refused = [task.result().unwrap_err().reason for task in pressing if task.done()]
-        self.assertTrue(all("turned cold" in reason for reason in refused))
+        for result in await asyncio.gather(*queued):
+            self.assertEqual(result.unwrap_err().reason, "the target turned cold")
+            self.assertIs(result.unwrap_err().outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.limit.refused, 8)
+        later = asyncio.ensure_future(self.controller.run(call("r-2")))
+        await until(lambda: self.controller.load == 3)
+        self.announce(3, 60_000)
+        self.target.released.set()
+        for result in await asyncio.gather(*running, later):
+            self.assertTrue(result.is_ok())
+
+    async def test_a_call_that_a_cold_target_takes_too_late_is_refused_at_once(self) -> None:
+        self.announce(1, 60_000)
+        self.target.released.clear()
+        running = [
+            asyncio.ensure_future(self.controller.run(call(f"r-{i}", timeout_s=60.0)))
+            for i in range(8)
+        ]
+        await until(lambda: self.controller.load == 8)
+        hurried = replace(
+            call("r-x", timeout_s=60.0), late_after=asyncio.get_running_loop().time() + 0.2
+        )
+        failure = (await self.controller.run(hurried)).unwrap_err()
+        self.assertIn("the cold target takes the call in", failure.reason)
+        self.assertEqual(self.limit.refused, 1)
         self.target.released.set()
-        results = await asyncio.gather(*pressing)
-        self.assertGreater(sum(result.is_ok() for result in results), 2)
+        await asyncio.gather(*running)
 
     async def test_the_stricter_limit_holds_for_a_cold_target_that_names_one(self) -> None:
         for limit_per_s in ("2", "500"):
@@ -200,14 +221,14 @@
         for i in range(40):
             self.controller.refusal(call(f"r-{i}"))
         waits = [
-            self.controller._slots._limit_wait_s(asyncio.get_running_loop().time(), ahead)
+            self.controller._slots._limit.wait_s(asyncio.get_running_loop().time(), ahead)
             for ahead in (9, 18)
         ]
         self.assertAlmostEqual(waits[1] - waits[0], 1.0, delta=0.1)
         self.target.signals = {"X-Limit": "3"}
         await self.controller.run(call("r-x"))
         waits = [
-            self.controller._slots._limit_wait_s(asyncio.get_running_loop().time(), ahead)
+            self.controller._slots._limit.wait_s(asyncio.get_running_loop().time(), ahead)
             for ahead in (9, 18)
         ]
         self.assertAlmostEqual(waits[1] - waits[0], 3.0, delta=0.1)
