Admit and place calls with large responses by what links can carry

A target with free slots behind a link of 5 Mbit/s was given downloads that the link could deliver after seconds only: they ran, filled the link, and were too late.

The admitting node learns the mean response size of each route. Where it is above 16 KiB, a call of another node is refused at once as not run if the link's backlog and the response take longer than the call's deadline. The backlog is what is written, what waits, and the expected responses of the calls that were accepted and still run; without the last, calls that arrive together would all be accepted. Weighed: the time that round robin gives the new response alone, which is shorter. Each new transfer would then be accepted at the cost of those under way. A link without a backlog takes any call, so that a mean that was learned wrong is corrected.

Each answer reports the backlog (`link_backlog_ms`), and whether the link was the reason of a refusal (`link_full`): such a refusal must not mark the target as full for small calls. The origin node learns sizes by route too, and the balancer adds the expected time of the way, `way_s`, for routes with large responses. Small responses, nodes without a known bandwidth and the own target are placed as before.

Tests replay a link with a backlog: refusals before a body is sent and with the call, small responses that pass, an idle link, calls that arrive together, and the balancer's choices.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -46,9 +46,13 @@
         "applied_offset",
         "call_seconds",
         "calls",
+        "chunked_responses",
         "configuration_rejected",
         "configuration_version",
         "control_bytes",
+        "held_response_bytes",
+        "link_backlog_seconds",
+        "link_refusals",
         "log_behind",
         "members",
         "quarantined_requests",
@@ -74,6 +78,15 @@
         self.sheds = self._counter(
             "bulrushflow_sheds_total", "Calls refused as not run in front of the target"
         )
+        self.chunked_responses = self._counter(
+            "bulrushflow_chunked_responses_total",
+            "Large responses sent to other nodes in chunks, by whether they were sent to their end",
+        )
+        self.link_refusals = self._counter(
+            "bulrushflow_link_refusals_total",
+            "Calls of other nodes refused as not run because this node's link could not deliver "
+            "their response in time",
+        )
         self.control_bytes = self._counter(
             "bulrushflow_control_bytes_total", "Control bytes sent and received"
         )
@@ -138,6 +151,17 @@
             "Requests that are refused because they crash the targets that run them",
             registry=self.registry,
         )
+        self.link_backlog_seconds = Gauge(
+            "bulrushflow_link_backlog_seconds",
+            "Time that this node's link needs for the responses that it has accepted; absent if "
+            "the settings don't state its bandwidth",
+            registry=self.registry,
+        )
+        self.held_response_bytes = Gauge(
+            "bulrushflow_held_response_bytes",
+            "Bytes of large responses that the target has delivered and the link has not",
+            registry=self.registry,
+        )
         self.admission = Gauge(
             "bulrushflow_admission", "Calls at the target by state", registry=self.registry
         )
@@ -185,6 +209,16 @@
         """Record whether this node reads the store itself."""
         self.reads_store.set({}, int(reads_store))
 
+    def observe_link(self, backlog_s: float | None, held_bytes: int) -> None:
+        """Record what this node's link has to send to other nodes."""
+        if backlog_s is not None:
+            self.link_backlog_seconds.set({}, round(backlog_s, 3))
+        self.held_response_bytes.set({}, held_bytes)
+
+    def count_transfer(self, complete: bool) -> None:
+        """Count a response that was sent in chunks."""
+        self.chunked_responses.inc({"outcome": "complete" if complete else "stopped"})
+
     def observe_target(self, limit_per_s: float | None, leaving: bool) -> None:
         """Record the limit that this node's target names, and whether it announced its leave."""
         self.target_leaving.set({}, int(leaving))
--- a/src/bulrushflow/routing/model.py
+++ b/src/bulrushflow/routing/model.py
@@ -93,6 +93,11 @@
         """Whether the status is a server error."""
         return self.status >= SERVER_ERROR
 
+    @property
+    def size(self) -> int:
+        """Length of the body, in bytes."""
+        return len(self.body) if self.stream is None else self.stream.total
+
     def close(self) -> None:
         """Discard a body that is still arriving."""
         if self.stream is not None:
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -125,12 +125,13 @@
             self._clock,
         )
         self._build_replicas(adapter, store)
+        self._transfers = ResponseTransfers(self._pacer, self._metrics, self._decisions)
         self._forwarder = PeerForwarder(
             self._links,
             self._admission,
             self._operator_replica,
             self.directory.is_current,
-            ResponseTransfers(self._metrics, self._decisions),
+            self._transfers,
             self._decisions,
         )
         self._dispatcher = Dispatcher(
@@ -406,6 +407,7 @@
             )
         self._metrics.observe_quarantine(self._quarantine.size)
         self._metrics.observe_record_source(self.relay.source is None)
+        self._metrics.observe_link(self._transfers.backlog_s, self._transfers.budget.used_bytes)
 
 
 def _exposure_limits(bounds: Bounds) -> ExposureLimits:
--- a/src/bulrushflow/sidecar/calls/balancer.py
+++ b/src/bulrushflow/sidecar/calls/balancer.py
@@ -21,10 +21,27 @@
 """Factor on the expected latency of a target that is warming up."""
 DEFAULT_LATENCY_S = 0.05
 """Latency assumed while no target of the service has responded yet."""
+MIN_LINK_MBPS = 0.1
+"""Least bandwidth that is assumed of a link; entries of other writers may have 0."""
 MAX_EJECTED_FRACTION = 0.5
 """Fraction of a service's targets that may be ejected at once, lest the rest be overloaded."""
 
 
+def way_s(peer: Peer, now: float, response_bytes: float) -> float:
+    """Return the expected time of a large response on the way from a peer's link, in seconds.
+
+    0 for small responses, and for peers that report no backlog: the own node, whose target needs no
+    link, and nodes whose bandwidth isn't known. A backlog shrinks as time passes.
+
+    :param response_bytes: expected size of the response, if it is large; else 0.
+    """
+    if not response_bytes or peer.link_reported_at is None:
+        return 0.0
+    backlog_s = max(0.0, peer.link_backlog_s - (now - peer.link_reported_at))
+    mbps = max(MIN_LINK_MBPS, peer.entry.link_mbps)
+    return backlog_s + response_bytes * 8 / (mbps * 1e6)
+
+
 class Balancer:
     """Power of two random choices by expected latency; prefers targets of the own data centre.
 
@@ -44,12 +61,14 @@
         excluded: t.Collection[str],
         now: float,
         latency_objective_s: float,
+        response_bytes: float = 0.0,
     ) -> Peer | None:
         """Return a peer for one attempt, or ``None`` when none is available.
 
         :param excluded: addresses of nodes that this call was sent to already.
         :param now: event loop time in seconds.
         :param latency_objective_s: seconds within which the response is in time.
+        :param response_bytes: expected size of the response, if it is large; else 0.
         """
         available = [
             peer
@@ -72,43 +91,65 @@
         preferred = [
             peer
             for peer in local
-            if self._is_preferred(peer, now, fast_latency_s, latency_objective_s)
+            if self._is_preferred(peer, now, fast_latency_s, latency_objective_s, response_bytes)
         ]
         pool = preferred or [peer for peer in healthy if peer.load(now) < 1]
         if pool:
             pool = self._rng.sample(pool, min(2, len(pool)))
-            return min(pool, key=lambda peer: self._cost_s(peer, now, fast_latency_s))
+            return min(
+                pool, key=lambda peer: self._cost_s(peer, now, fast_latency_s, response_bytes)
+            )
         pool = [self._rng.choice(healthy)]
         if local:
             pool.append(self._rng.choice(local))
-        return min(pool, key=lambda peer: self._overload_cost_s(peer, now, fast_latency_s))
+        return min(
+            pool,
+            key=lambda peer: self._overload_cost_s(peer, now, fast_latency_s, response_bytes),
+        )
 
     def _is_preferred(
-        self, peer: Peer, now: float, fast_latency_s: float, latency_objective_s: float
+        self,
+        peer: Peer,
+        now: float,
+        fast_latency_s: float,
+        latency_objective_s: float,
+        response_bytes: float,
     ) -> bool:
         """Return whether a local target is good enough not to consider remote ones."""
-        if peer.load(now) < 1 and peer.latency_s <= fast_latency_s * SLOW_FACTOR:
+        if (
+            peer.load(now) < 1
+            and peer.latency_s <= fast_latency_s * SLOW_FACTOR
+            and not way_s(peer, now, response_bytes)
+        ):
             return True
         return (
-            self._expected_latency_s(peer, now, fast_latency_s)
+            self._expected_latency_s(peer, now, fast_latency_s, response_bytes)
             <= latency_objective_s * LOCAL_LATENCY_FRACTION
         )
 
-    def _expected_latency_s(self, peer: Peer, now: float, fast_latency_s: float) -> float:
+    def _expected_latency_s(
+        self, peer: Peer, now: float, fast_latency_s: float, response_bytes: float
+    ) -> float:
         """Return the expected time to a response, in seconds."""
         latency_s = peer.latency_s or fast_latency_s
         target = peer.entry.target
         if target is not None and target.warm_at_ms > self._wall_ms():
             latency_s *= WARM_UP_FACTOR
-        return latency_s * max(1.0, peer.load(now))
+        return latency_s * max(1.0, peer.load(now)) + way_s(peer, now, response_bytes)
 
-    def _overload_cost_s(self, peer: Peer, now: float, fast_latency_s: float) -> float:
+    def _overload_cost_s(
+        self, peer: Peer, now: float, fast_latency_s: float, response_bytes: float
+    ) -> float:
         """Return the cost by which targets without free slots are compared."""
         remote = peer.entry.data_centre != self._data_centre
-        return self._expected_latency_s(peer, now, fast_latency_s) * (
+        return self._expected_latency_s(peer, now, fast_latency_s, response_bytes) * (
             REMOTE_COST_FACTOR if remote else 1.0
         )
 
-    def _cost_s(self, peer: Peer, now: float, fast_latency_s: float) -> float:
+    def _cost_s(
+        self, peer: Peer, now: float, fast_latency_s: float, response_bytes: float
+    ) -> float:
         """Return the cost by which other targets are compared; load counts before calls queue."""
-        return self._expected_latency_s(peer, now, fast_latency_s) * (1 + peer.load(now))
+        return self._expected_latency_s(peer, now, fast_latency_s, response_bytes) * (
+            1 + peer.load(now)
+        )
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.placement import ResponseSizes
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
@@ -145,6 +146,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
+        self._response_sizes = ResponseSizes()
         self._credit_by_route: dict[str, dict[str, float]] = {}
 
     def choose_service(self, route: Route) -> str:
@@ -258,7 +260,13 @@
     def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
         candidates = self._filter_peers(call.service, self._directory.ready_peers(call.service))
         now = asyncio.get_running_loop().time()
-        return self._balancer.choose(candidates, tried, now, route.latency_objective_s)
+        return self._balancer.choose(
+            candidates,
+            tried,
+            now,
+            route.latency_objective_s,
+            self._response_sizes.large_bytes(route.name),
+        )
 
     async def _attempt(
         self, peer: Peer, call: Call, progress: CallProgress, deliveries: int
@@ -301,8 +309,12 @@
         self, peer: Peer, call: Call, result: CallResult, report: PeerReport, seconds: float
     ) -> None:
         now = asyncio.get_running_loop().time()
+        if report.link_reported:
+            peer.record_link_backlog(report.link_backlog_s, now)
         match result:
             case Ok(response):
+                if not response.is_failure:
+                    self._response_sizes.record(call.route, response.size)
                 peer.record_response(seconds, response.is_failure, now)
                 peer.record_load(report.load or 0.0, now)
                 self._apply_signals(peer, response)
@@ -315,7 +327,7 @@
             self._forwarder.mark_unreachable(peer)
         elif report.load is None:
             peer.mark_unavailable(now)
-        elif failure.outcome is Outcome.NOT_RUN:
+        elif failure.outcome is Outcome.NOT_RUN and not report.link_full:
             peer.record_load(max(report.load, FULL_LOAD), now)
         self._log_failed_attempt(peer, call, failure, report.load, seconds)
 
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -38,6 +38,8 @@
 """Time after which a node that answers no admission request counts as unreachable."""
 MAX_HELD_BODY_BYTES = 24 << 20
 """Bound on the bodies of other nodes' calls that wait here or run at the target."""
+MAX_LINK_BACKLOG_MS = 3_600_000
+"""Bound on the reported backlog of a link, which a bandwidth near 0 would take out of range."""
 MIN_RECHECK_INTERVAL_S = 0.02
 MAX_RECHECK_INTERVAL_S = 1.5
 """Bounds of the exponential backoff between attempts to connect to an unreachable node."""
@@ -50,6 +52,12 @@
     """Whether the node responded at all."""
     load: float | None = None
     """Calls per slot; ``None`` while the node's target accepts no calls."""
+    link_reported: bool = False
+    """Whether the node knows the bandwidth of its link."""
+    link_backlog_s: float = 0.0
+    """Time for which the node's link is busy with the responses that it has accepted."""
+    link_full: bool = False
+    """Whether the call was refused because of the link, which says nothing of the target."""
 
 
 class PeerForwarder:
@@ -128,7 +136,7 @@
                 return not_run(reason), PeerReport(False)
         if response is None:
             return None
-        return codec.result_from_message(response), PeerReport(True, _load(response))
+        return codec.result_from_message(response), _report(response, True)
 
     async def _send_call(
         self, link: Link, call: Call, named_limit: NamedLimit | None
@@ -157,7 +165,7 @@
         result = codec.result_from_message(response)
         if body is not None:
             result = await self._transfers.receive(result, body, call.deadline)
-        return result, PeerReport(not link.lost or result.is_ok(), _load(response))
+        return result, _report(response, not link.lost or result.is_ok())
 
     @property
     def recheck_count(self) -> int:
@@ -195,10 +203,16 @@
     async def _serve_admission(self, message: t.Any) -> dict[str, t.Any]:
         now = asyncio.get_running_loop().time()
         call = codec.call_from_message(message.call, now)
-        reason = self._admission.refusal(call) or self._reserve_space(call, message.body_bytes, now)
+        link_refusal = self._transfers.refusal(call)
+        reason = (
+            link_refusal
+            or self._admission.refusal(call)
+            or self._reserve_space(call, message.body_bytes, now)
+        )
         if reason is None:
             return {"admission_answer": messages.AdmissionAnswer()}
         refusal = self._call_answer(not_run(reason))
+        refusal.link_full = link_refusal is not None
         return {"admission_answer": messages.AdmissionAnswer(refusal=refusal)}
 
     def _reserve_space(self, call: Call, body_bytes: int, now: float) -> str | None:
@@ -212,14 +226,26 @@
         if message.named_limit is not None:
             self._admission.apply_named_limit(_limit_from_message(message.named_limit))
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
-        response = self._call_answer(await self._run(call))
+        link_refusal = self._transfers.refusal(call)
+        if link_refusal is not None:
+            self._reservations.release(call.request_id)
+            response = self._call_answer(not_run(link_refusal))
+            response.link_full = True
+        else:
+            with self._transfers.expecting(call):
+                result = await self._run(call)
+            response = self._call_answer(result)
         response.read_offset = self._orders.offset
         response.read_era = self._orders.era
         return self._transfers.answer(message, response)
 
     def _call_answer(self, result: CallResult) -> t.Any:
         admission = self._admission
-        return codec.result_to_message(result, admission.load, admission.capacity)
+        answer = codec.result_to_message(result, admission.load, admission.capacity)
+        backlog_s = self._transfers.backlog_s
+        if backlog_s is not None:
+            answer.link_backlog_ms = min(MAX_LINK_BACKLOG_MS, int(backlog_s * 1000))
+        return answer
 
     async def _run(self, call: Call) -> CallResult:
         size = len(call.body)
@@ -240,6 +266,16 @@
     return message
 
 
+def _report(response: t.Any, reached: bool) -> PeerReport:
+    return PeerReport(
+        reached,
+        _load(response),
+        link_reported=response.link_backlog_ms is not None,
+        link_backlog_s=(response.link_backlog_ms or 0) / 1000,
+        link_full=bool(response.link_full),
+    )
+
+
 def _load(response: t.Any) -> float | None:
     return response.in_flight / response.capacity if response.capacity else None
 
--- a/src/bulrushflow/sidecar/calls/transfers.py
+++ b/src/bulrushflow/sidecar/calls/transfers.py
@@ -1,6 +1,7 @@
 """Large responses between nodes: what is sent in chunks, and what arrives in chunks."""
 
 import asyncio
+import contextlib
 import typing as t
 
 from msgspec.structs import replace
@@ -9,10 +10,14 @@
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.placement.links import LARGE_RESPONSE_BYTES
+from bulrushflow.placement.links import LinkPacer
+from bulrushflow.placement.links import ResponseSizes
 from bulrushflow.routing import ByteBudget
+from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import unknown
+from bulrushflow.routing.model import SERVER_ERROR
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.wire import messages
 from bulrushflow.wire.frames import MAX_FRAME_BYTES
@@ -32,28 +37,84 @@
 
     The target is read at full speed, so that its slot is free again, and the whole response waits
     here within a bound.
+
+    :param pacer: what this node's link carries; ``None`` if its bandwidth isn't known.
     """
 
-    def __init__(self, metrics: Metrics, decisions: DecisionLog) -> None:
+    def __init__(self, pacer: LinkPacer | None, metrics: Metrics, decisions: DecisionLog) -> None:
+        self._pacer = pacer
+        self._sizes = ResponseSizes()
         self._metrics = metrics
         self._decisions = decisions
         self.budget = ByteBudget(MAX_HELD_RESPONSE_BYTES)
 
+    @property
+    def backlog_s(self) -> float | None:
+        """Time for which the link is busy with accepted responses; ``None`` if it isn't known."""
+        if self._pacer is None:
+            return None
+        return self._pacer.backlog_s(asyncio.get_running_loop().time())
+
+    def refusal(self, call: Call) -> str | None:
+        """Return why the link can't deliver the response to another node's call in time.
+
+        ``None`` if it can, if the route's responses aren't large, or if the link has no backlog: a
+        mean size that was learned wrong must not refuse every call that could correct it.
+        """
+        size = self._sizes.large_bytes(call.route)
+        if self._pacer is None or not size:
+            return None
+        now = asyncio.get_running_loop().time()
+        remaining_s = call.deadline - now
+        backlog_s = self._pacer.backlog_s(now)
+        if not backlog_s or self._pacer.can_deliver(size, remaining_s, now):
+            return None
+        reason = (
+            f"the link would deliver a response of {size:.0f} bytes, the route's mean, after "
+            f"{self._pacer.delivery_s(size, now):.2f} s; {remaining_s:.2f} s are left"
+        )
+        self._metrics.link_refusals.inc({"service": call.service})
+        self._decisions.refused(call, reason, link_backlog_s=round(backlog_s, 3))
+        return reason
+
+    @contextlib.contextmanager
+    def expecting(self, call: Call) -> t.Iterator[None]:
+        """Count the response of an accepted call as backlog until the target has delivered it."""
+        size = self._sizes.large_bytes(call.route)
+        if self._pacer is None or not size:
+            yield
+            return
+        key = object()
+        self._pacer.expect(key, size)
+        try:
+            yield
+        finally:
+            self._pacer.settle(key)
+
     def answer(self, request: t.Any, answer: t.Any) -> dict[str, t.Any] | ChunkedResponse:
         """Return how the answer to a call request is sent: as one frame, or in chunks.
 
         A response without space is lost: its call may have run.
         """
         size = len(answer.body)
+        if answer.outcome == Outcome.ANSWERED and answer.status < SERVER_ERROR:
+            self._sizes.record(request.route, size)
         window = request.chunk_window or 0
         if window <= 0 or size <= LARGE_RESPONSE_BYTES:
             return {"call_answer": answer}
         if not self.budget.reserve(size):
             return {"call_answer": self._refuse_space(request, answer, size)}
         body, answer.body, answer.chunked_bytes = answer.body, b"", size
-        return ChunkedResponse(
-            {"call_answer": answer}, body, window, lambda: self.budget.release(size)
-        )
+
+        def end(complete: bool) -> None:
+            self.budget.release(size)
+            self._metrics.count_transfer(complete)
+            if not complete:
+                self._decisions.event(
+                    "response not sent to its end", request=request.request_id, size=size
+                )
+
+        return ChunkedResponse({"call_answer": answer}, body, window, end)
 
     async def receive(self, result: CallResult, body: IncomingBody, deadline: float) -> CallResult:
         """Return the result of a call whose response's body follows in chunks.
--- a/src/bulrushflow/sidecar/records/directory.py
+++ b/src/bulrushflow/sidecar/records/directory.py
@@ -40,6 +40,10 @@
     backoff_s: float = FIRST_BACKOFF_S
     limit_per_s: float | None = None
     """Rate limit in the target's latest response to this node; ``None`` without one."""
+    link_backlog_s: float = 0.0
+    """Time for which the node's link was busy with responses, as reported last."""
+    link_reported_at: float | None = None
+    """When that was reported; ``None`` if the node reports none, as without a known bandwidth."""
 
     @property
     def named_limit(self) -> NamedLimit | None:
@@ -64,6 +68,11 @@
         self.reported_load = load
         self.reported_at = now
 
+    def record_link_backlog(self, backlog_s: float, now: float) -> None:
+        """Record for how long the peer's link is busy, as it reported with an answer."""
+        self.link_backlog_s = backlog_s
+        self.link_reported_at = now
+
     def record_response(self, seconds: float, failed: bool, now: float) -> None:
         """Update latency and failure rate with a response; eject a target that fails too often."""
         self.backoff_s = FIRST_BACKOFF_S
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -229,6 +229,7 @@
         64: (TType.I64, "read_era", False),
         120: (TType.I32, "link_backlog_ms", False),
         121: (TType.I32, "chunked_bytes", False),
+        122: (TType.BOOL, "link_full", False),
     }
     default_spec = [
         ("outcome", None),
@@ -243,6 +244,7 @@
         ("read_era", None),
         ("link_backlog_ms", None),
         ("chunked_bytes", None),
+        ("link_full", None),
     ]
 
 
--- a/src/bulrushflow/wire/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -373,13 +373,15 @@
             self._send_failure(number, _TOO_LARGE)
 
     async def _send_chunked(self, number: int, response: ChunkedResponse) -> None:
+        complete = False
         try:
             if self.send(exchange=number, **response.head):
                 await self._transfers.send(number, response.body, response.window)
+                complete = True
             else:
                 self._send_failure(number, _TOO_LARGE)
         finally:
-            response.on_end()
+            response.on_end(complete)
 
     def _send_failure(self, number: int, reason: str) -> None:
         if number:
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -133,6 +133,8 @@
   120: optional i32 link_backlog_ms
   // Length of a body that follows in chunks; the field body is empty then.
   121: optional i32 chunked_bytes
+  // True if the call was refused because the sender's link can't deliver its response in time.
+  122: optional bool link_full
 }
 
 // Asks whether a call would be refused, before its large body is sent. The call's body is empty.
--- a/src/bulrushflow/wire/transfers.py
+++ b/src/bulrushflow/wire/transfers.py
@@ -23,13 +23,14 @@
 
     :param head: the frame's fields.
     :param window: bytes of the body that may be sent before the receiver grants more.
-    :param on_end: called once the body was sent, or is not sent any further.
+    :param on_end: called once the body was sent, or is not sent any further, with whether it was
+        sent as a whole.
     """
 
     head: dict[str, t.Any]
     body: bytes
     window: int
-    on_end: t.Callable[[], None]
+    on_end: t.Callable[[bool], None]
 
 
 class IncomingBody:
--- a/tests/sidecar/calls/test_balancer.py
+++ b/tests/sidecar/calls/test_balancer.py
@@ -2,6 +2,8 @@
 import unittest
 from collections import Counter
 
+from msgspec.structs import replace
+
 from bulrushflow.sidecar.calls.balancer import Balancer
 from bulrushflow.sidecar.records.directory import Peer
 from tests.sidecar.samples import peer
@@ -14,17 +16,57 @@
         self.remote = [peer(3, data_centre="b")]
 
     def choose_repeatedly(
-        self, excluded: frozenset[str] = frozenset(), count: int = 200
+        self,
+        excluded: frozenset[str] = frozenset(),
+        count: int = 200,
+        response_bytes: float = 0.0,
+        now: float = 10.0,
     ) -> Counter[str]:
         counts: Counter[str] = Counter()
+        candidates = [*self.local, *self.remote]
         for _ in range(count):
-            chosen = self.balancer.choose([*self.local, *self.remote], excluded, 10.0, 0.5)
+            chosen = self.balancer.choose(candidates, excluded, now, 0.5, response_bytes)
             counts[chosen.entry.node_id if chosen else ""] += 1
         return counts
 
     def test_local_targets_with_free_slots_are_preferred(self) -> None:
         self.assertEqual(set(self.choose_repeatedly()), {"n-1", "n-2"})
 
+    def report_links(self, *backlogs_s: float) -> None:
+        for one, backlog_s in zip([*self.local, *self.remote], backlogs_s, strict=True):
+            one.entry = replace(one.entry, link_mbps=10.0)
+            one.record_link_backlog(backlog_s, 10.0)
+
+    def test_large_responses_avoid_a_link_with_a_backlog_until_it_is_sent(self) -> None:
+        """A narrow link is busy for seconds while the slots of its target are free."""
+        self.report_links(2.0, 0.0, 0.0)
+        self.assertEqual(set(self.choose_repeatedly(response_bytes=90_000)), {"n-2"})
+        counts = self.choose_repeatedly(response_bytes=90_000, now=12.0)
+        self.assertGreater(min(counts["n-1"], counts["n-2"]), 50)
+        self.assertEqual(counts["n-3"], 0)
+
+    def test_large_responses_leave_the_data_centre_only_if_its_links_are_too_busy(self) -> None:
+        self.report_links(0.3, 0.3, 0.0)
+        self.assertEqual(set(self.choose_repeatedly(response_bytes=10_000)), {"n-1", "n-2"})
+        self.report_links(2.0, 2.0, 0.0)
+        counts = self.choose_repeatedly(response_bytes=10_000)
+        self.assertGreater(counts["n-3"], 100)
+
+    def test_small_responses_and_nodes_without_a_report_are_chosen_as_without_links(self) -> None:
+        self.report_links(2.0, 0.0, 0.0)
+        counts = self.choose_repeatedly()
+        self.assertGreater(min(counts["n-1"], counts["n-2"]), 50)
+        for one in (*self.local, *self.remote):
+            one.link_reported_at = None
+        counts = self.choose_repeatedly(response_bytes=90_000)
+        self.assertGreater(min(counts["n-1"], counts["n-2"]), 50)
+
+    def test_a_link_of_no_bandwidth_is_no_division_by_zero(self) -> None:
+        """Entries of other writers may state a bandwidth of 0."""
+        self.report_links(0.0, 0.0, 0.0)
+        self.local[0].entry = replace(self.local[0].entry, link_mbps=0.0)
+        self.assertEqual(set(self.choose_repeatedly(response_bytes=90_000)), {"n-2"})
+
     def test_overloaded_local_targets_spill_over_to_remote_ones(self) -> None:
         for local in self.local:
             local.latency_s, local.in_flight = 0.1, 30
--- a/tests/sidecar/calls/test_dispatcher.py
+++ b/tests/sidecar/calls/test_dispatcher.py
@@ -100,6 +100,7 @@
         self.sent: list[tuple[str, int]] = []
         self.responses: dict[str, asyncio.Future[CallResult]] = {}
         self.cancelled: list[str] = []
+        self.report = PeerReport(True, 0.0)
         peers = mock.Mock()
         peers.send = self.send
         rng = random.Random(2)
@@ -122,7 +123,7 @@
         self.sent.append((address, sent.attempt))
         self.responses[address] = asyncio.get_running_loop().create_future()
         try:
-            return await self.responses[address], PeerReport(True, 0.0)
+            return await self.responses[address], self.report
         except asyncio.CancelledError:
             self.cancelled.append(address)
             raise
@@ -160,7 +161,7 @@
                 self.sent.clear()
                 running = self.start()
                 await until(lambda: len(self.sent) == 2)
-                streams = [mock.Mock(), mock.Mock()]
+                streams = [mock.Mock(total=50_000), mock.Mock(total=50_000)]
                 for (address, _), stream in zip(self.sent, streams, strict=True):
                     response = Response(200, (), b"", stream)
                     self.responses[address].set_result(response.as_result())
@@ -183,6 +184,30 @@
         self.responses[self.sent[0][0]].set_result(response_with(200).as_result())
         self.assertEqual((await running).unwrap().status, 200)
 
+    async def test_a_refusal_by_the_link_does_not_mark_the_target_as_full(self) -> None:
+        """Small calls, which the link still carries, would avoid the target."""
+        for link_full in (True, False):
+            with self.subTest(link_full=link_full):
+                self.sent.clear()
+                self.report = PeerReport(
+                    True, 0.0, link_reported=True, link_backlog_s=2.5, link_full=link_full
+                )
+                running = self.start(idempotent=False)
+                await until(lambda: len(self.sent) == 1)
+                address = self.sent[0][0]
+                self.responses[address].set_result(not_run("the link is full"))
+                await until(lambda: len(self.sent) == 2)
+                now = asyncio.get_running_loop().time()
+                (refused_by,) = (
+                    peer
+                    for peer in self.directory.ready_peers("statements")
+                    if peer.entry.address == address
+                )
+                self.assertEqual(refused_by.link_backlog_s, 2.5)
+                self.assertEqual(refused_by.load(now) < 0.5, link_full)
+                self.responses[self.sent[1][0]].set_result(response_with(200).as_result())
+                await running
+
     async def test_a_call_refused_until_its_deadline_has_not_run(self) -> None:
         running = self.dispatcher.dispatch(self.route(), call(idempotent=False, timeout_s=0.1))
         task = asyncio.ensure_future(running)
--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.placement import LinkPacer
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
@@ -35,6 +36,8 @@
 from tests.sidecar.servers import FakeTarget
 from tests.waiting import until
 
+LINK_MBPS = 50.0
+RESPONSE_BYTES = 90_000
 ROUNDING_S = 1e-9
 """Tolerance for sums of binary fractions of seconds."""
 
@@ -46,7 +49,10 @@
         decisions = DecisionLog()
         self.directory = Directory()
         self.timers = Timers(random.Random(1))
-        self.links = Links("127.0.0.1", 0, self.timers)
+        self.pacer = LinkPacer(LINK_MBPS)
+        self.links = Links("127.0.0.1", 0, self.timers, self.pacer)
+        self.metrics = Metrics(4)
+        self.transfers = ResponseTransfers(self.pacer, self.metrics, decisions)
         self.admission = AdmissionController(
             NAMES,
             lambda service, version: False,
@@ -63,7 +69,7 @@
             self.admission,
             orders,
             self.directory.is_current,
-            ResponseTransfers(Metrics(4), decisions),
+            self.transfers,
             decisions,
         )
 
@@ -216,6 +222,54 @@
         self.assertFalse(report.reached)
         self.assertEqual(self.target.received, [])
 
+    def learn_large_responses(self) -> None:
+        """Let the remote node learn that the responses of the route are large."""
+        self.remote.transfers._sizes.record("r", RESPONSE_BYTES)
+
+    async def test_a_call_whose_response_the_link_cannot_deliver_in_time_is_not_run(self) -> None:
+        """Accepted, it would run for nothing and delay the responses that are under way."""
+        self.learn_large_responses()
+        pacer = self.remote.pacer
+        pacer.add_waiting(int(LINK_MBPS * 1e6 / 8 * 4))
+        for body in (b"", b"x" * LARGE_BODY_BYTES):
+            with self.subTest(size=len(body)):
+                sent = replace(call(timeout_s=1.0), body=body)
+                result, report = await self.local.forwarder.send(self.peer, sent)
+                failure = result.unwrap_err()
+                self.assertIs(failure.outcome, Outcome.NOT_RUN)
+                self.assertIn("the link would deliver a response of 90000 bytes", failure.reason)
+                self.assertEqual((report.reached, report.load, report.link_full), (True, 0.0, True))
+                self.assertGreater(report.link_backlog_s, 4.0)
+                self.assertEqual(self.target.received, [])
+        self.assertEqual(self.remote.forwarder.body_budget.used_bytes, 0)
+        self.assertEqual(self.remote.metrics.link_refusals.get({"service": "statements"}), 2)
+        result, report = await self.local.forwarder.send(self.peer, call(timeout_s=9.0))
+        self.assertTrue(result.is_ok(), result)
+        self.assertEqual((report.link_reported, report.link_full), (True, False))
+
+    async def test_small_responses_pass_a_link_with_a_backlog(self) -> None:
+        self.remote.pacer.add_waiting(1 << 30)
+        result, _ = await self.local.forwarder.send(self.peer, call())
+        self.assertTrue(result.is_ok(), result)
+
+    async def test_an_idle_link_takes_a_call_whatever_was_learned(self) -> None:
+        """A mean that is too large would never be corrected if it refused every call."""
+        self.remote.transfers._sizes.record("r", 1 << 30)
+        result, _ = await self.local.forwarder.send(self.peer, call())
+        self.assertTrue(result.is_ok(), result)
+
+    async def test_accepted_calls_count_as_backlog_until_they_end(self) -> None:
+        """Calls that arrive together would all be accepted on an idle link."""
+        self.learn_large_responses()
+        self.target.released.clear()
+        running = asyncio.create_task(self.local.forwarder.send(self.peer, call("r-1")))
+        await until(lambda: self.target.received == ["r-1"])
+        self.assertGreater(self.remote.transfers.backlog_s or 0.0, RESPONSE_BYTES * 8 / 50e6)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await until(lambda: self.remote.admission.in_flight == 0)
+        await until(lambda: (self.remote.transfers.backlog_s or 0.0) < RESPONSE_BYTES * 8 / 50e6)
+
     def record_bodies(self) -> list[int]:
         """Return a list that gets the size of each body that arrives with a call."""
         received_bytes: list[int] = []
--- a/tests/sidecar/calls/test_transfers.py
+++ b/tests/sidecar/calls/test_transfers.py
@@ -20,7 +20,7 @@
 
 class ReceiveTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
-        self.transfers = ResponseTransfers(Metrics(4), DecisionLog())
+        self.transfers = ResponseTransfers(None, Metrics(4), DecisionLog())
         self.cancelled = 0
         self.granted = 0
         self.body = IncomingBody(200, WINDOW_BYTES, self.grant, self.cancel)
@@ -87,7 +87,7 @@
 class AnswerTests(unittest.TestCase):
     def test_only_large_responses_to_nodes_that_take_chunks_are_sent_in_chunks(self) -> None:
         """A node of an earlier release would take the head for an empty response."""
-        transfers = ResponseTransfers(Metrics(4), DecisionLog())
+        transfers = ResponseTransfers(None, Metrics(4), DecisionLog())
         large = LARGE_RESPONSE_BYTES + 1
         for window, size, chunked in (
             (None, large, False),
@@ -104,5 +104,5 @@
                 if isinstance(answer, ChunkedResponse):
                     self.assertEqual(len(answer.body), size)
                     self.assertEqual(transfers.budget.used_bytes, size)
-                    answer.on_end()
+                    answer.on_end(True)
                 self.assertEqual(transfers.budget.used_bytes, 0)
--- a/tests/wire/test_transfers.py
+++ b/tests/wire/test_transfers.py
@@ -54,8 +54,9 @@
         answer.chunked_bytes = len(BODY)
         return ChunkedResponse({"call_answer": answer}, BODY, self.window, self.end)
 
-    def end(self) -> None:
+    def end(self, complete: bool) -> None:
         self.ended += 1
+        self.complete = complete
 
     async def begin(self) -> IncomingBody:
         call = request("large")
@@ -74,6 +75,7 @@
             data += part
         self.assertEqual(data, BODY)
         await until(lambda: self.ended == 1)
+        self.assertTrue(self.complete)
         await until(lambda: not self.client.busy and not self.server.busy)
 
     async def test_small_responses_pass_a_body_whose_reader_is_slow(self) -> None:
@@ -90,6 +92,7 @@
         self.assertEqual(self.senders[1].count, 1)
         body.close()
         await until(lambda: self.ended == 1)
+        self.assertFalse(self.complete)
         self.assertEqual((self.senders[1].count, body.held_bytes), (0, 0))
         self.assertTrue((await body.read()).is_err())
         await until(lambda: not self.client.busy and not self.server.busy)
