Size the window of large responses by the receiver's link

A window of 128 KiB is 0.2 s of a link of 5 Mbit/s: bytes of one response that queue ahead of a narrow receiver's link, and delay what other nodes send to it. Weighed: grants in turns between all responses that a node receives, which needs the number of senders in advance. The window is 50 ms of the link, 32 to 128 KiB, which covers a round trip between data centres.

--- a/src/bulrushflow/placement/links.py
+++ b/src/bulrushflow/placement/links.py
@@ -19,6 +19,12 @@
 """Time that a chunk should occupy the link for, within the bounds on its size."""
 MIN_CHUNK_BYTES = 8 << 10
 MAX_CHUNK_BYTES = 16 << 10
+WINDOW_S = 0.05
+"""Time that a window should occupy the receiver's link for, within the bounds on its size. It
+covers a round trip between data centres; a larger one would only queue ahead of the link."""
+MIN_WINDOW_BYTES = 32 << 10
+MAX_WINDOW_BYTES = 128 << 10
+"""Bytes of one response that are held for a slow caller."""
 LARGE_RESPONSE_BYTES = 16 << 10
 """Size above which a response is sent in chunks, and its route counts as one of large responses."""
 SIZE_SMOOTHING = 0.05
@@ -35,7 +41,14 @@
     :param mbps: bandwidth of the link in megabits per second, above 0.
     """
 
-    __slots__ = ("_bytes_per_s", "_expected_by_key", "_free_at", "_waiting_bytes", "chunk_bytes")
+    __slots__ = (
+        "_bytes_per_s",
+        "_expected_by_key",
+        "_free_at",
+        "_waiting_bytes",
+        "chunk_bytes",
+        "window_bytes",
+    )
 
     def __init__(self, mbps: float) -> None:
         link_bytes_per_s = mbps * 1e6 / 8
@@ -47,6 +60,10 @@
             min(MAX_CHUNK_BYTES, max(MIN_CHUNK_BYTES, link_bytes_per_s * CHUNK_S))
         )
         """Size of the chunks, in bytes."""
+        self.window_bytes = int(
+            min(MAX_WINDOW_BYTES, max(MIN_WINDOW_BYTES, link_bytes_per_s * WINDOW_S))
+        )
+        """Bytes of one response that this node takes before it grants more."""
 
     def record_written(self, size: int, now: float) -> None:
         """Count ``size`` bytes that were written to any connection."""
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -17,7 +17,6 @@
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.calls.body_reservations import BodyReservations
-from bulrushflow.sidecar.calls.transfers import CHUNK_WINDOW_BYTES
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NamedLimit
@@ -151,7 +150,7 @@
         request.read_offset = self._orders.offset
         request.read_era = self._orders.era
         request.named_limit = _limit_to_message(named_limit)
-        request.chunk_window = CHUNK_WINDOW_BYTES
+        request.chunk_window = self._transfers.window_bytes
         match await link.exchange(remaining_s, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
--- a/src/bulrushflow/sidecar/calls/transfers.py
+++ b/src/bulrushflow/sidecar/calls/transfers.py
@@ -10,6 +10,7 @@
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.placement.links import LARGE_RESPONSE_BYTES
+from bulrushflow.placement.links import MAX_WINDOW_BYTES
 from bulrushflow.placement.links import LinkPacer
 from bulrushflow.placement.links import ResponseSizes
 from bulrushflow.routing import ByteBudget
@@ -24,9 +25,6 @@
 from bulrushflow.wire.transfers import ChunkedResponse
 from bulrushflow.wire.transfers import IncomingBody
 
-CHUNK_WINDOW_BYTES = 128 << 10
-"""Bytes of one response that are held for a slow caller. It covers a link of 20 Mbit/s with a round
-trip of 50 ms."""
 MAX_HELD_RESPONSE_BYTES = 32 << 20
 """Bound on the responses that the target has delivered and the link has not. Instances have as
 little as 200 MB."""
@@ -43,6 +41,8 @@
 
     def __init__(self, pacer: LinkPacer | None, metrics: Metrics, decisions: DecisionLog) -> None:
         self._pacer = pacer
+        self.window_bytes = MAX_WINDOW_BYTES if pacer is None else pacer.window_bytes
+        """Bytes of one response that this node takes before it grants more."""
         self._sizes = ResponseSizes()
         self._metrics = metrics
         self._decisions = decisions
--- a/tests/placement/test_links.py
+++ b/tests/placement/test_links.py
@@ -6,7 +6,9 @@
 from bulrushflow.placement.links import LARGE_RESPONSE_BYTES
 from bulrushflow.placement.links import MAX_CHUNK_BYTES
 from bulrushflow.placement.links import MAX_ROUTES
+from bulrushflow.placement.links import MAX_WINDOW_BYTES
 from bulrushflow.placement.links import MIN_CHUNK_BYTES
+from bulrushflow.placement.links import MIN_WINDOW_BYTES
 from bulrushflow.placement.links import PACED_FRACTION
 from bulrushflow.placement.links import LinkPacer
 from bulrushflow.placement.links import ResponseSizes
@@ -23,6 +25,11 @@
             with self.subTest(mbps):
                 self.assertEqual(LinkPacer(mbps).chunk_bytes, expected)
 
+    def test_windows_grow_with_the_bandwidth_within_bounds(self) -> None:
+        for mbps, expected in ((5.0, MIN_WINDOW_BYTES), (10.0, 62_500), (100.0, MAX_WINDOW_BYTES)):
+            with self.subTest(mbps):
+                self.assertEqual(LinkPacer(mbps).window_bytes, expected)
+
     def test_a_chunk_waits_until_the_link_has_nearly_sent_what_was_written(self) -> None:
         self.assertLessEqual(self.pacer.next_chunk_at(7.0), 7.0)
         self.pacer.record_written(int(PACED_BYTES_PER_S), 7.0)
--- a/tests/sidecar/calls/test_large_responses.py
+++ b/tests/sidecar/calls/test_large_responses.py
@@ -6,8 +6,7 @@
 from unittest import mock
 
 from bulrushflow.placement.links import LARGE_RESPONSE_BYTES
-from bulrushflow.sidecar.calls import forwarding
-from bulrushflow.sidecar.calls.transfers import CHUNK_WINDOW_BYTES
+from bulrushflow.placement.links import MAX_WINDOW_BYTES
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.wire.transfers import GRANT_FRACTION
@@ -160,7 +159,7 @@
         def answer_whole(_: ResponseTransfers, request: t.Any, answer: t.Any) -> dict[str, t.Any]:
             return {"call_answer": answer}
 
-        earlier_receiver = mock.patch.object(forwarding, "CHUNK_WINDOW_BYTES", None)
+        earlier_receiver = mock.patch.object(self.origin._transfers, "window_bytes", None)
         earlier_sender = mock.patch.object(ResponseTransfers, "answer", answer_whole)
         for name, patch in (("receiver", earlier_receiver), ("sender", earlier_sender)):
             with self.subTest(name), patch:
@@ -242,9 +241,9 @@
         reader, _, length = await self.open("c-1")
         (body,) = self.incoming
         # What its reader consumed since the last grant is missing from the window.
-        await until(lambda: body.held_bytes > CHUNK_WINDOW_BYTES * (1 - GRANT_FRACTION))
+        await until(lambda: body.held_bytes > MAX_WINDOW_BYTES * (1 - GRANT_FRACTION))
         self.assertEqual(await self.call(0, "c-2", "/a/small"), (200, b"small"))
-        self.assertLessEqual(body.held_bytes, CHUNK_WINDOW_BYTES)
+        self.assertLessEqual(body.held_bytes, MAX_WINDOW_BYTES)
         self.assertEqual(self.remote._links.sender.count, 1)
         # The target's slot is free, although its response isn't delivered.
         self.assertEqual(self.remote._admission.load, 0)
