--- a/src/bulrushflow/placement/links.py
+++ b/src/bulrushflow/placement/links.py
@@ -79,8 +79,12 @@
 
     def backlog_s(self, now: float) -> float:
         """Return how long the link needs for what is written, waits or is expected, in seconds."""
-        pending = self._waiting_bytes + sum(self._expected_by_key.values())
-        return max(0.0, self._free_at - now) + pending / self._bytes_per_s
+        return max(0.0, self._free_at - now) + self.pending_bytes / self._bytes_per_s
+
+    @property
+    def pending_bytes(self) -> float:
+        """Bytes of large responses that wait or are expected."""
+        return self._waiting_bytes + sum(self._expected_by_key.values())
 
     def delivery_s(self, size: float, now: float) -> float:
         """Return after how many seconds ``size`` more bytes are delivered, behind the backlog."""
--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -20,6 +20,7 @@
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import Response
+from bulrushflow.routing import answer_lost
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
 from bulrushflow.sidecar.calls.headers import HOP_BY_HOP_HEADERS
@@ -182,7 +183,9 @@
         deadline: float,
     ) -> web.StreamResponse:
         call = self._build_call(request, route, body, started_at, deadline)
-        result = await self._until_stop(call, self._dispatcher.dispatch(route, call), started_at)
+        running = self._dispatcher.dispatch(route, call)
+        stopped = unknown("this node stops, and the target has not answered")
+        result = await self._until_stop(call, running, stopped, started_at)
         if result.is_ok() and result.unwrap().stream is not None:
             return await self._stream(request, call, result.unwrap(), version, started_at)
         seconds = self.outcomes.count(call, result, started_at)
@@ -204,7 +207,8 @@
             response.force_close()
         streaming = stream_body(request, response, target_response, call.deadline)
         try:
-            result = await self._until_stop(call, streaming, started_at)
+            stopped = answer_lost("response broken off: this node stops")
+            result = await self._until_stop(call, streaming, stopped, started_at)
         except ConnectionResetError:
             # A write noticed the disconnect before this task was cancelled for it.
             self.outcomes.record_cancelled(call, started_at)
@@ -245,16 +249,20 @@
         return self._error_response(request_id, status, reason)
 
     async def _until_stop(
-        self, call: Call, running: t.Coroutine[t.Any, t.Any, CallResult], started_at: float
+        self,
+        call: Call,
+        running: t.Coroutine[t.Any, t.Any, CallResult],
+        stopped: CallResult,
+        started_at: float,
     ) -> CallResult:
-        """Return a call's result, or that it is unknown once this node has to stop."""
+        """Return a call's result, or ``stopped`` once this node has to stop."""
         timeout = asyncio.timeout_at(None if math.isinf(self._answer_by) else self._answer_by)
         try:
             async with timeout:
                 self._timeouts.add(timeout)
                 return await running
         except TimeoutError:
-            return unknown("this node stops, and the target has not answered")
+            return stopped
         except asyncio.CancelledError:
             self.outcomes.record_cancelled(call, started_at)
             raise
--- a/src/bulrushflow/sidecar/calls/transfers.py
+++ b/src/bulrushflow/sidecar/calls/transfers.py
@@ -58,7 +58,7 @@
     def refusal(self, call: Call) -> str | None:
         """Return why the link can't deliver the response to another node's call in time.
 
-        ``None`` if it can, if the route's responses aren't large, or if the link has no backlog: a
+        ``None`` if it can, if the route's responses aren't large, or if no large response waits: a
         mean size that was learned wrong must not refuse every call that could correct it.
         """
         size = self._sizes.large_bytes(call.route)
@@ -66,15 +66,14 @@
             return None
         now = asyncio.get_running_loop().time()
         remaining_s = call.deadline - now
-        backlog_s = self._pacer.backlog_s(now)
-        if not backlog_s or self._pacer.can_deliver(size, remaining_s, now):
+        if not self._pacer.pending_bytes or self._pacer.can_deliver(size, remaining_s, now):
             return None
         reason = (
             f"the link would deliver a response of {size:.0f} bytes, the route's mean, after "
             f"{self._pacer.delivery_s(size, now):.2f} s; {remaining_s:.2f} s are left"
         )
         self._metrics.link_refusals.inc({"service": call.service})
-        self._decisions.refused(call, reason, link_backlog_s=round(backlog_s, 3))
+        self._decisions.refused(call, reason, link_backlog_s=round(self._pacer.backlog_s(now), 3))
         return reason
 
     @contextlib.contextmanager
--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -255,6 +255,8 @@
     async def test_an_idle_link_takes_a_call_whatever_was_learned(self) -> None:
         """A mean that is too large would never be corrected if it refused every call."""
         self.remote.transfers._sizes.record("r", 1 << 30)
+        # Small frames keep a link in use; they don't count.
+        self.remote.pacer.record_written(500, asyncio.get_running_loop().time())
         result, _ = await self.local.forwarder.send(self.peer, call())
         self.assertTrue(result.is_ok(), result)
 
--- a/tests/sidecar/calls/test_large_responses.py
+++ b/tests/sidecar/calls/test_large_responses.py
@@ -7,6 +7,7 @@
 
 from bulrushflow.placement.links import LARGE_RESPONSE_BYTES
 from bulrushflow.placement.links import MAX_WINDOW_BYTES
+from bulrushflow.placement.links import LinkPacer
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.wire.transfers import GRANT_FRACTION
@@ -223,6 +224,7 @@
         self.origin._callers.begin_stop(asyncio.get_running_loop().time())
         self.assertLess(await self.read_rest(reader), length)
         await self.until_nothing_is_held()
+        self.assertEqual(await self.outcomes(), {"answer_lost": 1})
 
     async def test_a_response_without_space_fails_its_call(self) -> None:
         """Held without a bound, responses that wait for a narrow link exhaust the memory."""
@@ -235,6 +237,26 @@
         self.assertEqual(budget.used_bytes, 0)
 
 
+class NarrowLinkTests(DownloadTestCase):
+    async def test_small_responses_pass_the_downloads_of_a_narrow_link(self) -> None:
+        """In one queue with whole responses, each would wait for all downloads ahead of it."""
+        self.remote._links.sender._pacer = LinkPacer(5.0)
+        self.target.body = bytes(90_000)
+        ended: list[str] = []
+
+        async def call(call_id: str, path: str) -> None:
+            status, _ = await self.call(0, call_id, path)
+            self.assertEqual(status, 200)
+            ended.append(call_id)
+
+        downloads = [asyncio.create_task(call(f"large-{i}", "/a/b")) for i in range(4)]
+        await until(lambda: len(self.incoming) == len(downloads))
+        for i in range(5):
+            await call(f"small-{i}", "/a/small")
+        await asyncio.gather(*downloads)
+        self.assertEqual(ended[:5], [f"small-{i}" for i in range(5)])
+
+
 class SlowCallerTests(DownloadTestCase):
     async def test_a_caller_that_does_not_read_holds_a_window_and_delays_nobody(self) -> None:
         self.target.body = bytes(MANY_BYTES)
