--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -17,7 +17,6 @@
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.calls.body_reservations import BodyReservations
-from bulrushflow.sidecar.calls.transfers import CHUNK_WINDOW_BYTES
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import NamedLimit
@@ -38,6 +37,8 @@
 """Time after which a node that answers no admission request counts as unreachable."""
 MAX_HELD_BODY_BYTES = 24 << 20
 """Bound on the bodies of other nodes' calls that wait here or run at the target."""
+MAX_LINK_BACKLOG_MS = 3_600_000
+"""Bound on the reported backlog of a link, which a bandwidth near 0 would take out of range."""
 MIN_RECHECK_INTERVAL_S = 0.02
 MAX_RECHECK_INTERVAL_S = 1.5
 """Bounds of the exponential backoff between attempts to connect to an unreachable node."""
@@ -52,6 +53,12 @@
     """Calls per slot; ``None`` while the node's target accepts no calls."""
     cold_ms: int | None = None
     """Milliseconds for which the target is expected to be cold; ``None`` if the node didn't say."""
+    link_reported: bool = False
+    """Whether the node knows the bandwidth of its link."""
+    link_backlog_s: float = 0.0
+    """Time for which the node's link is busy with the responses that it has accepted."""
+    link_full: bool = False
+    """Whether the call was refused because of the link, which says nothing of the target."""
 
 
 class PeerForwarder:
@@ -130,7 +137,7 @@
                 return not_run(reason), PeerReport(False)
         if response is None:
             return None
-        return codec.result_from_message(response), _report(response)
+        return codec.result_from_message(response), _report(response, True)
 
     async def _send_call(
         self, link: Link, call: Call, named_limit: NamedLimit | None
@@ -145,7 +152,7 @@
         request.read_offset = self._orders.offset
         request.read_era = self._orders.era
         request.named_limit = _limit_to_message(named_limit)
-        request.chunk_window = CHUNK_WINDOW_BYTES
+        request.chunk_window = self._transfers.window_bytes
         match await link.exchange(remaining_s, call_request=request):
             case Err(error):
                 result = (unknown if error.sent else not_run)(error.reason)
@@ -197,10 +204,16 @@
     async def _serve_admission(self, message: t.Any) -> dict[str, t.Any]:
         now = asyncio.get_running_loop().time()
         call = codec.call_from_message(message.call, now)
-        reason = self._admission.refusal(call) or self._reserve_space(call, message.body_bytes, now)
+        link_refusal = self._transfers.refusal(call)
+        reason = (
+            link_refusal
+            or self._admission.refusal(call)
+            or self._reserve_space(call, message.body_bytes, now)
+        )
         if reason is None:
             return {"admission_answer": messages.AdmissionAnswer()}
         refusal = self._call_answer(not_run(reason))
+        refusal.link_full = link_refusal is not None
         return {"admission_answer": messages.AdmissionAnswer(refusal=refusal)}
 
     def _reserve_space(self, call: Call, body_bytes: int, now: float) -> str | None:
@@ -214,16 +227,27 @@
         if message.named_limit is not None:
             self._admission.apply_named_limit(_limit_from_message(message.named_limit))
         call = codec.call_from_message(message, asyncio.get_running_loop().time())
-        response = self._call_answer(await self._run(call))
+        link_refusal = self._transfers.refusal(call)
+        if link_refusal is not None:
+            self._reservations.release(call.request_id)
+            response = self._call_answer(not_run(link_refusal))
+            response.link_full = True
+        else:
+            with self._transfers.expecting(call):
+                result = await self._run(call)
+            response = self._call_answer(result)
         response.read_offset = self._orders.offset
         response.read_era = self._orders.era
         return self._transfers.answer(message, response)
 
     def _call_answer(self, result: CallResult) -> t.Any:
         admission = self._admission
-        response = codec.result_to_message(result, admission.load, admission.capacity)
-        response.cold_ms = admission.cold_ms
-        return response
+        answer = codec.result_to_message(result, admission.load, admission.capacity)
+        answer.cold_ms = admission.cold_ms
+        backlog_s = self._transfers.backlog_s
+        if backlog_s is not None:
+            answer.link_backlog_ms = min(MAX_LINK_BACKLOG_MS, int(backlog_s * 1000))
+        return answer
 
     async def _run(self, call: Call) -> CallResult:
         size = len(call.body)
@@ -244,9 +268,19 @@
     return message
 
 
-def _report(response: t.Any, reached: bool = True) -> PeerReport:
-    load = response.in_flight / response.capacity if response.capacity else None
-    return PeerReport(reached, load, response.cold_ms)
+def _report(response: t.Any, reached: bool) -> PeerReport:
+    return PeerReport(
+        reached,
+        _load(response),
+        cold_ms=response.cold_ms,
+        link_reported=response.link_backlog_ms is not None,
+        link_backlog_s=(response.link_backlog_ms or 0) / 1000,
+        link_full=bool(response.link_full),
+    )
+
+
+def _load(response: t.Any) -> float | None:
+    return response.in_flight / response.capacity if response.capacity else None
 
 
 def _limit_to_message(limit: NamedLimit | None) -> t.Any:
--- a/src/bulrushflow/sidecar/records/directory.py
+++ b/src/bulrushflow/sidecar/records/directory.py
@@ -47,6 +47,11 @@
     """Event loop time at which the target is expected to be warm, by the node's latest response;
     ``None`` once the node's entry has changed since."""
 
+    link_backlog_s: float = 0.0
+    """Time for which the node's link was busy with responses, as reported last."""
+    link_reported_at: float | None = None
+    """When that was reported; ``None`` if the node reports none, as without a known bandwidth."""
+
     @property
     def named_limit(self) -> NamedLimit | None:
         """The limit that the target named to this node, to be sent with calls."""
@@ -92,6 +97,11 @@
         self.reported_load = load
         self.reported_at = now
 
+    def record_link_backlog(self, backlog_s: float, now: float) -> None:
+        """Record for how long the peer's link is busy, as it reported with an answer."""
+        self.link_backlog_s = backlog_s
+        self.link_reported_at = now
+
     def record_response(self, seconds: float, failed: bool, now: float) -> None:
         """Update latency and failure rate with a response; eject a target that fails too often."""
         self.backoff_s = FIRST_BACKOFF_S
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -234,6 +234,7 @@
         120: (TType.I32, "link_backlog_ms", False),
         121: (TType.I32, "chunked_bytes", False),
         170: (TType.I32, "cold_ms", False),
+        122: (TType.BOOL, "link_full", False),
     }
     default_spec = [
         ("outcome", None),
@@ -249,6 +250,7 @@
         ("link_backlog_ms", None),
         ("chunked_bytes", None),
         ("cold_ms", None),
+        ("link_full", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -143,6 +143,9 @@
   // Milliseconds for which the sender's target is expected to be cold; not set if its service has no
   // limit for cold targets.
   170: optional i32 cold_ms
+
+  // True if the call was refused because the sender's link can't deliver its response in time.
+  122: optional bool link_full
 }
 
 // Asks whether a call would be refused, before its large body is sent. The call's body is empty.
--- a/tests/sidecar/calls/test_large_responses.py
+++ b/tests/sidecar/calls/test_large_responses.py
@@ -6,8 +6,8 @@
 from unittest import mock
 
 from bulrushflow.placement.links import LARGE_RESPONSE_BYTES
-from bulrushflow.sidecar.calls import forwarding
-from bulrushflow.sidecar.calls.transfers import CHUNK_WINDOW_BYTES
+from bulrushflow.placement.links import MAX_WINDOW_BYTES
+from bulrushflow.placement.links import LinkPacer
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.wire.transfers import GRANT_FRACTION
@@ -160,7 +160,7 @@
         def answer_whole(_: ResponseTransfers, request: t.Any, answer: t.Any) -> dict[str, t.Any]:
             return {"call_answer": answer}
 
-        earlier_receiver = mock.patch.object(forwarding, "CHUNK_WINDOW_BYTES", None)
+        earlier_receiver = mock.patch.object(self.origin._transfers, "window_bytes", None)
         earlier_sender = mock.patch.object(ResponseTransfers, "answer", answer_whole)
         for name, patch in (("receiver", earlier_receiver), ("sender", earlier_sender)):
             with self.subTest(name), patch:
@@ -224,6 +224,7 @@
         self.origin._callers.begin_stop(asyncio.get_running_loop().time())
         self.assertLess(await self.read_rest(reader), length)
         await self.until_nothing_is_held()
+        self.assertEqual(await self.outcomes(), {"answer_lost": 1})
 
     async def test_a_response_without_space_fails_its_call(self) -> None:
         """Held without a bound, responses that wait for a narrow link exhaust the memory."""
@@ -236,15 +237,35 @@
         self.assertEqual(budget.used_bytes, 0)
 
 
+class NarrowLinkTests(DownloadTestCase):
+    async def test_small_responses_pass_the_downloads_of_a_narrow_link(self) -> None:
+        """In one queue with whole responses, each would wait for all downloads ahead of it."""
+        self.remote._links.sender._pacer = LinkPacer(5.0)
+        self.target.body = bytes(90_000)
+        ended: list[str] = []
+
+        async def call(call_id: str, path: str) -> None:
+            status, _ = await self.call(0, call_id, path)
+            self.assertEqual(status, 200)
+            ended.append(call_id)
+
+        downloads = [asyncio.create_task(call(f"large-{i}", "/a/b")) for i in range(4)]
+        await until(lambda: len(self.incoming) == len(downloads))
+        for i in range(5):
+            await call(f"small-{i}", "/a/small")
+        await asyncio.gather(*downloads)
+        self.assertEqual(ended[:5], [f"small-{i}" for i in range(5)])
+
+
 class SlowCallerTests(DownloadTestCase):
     async def test_a_caller_that_does_not_read_holds_a_window_and_delays_nobody(self) -> None:
         self.target.body = bytes(MANY_BYTES)
         reader, _, length = await self.open("c-1")
         (body,) = self.incoming
         # What its reader consumed since the last grant is missing from the window.
-        await until(lambda: body.held_bytes > CHUNK_WINDOW_BYTES * (1 - GRANT_FRACTION))
+        await until(lambda: body.held_bytes > MAX_WINDOW_BYTES * (1 - GRANT_FRACTION))
         self.assertEqual(await self.call(0, "c-2", "/a/small"), (200, b"small"))
-        self.assertLessEqual(body.held_bytes, CHUNK_WINDOW_BYTES)
+        self.assertLessEqual(body.held_bytes, MAX_WINDOW_BYTES)
         self.assertEqual(self.remote._links.sender.count, 1)
         # The target's slot is free, although its response isn't delivered.
         self.assertEqual(self.remote._admission.load, 0)
--- a/tests/sidecar/cold_fleet.py
+++ b/tests/sidecar/cold_fleet.py
@@ -80,7 +80,7 @@
             quarantine(),
             DecisionLog(),
             VirtualClock(),
-            self._suspension,
+            suspension=self._suspension,
             cold_start=lambda service: COLD,
         )
         self.announce()
