Measure the call rate between reports, and lower a test share that spends too much

Change: the rate is measured between reports. A test share that would use more than its calls is lowered. A version that is proven healthy gets the last share whatever is left of its allowance: the proof is what the allowance waits for, and a good version has to complete.

--- a/src/bulrushflow/rollouts/bounded_steps.py
+++ b/src/bulrushflow/rollouts/bounded_steps.py
@@ -79,9 +79,6 @@
     if unclear:
         rule = f"{result.rule}, not proven healthy after {schedule.exposure.used} calls"
         return StepDecision(share_permille, rule, at_risk=True)
-    if not schedule.exposure.allows_by_rule(schedule.calls_before_rollback(last)):
-        rule = f"{last / 10:g}% would bring too many calls if it is faulty"
-        return StepDecision(share_permille, rule, at_risk=True)
     return StepDecision(last, "proven healthy and due by the schedule")
 
 
@@ -93,7 +90,7 @@
     stage_s: float,
 ) -> StepDecision:
     """Spread what is left of the planned test calls over the time until the last share."""
-    if stage_s < MIN_STAGE_S or now_s > schedule.bake_start_s - MIN_STAGE_S:
+    if stage_s < MIN_STAGE_S:
         return StepDecision(share_permille, "ahead of the schedule")
     left = schedule.test_calls - schedule.exposure.used
     left_s = max(MIN_STAGE_S, schedule.bake_start_s - now_s)
@@ -103,4 +100,6 @@
         return StepDecision(share_permille, "ahead of the schedule")
     if share > share_permille and result.outcome is AnalysisOutcome.SUSPECT:
         return StepDecision(share_permille, f"held: {result.rule}")
+    if share > share_permille and now_s > schedule.bake_start_s - MIN_STAGE_S:
+        return StepDecision(share_permille, "too late for a higher test share")
     return StepDecision(share, "share for which its allowance lasts")
--- a/src/bulrushflow/rollouts/controller.py
+++ b/src/bulrushflow/rollouts/controller.py
@@ -9,6 +9,7 @@
 from bulrushflow.rollouts.bounded_steps import decide_bounded_step
 from bulrushflow.rollouts.evidence import RouteCounts
 from bulrushflow.rollouts.evidence import VersionRoute
+from bulrushflow.rollouts.exposure import CallRate
 from bulrushflow.rollouts.exposure import ExposureBudget
 from bulrushflow.rollouts.exposure import ExposureLimits
 from bulrushflow.rollouts.health import HealthSamples
@@ -45,6 +46,7 @@
 
     __slots__ = (
         "_analysis",
+        "_call_rate",
         "_calls_per_s",
         "_from_version",
         "_given",
@@ -73,6 +75,7 @@
         self._analysis = CanaryAnalysis(from_version, to_version, now_s)
         self._times = times
         self._calls_per_s = 0.0
+        self._call_rate = CallRate()
         self.latest_result = AnalysisResult(
             AnalysisOutcome.INSUFFICIENT, "too few calls", "0 calls"
         )
@@ -91,6 +94,7 @@
         """
         self.latest_result = self._analysis.update(totals, share_permille, now_s)
         self._calls_per_s = self._analysis.calls_per_s(totals, now_s)
+        self._call_rate.update(sum(counts.calls for counts in totals.values()), now_s)
         new = _sum_of_routes(totals, self._to_version)
         self._health = health_samples(new, _sum_of_routes(totals, self._from_version))
         self._given = max(given, new.calls)
@@ -113,11 +117,12 @@
     def _bounded_schedule(self, limits: ExposureLimits) -> RolloutSchedule:
         span_s = self._times.span_s
         deadline_s = span_s + self._times.margin_s
-        limit = limits.max_calls(self._calls_per_s, deadline_s)
+        rate = self._call_rate.calls_per_s or self._calls_per_s
+        limit = limits.max_calls(rate, deadline_s)
         # Calls that were given since the last reports of the nodes that give them.
-        unreported = self._calls_per_s * self._share_permille / 1000 * REPORT_DELAY_S
+        unreported = rate * self._share_permille / 1000 * REPORT_DELAY_S
         budget = ExposureBudget(limit, self._given + round(unreported))
-        schedule = RolloutSchedule(span_s, self._calls_per_s, budget, deadline_s=deadline_s)
+        schedule = RolloutSchedule(span_s, rate, budget, deadline_s=deadline_s)
         effect = detectable_effect(schedule.test_calls)
         return replace(schedule, proven=self._health.excludes(effect))
 
--- a/src/bulrushflow/rollouts/exposure.py
+++ b/src/bulrushflow/rollouts/exposure.py
@@ -16,6 +16,10 @@
 """Factor on the calls reserved for the last share, since a test share overruns its calls."""
 
 
+MIN_RATE_SPAN_S = 1.0
+"""Least time to measure the call rate over, since nodes report the old version once a second."""
+
+
 class ExposureLimits(msgspec.Struct, frozen=True):
     """Limit on a faulty version's calls between the order and its deadline."""
 
@@ -49,10 +53,6 @@
         """Return whether the limit allows this many further calls."""
         return self.used + calls <= self.limit
 
-    def allows_by_rule(self, calls: float) -> bool:
-        """Return whether the limit without the planning reserve allows this many further calls."""
-        return self.used + calls <= self.limit / SAFETY_FACTOR
-
     def test_calls(self, reserved: float) -> float:
         """Return the number of calls for the shares before the last one.
 
@@ -69,3 +69,36 @@
         :param reserved: calls reserved for the last stage.
         """
         return max(0.0, self.limit - reserved) / STAGES_BEFORE_LAST
+
+
+class CallRate:
+    """A service's call rate, measured between reports.
+
+    The rate since the order would be too low at first, since calls are counted when they have ended
+    and been reported, and a share planned with it would spend the budget too soon.
+    """
+
+    __slots__ = ("_first", "_newest")
+
+    def __init__(self) -> None:
+        self._first: tuple[int, float] | None = None
+        self._newest: tuple[int, float] | None = None
+
+    @property
+    def calls_per_s(self) -> float:
+        """Mean rate, 0 if it isn't known yet."""
+        if self._first is None or self._newest is None:
+            return 0.0
+        calls = self._newest[0] - self._first[0]
+        seconds = self._newest[1] - self._first[1]
+        return calls / seconds if seconds >= MIN_RATE_SPAN_S else 0.0
+
+    def update(self, calls: int, now_s: float) -> None:
+        """Update with the calls of all versions since the order.
+
+        :param now_s: this node's monotonic clock.
+        """
+        if self._first is None and calls:
+            self._first = (calls, now_s)
+        if self._newest is None or calls != self._newest[0]:
+            self._newest = (calls, now_s)
