--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -9,7 +9,6 @@
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.placement import ColdStart
-from bulrushflow.placement import Evacuations
 from bulrushflow.placement import cold_start
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.routing import Call
@@ -29,6 +28,7 @@
 from bulrushflow.sidecar.endpoints import announcement_application
 from bulrushflow.sidecar.endpoints import metrics_application
 from bulrushflow.sidecar.endpoints import readiness_application
+from bulrushflow.sidecar.evacuations import EvacuationOrders
 from bulrushflow.sidecar.listeners import Listeners
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import RolloutOrder
@@ -52,6 +52,8 @@
 from bulrushflow.sidecar.settings import Bounds
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.settings import SidecarSettings
+from bulrushflow.sidecar.state_metrics import observe_records
+from bulrushflow.sidecar.state_metrics import observe_target
 from bulrushflow.timers import SystemClock
 from bulrushflow.timers import Timers
 from bulrushflow.wire.links import Links
@@ -112,6 +114,14 @@
             self._decisions,
             self._clock,
         )
+        self._evacuations = EvacuationOrders(
+            lambda: self.settings.data_centre,
+            self.directory,
+            lambda: self._operator_replica,
+            lambda: self._admission,
+            self._decisions,
+            self._clock,
+        )
         self._admission = AdmissionController(
             adapter.header_names,
             self._rollouts.is_forbidden,
@@ -121,7 +131,7 @@
             self._quarantine,
             self._decisions,
             self._clock,
-            self._suspension,
+            self._evacuations.suspension,
             self._cold_start,
         )
         self._build_replicas(adapter, store)
@@ -330,41 +340,11 @@
 
     def order_evacuation(self, data_centre: str) -> None:
         """See :meth:`OrderSink.order_evacuation`."""
-        self._apply_evacuations(self.directory.evacuations.with_order(data_centre))
+        self._evacuations.order(data_centre)
 
     def withdraw_evacuation(self, data_centre: str) -> None:
         """See :meth:`OrderSink.withdraw_evacuation`."""
-        self._apply_evacuations(self.directory.evacuations.without_order(data_centre))
-
-    def _apply_evacuations(self, evacuations: Evacuations) -> None:
-        before = self.directory.evacuations
-        if evacuations == before:
-            return
-        self._decisions.event(
-            "evacuations in force",
-            data_centres=sorted(evacuations.data_centres),
-            before=sorted(before.data_centres),
-        )
-        self.directory.apply_evacuations(evacuations, self._clock.wall_ms())
-        reason = evacuations.refusal(self.settings.data_centre)
-        if reason is not None:
-            self._admission.suspend(reason)
-        elif before.refusal(self.settings.data_centre) is not None:
-            self._admission.await_warmth("end of an evacuation")
-
-    def _cold_start(self, service: str) -> ColdStart | None:
-        """Return the limits for the cold targets of a service; ``None`` if it has none."""
-        found = self.routing.services_by_name.get(service)
-        if found is None:
-            return None
-        bounds = self.settings.bounds
-        return cold_start(found.cold_per_s, found.cold_start_s, bounds.cold_over, bounds.cold_slack)
-
-    def _suspension(self) -> str | None:
-        """Return why the own target gets no calls whatever its state, or ``None``."""
-        if not self._operator_replica.loaded:
-            return "this node has not read the operator's orders yet"
-        return self.directory.evacuations.refusal(self.settings.data_centre)
+        self._evacuations.withdraw(data_centre)
 
     def report_unreadable(self, key: str, reason: str) -> None:
         """See :meth:`OrderSink.report_unreadable`."""
@@ -390,6 +370,14 @@
         )
         self._rollouts.observe_call(call, failed, seconds, warming, attributable)
 
+    def _cold_start(self, service: str) -> ColdStart | None:
+        """Return the limits for the cold targets of a service; ``None`` if it has none."""
+        found = self.routing.services_by_name.get(service)
+        if found is None:
+            return None
+        bounds = self.settings.bounds
+        return cold_start(found.cold_per_s, found.cold_start_s, bounds.cold_over, bounds.cold_slack)
+
     def _publish_target(self, entry: TargetEntry | None) -> None:
         settings = self.settings
         own = NodeEntry(
@@ -433,25 +421,15 @@
         self._retry_budget.target_count = max(1, len(self.directory.ready_peers(service)))
 
     async def _observe_state(self) -> None:
-        entry = self._admission.entry
-        self._metrics.observe_target(
-            self._admission.limit_per_s, entry is not None and entry.leaving
-        )
+        observe_target(self._metrics, self._admission)
+        observe_records(self._metrics, self._replicas, self.relay)
         self._metrics.observe_configuration(
             self.routing.version, self.rejected_configuration is not None
         )
-        for replica in self._replicas:
-            self._metrics.observe_replica(
-                replica.topic, replica.records_behind, replica.connected, replica.confirmed_s_ago
-            )
         self._metrics.observe_evacuations(
             len(self.directory.evacuations.data_centres), self._admission.suspended_count
         )
-        limit = self._admission.warmth.limit
-        is_cold = limit.per_s(asyncio.get_running_loop().time()) is not None
-        self._metrics.observe_cold_target(is_cold, limit.sent, limit.refused)
         self._metrics.observe_quarantine(self._quarantine.size)
-        self._metrics.observe_record_source(self.relay.source is None)
 
 
 def _exposure_limits(bounds: Bounds) -> ExposureLimits:
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -22,6 +22,8 @@
 from bulrushflow.sidecar.calls.limit_tracker import LimitTracker
 from bulrushflow.sidecar.calls.quarantine import Quarantine
 from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
+from bulrushflow.sidecar.calls.running_calls import ResultObserver
+from bulrushflow.sidecar.calls.running_calls import RunningCalls
 from bulrushflow.sidecar.calls.slots import SlotPool
 from bulrushflow.sidecar.calls.slots import SlotRequest
 from bulrushflow.sidecar.calls.target_client import TargetClient
@@ -36,10 +38,6 @@
 from bulrushflow.timers import Clock
 
 BUDGET_EXHAUSTED = "too many repeated calls"
-SLOW_FRACTION = 0.5
-"""Fraction of the time until a call's latency objective from which a cancelled call counts."""
-
-ResultObserver = t.Callable[[Call, CallResult | None, float], None]
 EntryCallback = t.Callable[[TargetEntry | None], None]
 
 
@@ -93,7 +91,7 @@
         self._crash_detector: CrashDetector | None = None
         self._limit = LimitTracker("", decisions)
         self.departed = DepartedTargets(clock)
-        self._running: set[asyncio.Task[CallResult]] = set()
+        self._running = RunningCalls(observer)
 
     @property
     def load(self) -> int:
@@ -125,8 +123,7 @@
     ) -> bool:
         """Apply a target's announcement.
 
-        :param restored: whether the entry is this node's own one in the store, which its target
-            announced before the node's start.
+        :param restored: whether the target announced it before this node's start.
         :return: whether it was accepted; ``False`` when the target departed or a newer revision is
             known.
         """
@@ -142,15 +139,12 @@
             entry = replace(entry, state=TargetState.DRAINING, leaving=True)
         if replaced or endpoint != self.endpoint:
             self._replace(entry, endpoint)
-        if restored:
-            entry = self.warmth.restore(entry)
-        else:
-            entry = self.warmth.announce(entry, replaced, not self.reachable)
+        entry = self.warmth.announce(entry, replaced, not self.reachable, restored)
         self._slots.capacity = entry.slots
         changed = (
             replaced
             or not self.reachable
-            or not _same_for_peers(t.cast(TargetEntry, current), entry)
+            or not entry.is_same_for_peers(t.cast(TargetEntry, current))
             or self.warmth.is_news(entry)
         )
         self.entry = entry
@@ -258,16 +252,13 @@
                     return self._refuse_quarantined(call, quarantined)
                 refusal = self._refusal_after_wait(call, slots)
                 if refusal is None:
-                    return await self._send(call, slots)
+                    return await self._running.run(call, self._exchange(call, slots))
                 slots.release_unused()
         self._log_refusal(call, refusal)
         return not_run(refusal)
 
     def close(self) -> None:
         """Close the idle connections to the target."""
-        self._close_client()
-
-    def _close_client(self) -> None:
         if self._crash_detector is not None:
             self._crash_detector.close()
         if self._client is not None:
@@ -287,10 +278,8 @@
         )
 
     def _accepts_calls(self) -> bool:
-        entry = self.entry
-        if entry is None or entry.state is not TargetState.READY:
-            return False
-        return self.reachable and self._suspension() is None
+        ready = self.entry is not None and self.entry.state is TargetState.READY
+        return ready and self.reachable and self._suspension() is None
 
     def _refusal(self, call: Call) -> str | None:
         entry = self.entry
@@ -327,19 +316,6 @@
             return None
         return None if self._retry_budget.try_consume(now) else BUDGET_EXHAUSTED
 
-    async def _send(self, call: Call, slots: SlotPool) -> CallResult:
-        task = asyncio.get_running_loop().create_task(self._exchange(call, slots))
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
-        try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            # A call that isn't idempotent is left to finish, since it may be running already.
-            # Cancelling an idempotent one closes its connection, which cancels it at the target.
-            if call.idempotent:
-                task.cancel()
-            raise
-
     async def _exchange(self, call: Call, slots: SlotPool) -> CallResult:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -350,7 +326,7 @@
             result = await client.send(call)
             seconds = loop.time() - started_at
         except asyncio.CancelledError:
-            self._observe_cancelled(call, started_at)
+            self._running.observe_cancelled(call, started_at)
             raise
         finally:
             # Release to the pool that granted the slot; self._slots may belong to another target.
@@ -368,20 +344,6 @@
                 self._handle_failure(client)
         return result
 
-    def _observe_cancelled(self, call: Call, started_at: float) -> None:
-        """Count a call that was cancelled for being slow.
-
-        The calls to a slow target are mostly cancelled, when another target answers first or at
-        their deadline; without them its other calls would look like those of a fast one. A second
-        attempt is cancelled whenever the first one ends, which says nothing of its target.
-        """
-        if call.attempt:
-            return
-        seconds = asyncio.get_running_loop().time() - started_at
-        useful_s = call.late_after - started_at
-        if useful_s > 0 and seconds >= SLOW_FRACTION * useful_s:
-            self._observer(call, None, seconds)
-
     def _on_crash(self, client: TargetClient, process: tuple[str, int], calls: list[Call]) -> None:
         self._quarantine.record_crash(process, calls)
         self._handle_failure(client)
@@ -418,7 +380,7 @@
         self._slots.refuse_queued("the target was replaced")
         if self._crash_detector is not None:
             self._crash_detector.target_replaced()
-        self._close_client()
+        self.close()
         self._slots = SlotPool(entry.slots, self.warmth.limit)
         limit = self._limit = LimitTracker(entry.target_id, self._decisions)
         self._client = TargetClient(
@@ -435,13 +397,3 @@
 
 def _slot_request(call: Call) -> SlotRequest:
     return SlotRequest(call.route, call.priority, call.late_after, call.deadline)
-
-
-def _same_for_peers(current: TargetEntry, entry: TargetEntry) -> bool:
-    """Return whether two entries are equal in the fields that other nodes act on."""
-    return (current.service, current.version, current.slots, current.state) == (
-        entry.service,
-        entry.version,
-        entry.slots,
-        entry.state,
-    )
--- a/src/bulrushflow/sidecar/calls/target_warmth.py
+++ b/src/bulrushflow/sidecar/calls/target_warmth.py
@@ -41,11 +41,6 @@
         self._published_ms = 0
         """The end of the cold phase that other nodes know."""
 
-    def restore(self, entry: TargetEntry) -> TargetEntry:
-        """Apply the target's entry in the store, which may be outdated, after this node's start."""
-        self._phase = ColdPhase()
-        return self.await_announcement(entry, "start of the node")
-
     def await_announcement(self, entry: TargetEntry, cause: str) -> TargetEntry:
         """Count the target as cold until an announcement says when it will be warm.
 
@@ -54,16 +49,22 @@
         self._phase.await_announcement(self._clock.wall_ms())
         return self._update(entry, cause)
 
-    def announce(self, entry: TargetEntry, replaced: bool, was_unreachable: bool) -> TargetEntry:
+    def announce(
+        self, entry: TargetEntry, replaced: bool, was_unreachable: bool, restored: bool = False
+    ) -> TargetEntry:
         """Apply an announcement; return the entry with the expected end of the cold phase.
 
         :param replaced: whether it is the first one of a process.
         :param was_unreachable: whether the target took no connections before. A process that ended
             may be the cause, of which this announcement is a late one; the next one decides.
+        :param restored: whether the announcement is of before this node's start, and may be
+            outdated.
         """
         now_ms = self._clock.wall_ms()
         if replaced:
             self._phase = ColdPhase()
+        if restored:
+            return self.await_announcement(entry, "start of the node")
         if was_unreachable and not replaced:
             self._phase.announce(entry.warm_at_ms)
             self._phase.start(now_ms)
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -128,6 +128,15 @@
         """Sort key of the announcements of targets at one address; the highest is the newest."""
         return self.incarnation, self.sequence
 
+    def is_same_for_peers(self, other: "TargetEntry") -> bool:
+        """Return whether the fields that other nodes act on are equal, but for cold phases."""
+        return (self.service, self.version, self.slots, self.state) == (
+            other.service,
+            other.version,
+            other.slots,
+            other.state,
+        )
+
 
 class NamedLimit(_TargetProcess, msgspec.Struct, frozen=True):
     """The rate limit that one target process named in a response."""
