Add nothing to a body that has failed, and test the retry before its first bytes

A body that failed without its connection's doing would still take chunks up to its window. No path did that today; the chunk is refused now, and its sender cancelled. The first reason of a failure stays.

New tests: a connection that is lost after a response's head and before its first bytes leaves the call to be answered by another target; unsent bytes include those in the kernel, which the bound on a connection's chunks depends on.

--- a/src/bulrushflow/wire/transfers.py
+++ b/src/bulrushflow/wire/transfers.py
@@ -80,15 +80,20 @@
         """Bytes that arrived and were not read."""
         return sum(map(len, self._chunks))
 
+    @property
+    def open(self) -> bool:
+        """Whether the body can be read, as it has neither failed nor been closed."""
+        return self._error is None
+
     @property
     def arrived(self) -> bool:
         """Whether all bytes have arrived."""
         return self._received_bytes == self.total
 
     def add(self, data: bytes) -> bool:
-        """Add a chunk; return whether the window and the length allow it."""
+        """Add a chunk; return whether the window and the length allow it, and the body goes on."""
         received = self._received_bytes + len(data)
-        if received > min(self.total, self._granted_bytes):
+        if self._error is not None or received > min(self.total, self._granted_bytes):
             return False
         self._received_bytes = received
         self._chunks.append(data)
@@ -96,8 +101,8 @@
         return True
 
     def fail(self, reason: str) -> None:
-        """End the body before its end; reads fail from now on."""
-        self._error = reason
+        """End the body before its end; reads fail from now on, with the first reason given."""
+        self._error = self._error or reason
         self._chunks.clear()
         self._wake()
 
--- a/tests/sidecar/calls/test_large_responses.py
+++ b/tests/sidecar/calls/test_large_responses.py
@@ -84,7 +84,7 @@
         for instance in self.instances:
             await instance.until_serving(1)
         self.target = t.cast(DownloadTarget, self.targets[1])
-        self.origin, self.remote = (instance.sidecar for instance in self.instances)
+        self.origin, self.remote = (instance.sidecar for instance in self.instances[:2])
         self.incoming: list[IncomingBody] = []
         receive = ResponseTransfers.receive
 
@@ -237,6 +237,40 @@
         self.assertEqual(budget.used_bytes, 0)
 
 
+class RetriedResponseTests(DownloadTestCase):
+    node_count = 3
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.announce(2)
+        await self.instances[0].until_serving(2)
+        for target in self.targets:
+            t.cast(DownloadTarget, target).body = bytes(DOWNLOAD_BYTES)
+
+    async def test_a_response_lost_before_its_first_bytes_is_fetched_from_another_target(
+        self,
+    ) -> None:
+        """The caller has got nothing yet, so an idempotent call needn't fail."""
+        begun: list[IncomingBody] = []
+        wait_begun = IncomingBody.wait_begun
+
+        async def lose_first(body: IncomingBody) -> t.Any:
+            begun.append(body)
+            if len(begun) == 1:
+                for link in self.origin._links._all_links():
+                    link.abort()
+                await until(lambda: not body.open)
+            return await wait_begun(body)
+
+        with mock.patch.object(IncomingBody, "wait_begun", lose_first):
+            self.assertEqual(await self.call(0, "c-1"), (200, bytes(DOWNLOAD_BYTES)))
+        self.assertEqual(len(begun), 2)
+        received = [t.cast(DownloadTarget, target).received for target in self.targets]
+        self.assertEqual(received, [0, 1, 1])
+        await self.until_nothing_is_held()
+        self.assertEqual(await self.outcomes(), {"ok": 1})
+
+
 class NarrowLinkTests(DownloadTestCase):
     async def test_small_responses_pass_the_downloads_of_a_narrow_link(self) -> None:
         """In one queue with whole responses, each would wait for all downloads ahead of it."""
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -164,6 +164,16 @@
             data = await asyncio.wait_for(loop.sock_recv(self.peer, size), GUARD_S)
             size -= len(data)
 
+    async def test_unsent_bytes_include_those_in_the_kernel(self) -> None:
+        """The kernel takes far more than a few chunks, which small responses would wait behind."""
+        self.assertEqual(self.link.unsent_bytes, 0)
+        large = request("1")
+        large.body = bytes(100_000)
+        self.link.send(call_request=large)
+        self.assertEqual(self.transport.get_write_buffer_size(), 0)
+        self.assertGreater(self.link.unsent_bytes, 50_000)
+        self.assertLess(self.link.unsent_bytes, 110_000)
+
     async def test_bytes_that_the_peer_takes_from_the_kernel_keep_the_connection_open(self) -> None:
         large = request("1")
         large.body = bytes(100_000)
