--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -62,7 +62,9 @@
         "store_records_behind",
         "target_leaving",
         "target_limit",
+        "unproven_calls",
         "unrecorded",
+        "withdrawn_versions",
     )
 
     def __init__(self, max_tenant_labels: int) -> None:
@@ -138,6 +140,16 @@
             "Requests that are refused because they crash the targets that run them",
             registry=self.registry,
         )
+        self.withdrawn_versions = Gauge(
+            "bulrushflow_withdrawn_versions",
+            "Versions of this node's service that were rolled back and not ordered since",
+            registry=self.registry,
+        )
+        self.unproven_calls = Gauge(
+            "bulrushflow_unproven_calls",
+            "Calls of the ordered version that this node has sent to its target during the rollout",
+            registry=self.registry,
+        )
         self.admission = Gauge(
             "bulrushflow_admission", "Calls at the target by state", registry=self.registry
         )
@@ -194,6 +206,11 @@
         """Record how many requests are quarantined."""
         self.quarantined_requests.set({}, count)
 
+    def observe_versions(self, withdrawn: int, unproven_calls: int) -> None:
+        """Record the withdrawn versions, and the calls of the version under test, of a service."""
+        self.withdrawn_versions.set({}, withdrawn)
+        self.unproven_calls.set({}, unproven_calls)
+
     def count_control_bytes(self, direction: str, kind: str, count: int) -> None:
         """Count bytes of control messages.
 
--- a/src/bulrushflow/rollouts/bounded_steps.py
+++ b/src/bulrushflow/rollouts/bounded_steps.py
@@ -35,7 +35,7 @@
     if result.outcome is AnalysisOutcome.FAULTY:
         return StepDecision(share_permille, result.rule, roll_back=True)
     if share_permille and _is_exhausted(schedule, share_permille, result, now_s):
-        rule = f"{result.rule}, and no calls are left that it may get unproved"
+        rule = f"{result.rule}, and no calls are left that it may get unproved{_used(schedule)}"
         return StepDecision(share_permille, rule, roll_back=True)
     if share_permille >= MIN_LAST_PERMILLE:
         return bake(schedule, share_permille, result, now_s, stage_s)
@@ -75,11 +75,15 @@
         return StepDecision(share_permille, f"held: {result.rule}", at_risk=True)
     unclear = result.strength >= UNCLEAR_STRENGTH or not schedule.proven
     if schedule.is_covered(last, now_s):
-        return StepDecision(last, "its allowance lasts until the deadline")
+        return StepDecision(last, f"its allowance lasts until the deadline{_used(schedule)}")
     if unclear:
-        rule = f"{result.rule}, not proven healthy after {schedule.exposure.used} calls"
+        rule = f"{result.rule}, not proven healthy yet{_used(schedule)}"
         return StepDecision(share_permille, rule, at_risk=True)
-    return StepDecision(last, "proven healthy and due by the schedule")
+    return StepDecision(last, f"proven healthy and due by the schedule{_used(schedule)}")
+
+
+def _used(schedule: RolloutSchedule) -> str:
+    return f" ({schedule.exposure.used} of {schedule.exposure.limit:.0f} calls used)"
 
 
 def _adjust_test_share(
@@ -102,4 +106,4 @@
         return StepDecision(share_permille, f"held: {result.rule}")
     if share > share_permille and now_s > schedule.bake_start_s - MIN_STAGE_S:
         return StepDecision(share_permille, "too late for a higher test share")
-    return StepDecision(share, "share for which its allowance lasts")
+    return StepDecision(share, f"share for which its allowance lasts{_used(schedule)}")
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -386,6 +386,9 @@
                 replica.topic, replica.records_behind, replica.connected, replica.confirmed_s_ago
             )
         self._metrics.observe_quarantine(self._quarantine.size)
+        service = self.settings.own_service
+        withdrawn = self._rollouts.versions(service).withdrawn
+        self._metrics.observe_versions(len(withdrawn), self._rollouts.own_given(service))
         self._metrics.observe_record_source(self.relay.source is None)
 
 
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -275,6 +275,11 @@
         if call.version == rollout.order.to_version:
             self._evidence.local(rollout.order.order_id).count_given()
 
+    def own_given(self, service: str) -> int:
+        """Return the calls of the version under test that were sent to this node's own target."""
+        rollout = self.by_service.get(service)
+        return self.local_evidence(rollout).given if rollout is not None else 0
+
     def observe_call(
         self,
         call: Call,
