--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -434,6 +434,9 @@
         )
         self._metrics.observe_quarantine(self._quarantine.size)
         self._metrics.observe_link(self._transfers.backlog_s, self._transfers.budget.used_bytes)
+        service = self.settings.own_service
+        withdrawn = self._rollouts.versions(service).withdrawn
+        self._metrics.observe_versions(len(withdrawn), self._rollouts.own_given(service))
 
 
 def _exposure_limits(bounds: Bounds) -> ExposureLimits:
