--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -52,6 +52,7 @@
         "configuration_rejected",
         "configuration_version",
         "control_bytes",
+        "early_refusals",
         "evacuated_data_centres",
         "evacuation_refusals",
         "held_response_bytes",
@@ -65,6 +66,7 @@
         "ready",
         "registry",
         "retries",
+        "returned_calls",
         "sheds",
         "store_confirmed_seconds",
         "store_connected",
@@ -99,6 +101,13 @@
             "Calls of other nodes refused as not run because this node's link could not deliver "
             "their response in time",
         )
+        self.early_refusals = self._counter(
+            "bulrushflow_early_refusals_total",
+            "Calls refused without an attempt, since no target was expected to start them in time",
+        )
+        self.returned_calls = self._counter(
+            "bulrushflow_returned_calls_total", "Calls that their callers sent again"
+        )
         self.control_bytes = self._counter(
             "bulrushflow_control_bytes_total", "Control bytes sent and received"
         )
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -10,8 +10,10 @@
 from bulrushflow.metrics import Metrics
 from bulrushflow.overload import OVERLOAD_RULES
 from bulrushflow.overload import PLAIN_RULES
+from bulrushflow.overload import OriginLimits
 from bulrushflow.placement import ColdStart
 from bulrushflow.placement import LinkPacer
+from bulrushflow.placement import WorkChoice
 from bulrushflow.placement import cold_start
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.sidecar.adapter import Adapter
@@ -145,6 +147,7 @@
             self._evacuations.suspension,
             OVERLOAD_RULES if settings.limits_waits else PLAIN_RULES,
             self._cold_start,
+            settings.places_by_work,
         )
         self._build_replicas(adapter, store)
         self._transfers = ResponseTransfers(self._pacer, self._metrics, self._decisions)
@@ -156,6 +159,8 @@
             self._transfers,
             self._decisions,
         )
+        limits = OriginLimits(self._rng) if settings.limits_waits else None
+        work_choice = WorkChoice(settings.data_centre, self._rng, self._clock.wall_ms)
         self._dispatcher = Dispatcher(
             settings.address,
             self.directory,
@@ -169,6 +174,8 @@
             self._decisions,
             self._rng,
             self._cold_start,
+            work_choice if settings.places_by_work else None,
+            limits,
         )
         self._callers = CallerServer(
             adapter.header_names,
@@ -180,6 +187,7 @@
             self._metrics,
             self._decisions,
             self._rng,
+            limits,
         )
 
     def _build_replicas(self, adapter: Adapter, store: Store) -> None:
--- a/src/bulrushflow/sidecar/calls/balancer.py
+++ b/src/bulrushflow/sidecar/calls/balancer.py
@@ -5,6 +5,7 @@
 
 from bulrushflow.placement import ColdStart
 from bulrushflow.placement import cold_share
+from bulrushflow.placement.choice import way_s
 from bulrushflow.sidecar.records.directory import Peer
 
 LOCAL_LATENCY_FRACTION = 0.8
@@ -23,27 +24,10 @@
 """Factor on the expected latency of a target that is warming up."""
 DEFAULT_LATENCY_S = 0.05
 """Latency assumed while no target of the service has responded yet."""
-MIN_LINK_MBPS = 0.1
-"""Least bandwidth that is assumed of a link; entries of other writers may have 0."""
 MAX_EJECTED_FRACTION = 0.5
 """Fraction of a service's targets that may be ejected at once, lest the rest be overloaded."""
 
 
-def way_s(peer: Peer, now: float, response_bytes: float) -> float:
-    """Return the expected time of a large response on the way from a peer's link, in seconds.
-
-    0 for small responses, and for peers that report no backlog: the own node, whose target needs no
-    link, and nodes whose bandwidth isn't known. A backlog shrinks as time passes.
-
-    :param response_bytes: expected size of the response, if it is large; else 0.
-    """
-    if not response_bytes or peer.link_reported_at is None:
-        return 0.0
-    backlog_s = max(0.0, peer.link_backlog_s - (now - peer.link_reported_at))
-    mbps = max(MIN_LINK_MBPS, peer.entry.link_mbps)
-    return backlog_s + response_bytes * 8 / (mbps * 1e6)
-
-
 class Balancer:
     """Power of two random choices by expected latency; prefers targets of the own data centre.
 
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -9,6 +9,7 @@
 
 from bulrushflow.bodies import BodyReservation
 from bulrushflow.bodies import no_space_error
+from bulrushflow.placement import WorkReport
 from bulrushflow.routing import ByteBudget
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
@@ -30,15 +31,17 @@
 
 CONNECT_TIMEOUT_S = 0.3
 """Time that a call waits for a connection to a node before another target is tried."""
+CONNECT_TIME_FRACTION = 0.9
+"""Fraction of a call's remaining time that it spends on steps before it is sent."""
 LARGE_BODY_BYTES = 8 << 10
 """Size from which on a body is sent only to a node that would admit its call. An admission request
 takes some 300 bytes and a round trip."""
 ADMISSION_TIMEOUT_S = 1.0
 """Time after which a node that answers no admission request counts as unreachable."""
+MAX_REPORTED_MS = 3_600_000
+"""Bound on reported times, which have 32 bits in a message."""
 MAX_HELD_BODY_BYTES = 24 << 20
 """Bound on the bodies of other nodes' calls that wait here or run at the target."""
-MAX_LINK_BACKLOG_MS = 3_600_000
-"""Bound on the reported backlog of a link, which a bandwidth near 0 would take out of range."""
 MIN_RECHECK_INTERVAL_S = 0.02
 MAX_RECHECK_INTERVAL_S = 1.5
 """Bounds of the exponential backoff between attempts to connect to an unreachable node."""
@@ -59,6 +62,8 @@
     """Time for which the node's link is busy with the responses that it has accepted."""
     link_full: bool = False
     """Whether the call was refused because of the link, which says nothing of the target."""
+    work: WorkReport | None = None
+    """Work of the node's target; ``None`` if the node doesn't report it."""
 
 
 class PeerForwarder:
@@ -103,7 +108,10 @@
         remaining_s = call.deadline - loop.time()
         if remaining_s <= 0:
             return _no_time_left(remaining_s)
-        match await self._links.connect(peer.entry.endpoint, min(remaining_s, CONNECT_TIMEOUT_S)):
+        # Ends before the call's deadline, after which a call that was never sent looks like one
+        # that may run.
+        timeout_s = min(remaining_s * CONNECT_TIME_FRACTION, CONNECT_TIMEOUT_S)
+        match await self._links.connect(peer.entry.endpoint, timeout_s):
             case Err(error):
                 return not_run(error.reason), PeerReport(False)
             case Ok(link):
@@ -126,7 +134,7 @@
             call=_call_message(call, now), body_bytes=len(call.body)
         )
         request.call.body = b""
-        timeout_s = min(remaining_s, ADMISSION_TIMEOUT_S)
+        timeout_s = min(remaining_s * CONNECT_TIME_FRACTION, ADMISSION_TIMEOUT_S)
         match await link.exchange(timeout_s, admission_request=request):
             case Err(error):
                 return not_run(f"admission request: {error.reason}"), PeerReport(False)
@@ -212,7 +220,7 @@
         )
         if reason is None:
             return {"admission_answer": messages.AdmissionAnswer()}
-        refusal = self._call_answer(not_run(reason))
+        refusal = self._call_answer(not_run(reason), call.route)
         refusal.link_full = link_refusal is not None
         return {"admission_answer": messages.AdmissionAnswer(refusal=refusal)}
 
@@ -230,23 +238,29 @@
         link_refusal = self._transfers.refusal(call)
         if link_refusal is not None:
             self._reservations.release(call.request_id)
-            response = self._call_answer(not_run(link_refusal))
+            response = self._call_answer(not_run(link_refusal), call.route)
             response.link_full = True
         else:
             with self._transfers.expecting(call):
                 result = await self._run(call)
-            response = self._call_answer(result)
+            response = self._call_answer(result, call.route)
         response.read_offset = self._orders.offset
         response.read_era = self._orders.era
         return self._transfers.answer(message, response)
 
-    def _call_answer(self, result: CallResult) -> t.Any:
+    def _call_answer(self, result: CallResult, route: str) -> t.Any:
         admission = self._admission
         answer = codec.result_to_message(result, admission.load, admission.capacity)
         answer.cold_ms = admission.cold_ms
         backlog_s = self._transfers.backlog_s
         if backlog_s is not None:
-            answer.link_backlog_ms = min(MAX_LINK_BACKLOG_MS, int(backlog_s * 1000))
+            answer.link_backlog_ms = _to_ms(backlog_s)
+        work = admission.work_report(route)
+        if work is not None:
+            answer.work_ms = _to_ms(work.work_s)
+            answer.free_slots = work.free_slots
+            answer.wait_ms = _to_ms(work.wait_s)
+            answer.service_ms = _to_ms(work.service_s)
         return answer
 
     async def _run(self, call: Call) -> CallResult:
@@ -273,12 +287,26 @@
         reached,
         _load(response),
         cold_ms=response.cold_ms,
+        work=_work(response),
         link_reported=response.link_backlog_ms is not None,
         link_backlog_s=(response.link_backlog_ms or 0) / 1000,
         link_full=bool(response.link_full),
     )
 
 
+def _work(response: t.Any) -> WorkReport | None:
+    """Return the report in an answer; ``None`` if it has none, or one with impossible values."""
+    values = (response.work_ms, response.free_slots, response.wait_ms, response.service_ms)
+    if any(value is None or value < 0 for value in values):
+        return None
+    work_ms, free_slots, wait_ms, service_ms = values
+    return WorkReport(work_ms / 1000, free_slots, wait_ms / 1000, service_ms / 1000)
+
+
+def _to_ms(seconds: float) -> int:
+    return min(MAX_REPORTED_MS, round(seconds * 1000))
+
+
 def _load(response: t.Any) -> float | None:
     return response.in_flight / response.capacity if response.capacity else None
 
--- a/src/bulrushflow/sidecar/records/directory.py
+++ b/src/bulrushflow/sidecar/records/directory.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bulrushflow.placement import Evacuations
+from bulrushflow.placement.remaining_work import WorkReport
 from bulrushflow.sidecar.model import NamedLimit
 from bulrushflow.sidecar.model import NodeEntry
 from bulrushflow.sidecar.model import TargetState
@@ -51,6 +52,14 @@
     """Time for which the node's link was busy with responses, as reported last."""
     link_reported_at: float | None = None
     """When that was reported; ``None`` if the node reports none, as without a known bandwidth."""
+    work: WorkReport | None = None
+    """What the node said last of its target's work; ``None`` before the first report."""
+    work_at: float = 0.0
+    """Event loop time of that report."""
+    sent_since_report: int = 0
+    """Calls that this node sent since."""
+    slowness: float = 1.0
+    """Service time of the target, relative to the mean of its service."""
 
     @property
     def named_limit(self) -> NamedLimit | None:
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -235,6 +235,10 @@
         121: (TType.I32, "chunked_bytes", False),
         170: (TType.I32, "cold_ms", False),
         122: (TType.BOOL, "link_full", False),
+        150: (TType.I32, "work_ms", False),
+        151: (TType.I32, "free_slots", False),
+        152: (TType.I32, "wait_ms", False),
+        153: (TType.I32, "service_ms", False),
     }
     default_spec = [
         ("outcome", None),
@@ -251,6 +255,10 @@
         ("chunked_bytes", None),
         ("cold_ms", None),
         ("link_full", None),
+        ("work_ms", None),
+        ("free_slots", None),
+        ("wait_ms", None),
+        ("service_ms", None),
     ]
 
 
