--- a/tests/wire/test_transfers.py
+++ b/tests/wire/test_transfers.py
@@ -120,7 +120,9 @@
                 await self.asyncSetUp()
                 body = await self.begin()
                 (self.server if side == "sender" else self.client).abort()
-                match await body.read_all():
+                async with asyncio.timeout(GUARD_S):
+                    read = await body.read_all()
+                match read:
                     case Err(reason):
                         self.assertIn("connection lost", reason)
                     case Ok(data):
