Divide each organisation's limit between the nodes

Cause: an organisation may have ratePerS and burst, which bind all nodes together, in any window of 5 s, whether or not they reach the store.

Tokens alone would cost a message for each request (reckoned, not run).

The check is at the origin node, once for each request and before its body; a request waits for an eighth of its latency objective at the most. Only nodes with divides_allowances in their entry are homes. Organisations without ratePerS have no state and cost no message.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -11,6 +11,7 @@
 from aioprometheus.collectors import Registry
 
 OTHER_TENANT = "other"
+MAX_ORGANISATION_LABELS = 128
 LATENCY_BUCKETS_S = [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10]
 
 
@@ -41,8 +42,11 @@
 
     __slots__ = (
         "_histogram_by_labels",
+        "_organisations",
         "_tenants",
         "admission",
+        "allowance_refusals",
+        "allowance_reports",
         "applied_offset",
         "call_seconds",
         "calls",
@@ -70,6 +74,7 @@
         self.registry = Registry()
         self._histogram_by_labels: dict[tuple[str, str], t.Any] = {}
         self._tenants = TenantLabels(max_tenant_labels)
+        self._organisations = TenantLabels(MAX_ORGANISATION_LABELS)
         self.calls = self._counter("bulrushflow_calls_total", "Calls by outcome")
         self.retries = self._counter("bulrushflow_retries_total", "Attempts beyond the first")
         self.sheds = self._counter(
@@ -79,6 +84,14 @@
             "bulrushflow_key_refusals_total",
             "Requests refused for a missing or unknown key, by reason and status",
         )
+        self.allowance_refusals = self._counter(
+            "bulrushflow_allowance_refusals_total",
+            "Requests refused beyond their organisation's allowance, by organisation and reason",
+        )
+        self.allowance_reports = self._counter(
+            "bulrushflow_allowance_reports_total",
+            "Messages about allowances to other nodes, by outcome",
+        )
         self.control_bytes = self._counter(
             "bulrushflow_control_bytes_total", "Control bytes sent and received"
         )
@@ -199,6 +212,15 @@
         """Count a request that was refused for its key."""
         self.key_refusals.inc({"reason": reason, "status": str(status)})
 
+    def count_allowance_refusal(self, organisation: str, reason: str) -> None:
+        """Count a request beyond its organisation's allowance."""
+        label = self._organisations.label(organisation)
+        self.allowance_refusals.inc({"organisation": label, "reason": reason})
+
+    def count_allowance_report(self, outcome: str) -> None:
+        """Count a message about allowances, by its outcome."""
+        self.allowance_reports.inc({"outcome": outcome})
+
     def observe_quarantine(self, count: int) -> None:
         """Record how many requests are quarantined."""
         self.quarantined_requests.set({}, count)
--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -12,6 +12,7 @@
 from result import Result
 
 from bulrushflow.addresses import parse_address
+from bulrushflow.organisations import AllowanceBounds
 from bulrushflow.sidecar.settings import Bounds
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.settings import SidecarSettings
@@ -50,6 +51,9 @@
     retryBudgetSlack: float = 60.0  # noqa: N815
     canaryShare: float = 0.1  # noqa: N815  fraction of a service's calls for a faulty version
     canarySlack: float = 50.0  # noqa: N815  calls beyond that fraction
+    quotaWindow: str = "5s"  # noqa: N815  window in which an organisation's calls are counted
+    quotaOver: float = 0.1  # noqa: N815  fraction of its limit that they may exceed it by
+    quotaSlack: float = 20.0  # noqa: N815  calls beyond that fraction
 
 
 class _Limits(msgspec.Struct):
@@ -121,6 +125,9 @@
             retry_slack=bounds.retryBudgetSlack,
             unproved_share=bounds.canaryShare,
             unproved_slack=bounds.canarySlack,
+            allowances=AllowanceBounds(
+                parse_duration(bounds.quotaWindow), bounds.quotaOver, bounds.quotaSlack
+            ),
         ),
     )
 
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -8,11 +8,13 @@
 from msgspec.structs import fields
 
 from bulrushflow.metrics import Metrics
+from bulrushflow.organisations import limits_by_organisation
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.sidecar.adapter import Adapter
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.allowances import AllowanceService
 from bulrushflow.sidecar.calls.balancer import Balancer
 from bulrushflow.sidecar.calls.callers import CallerServer
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
@@ -140,6 +142,15 @@
             self._decisions,
             self._rng,
         )
+        self._allowances = AllowanceService(
+            self._own_node_key,
+            self._links,
+            self.directory,
+            self._forwarder.mark_unreachable,
+            self._metrics,
+            self._decisions,
+            self._clock,
+        )
         self._callers = CallerServer(
             adapter.header_names,
             lambda: self.routing,
@@ -147,6 +158,7 @@
             self._operator_replica,
             lambda: self.settings.own_service,
             self._dispatcher,
+            self._allowances,
             self._metrics,
             self._decisions,
             self._rng,
@@ -225,6 +237,7 @@
         await serve("readiness", readiness, self.settings.readiness)
         metrics = Endpoint(self.settings.address, self.settings.metrics_port)
         await serve("metrics", metrics_application(self._metrics), metrics)
+        self._allowances.start(self.timers)
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
         self.timers.subscribe("state metrics", STATE_METRICS_S, self._observe_state)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
@@ -264,6 +277,7 @@
             await service.stop()
         await self.timers.stop()
         self._forwarder.close()
+        self._allowances.close()
         await self._links.stop()
         self._admission.close()
         await self._store.close()
@@ -293,6 +307,8 @@
         bounds = settings.bounds
         self._retry_budget.configure(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
         self._rollouts.configure(_exposure_limits(bounds))
+        if bounds.allowances != before.bounds.allowances:
+            self._configure_allowances()
         changed = [
             f.name for f in fields(settings) if getattr(settings, f.name) != getattr(before, f.name)
         ]
@@ -312,7 +328,14 @@
                 self._decisions.event(
                     "route disabled", route=route.name, host=route.host, reason=route.disabled
                 )
+        changed = routing.organisations is not self.routing.organisations
         self.routing = routing
+        if changed:
+            self._configure_allowances()
+
+    def _configure_allowances(self) -> None:
+        bounds = self.settings.bounds.allowances
+        self._allowances.configure(limits_by_organisation(self.routing.organisations, bounds))
 
     def reject_configuration(self, reason: str) -> None:
         """See :meth:`OrderSink.reject_configuration`."""
@@ -363,6 +386,7 @@
             link_mbps=settings.link_mbps,
             crash_reports=self._quarantine.own_reports,
             cleared_requests=self._quarantine.own_cleared,
+            divides_allowances=True,
             departed_targets=self._admission.departed.recent(),
         )
         self.directory.update(self._own_node_key, own)
--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -24,13 +24,14 @@
 from bulrushflow.routing import Response
 from bulrushflow.routing import outcome_label
 from bulrushflow.routing import unknown
+from bulrushflow.sidecar.calls.allowances import AllowanceService
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
 from bulrushflow.sidecar.calls.headers import AUTHORIZATION
 from bulrushflow.sidecar.calls.headers import HOP_BY_HOP_HEADERS
 from bulrushflow.sidecar.calls.headers import HeaderNames
 from bulrushflow.sidecar.calls.http_server import HttpServer
 from bulrushflow.sidecar.calls.keys import KeyCheck
-from bulrushflow.sidecar.calls.keys import RefusedKey
+from bulrushflow.sidecar.calls.keys import RefusedRequest
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import Routing
@@ -47,7 +48,6 @@
 """Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout of a call whose caller sets none; the route's shorter timeout applies as well."""
-UNAUTHORIZED = 401
 TOO_MANY_REQUESTS = 429
 """Status of a quarantined request, which did not run."""
 _STATUS_BY_OUTCOME = {
@@ -75,6 +75,7 @@
         orders: Replica,
         own_service: t.Callable[[], str],
         dispatcher: Dispatcher,
+        allowances: AllowanceService,
         metrics: Metrics,
         decisions: DecisionLog,
         rng: random.Random,
@@ -90,7 +91,7 @@
             AUTHORIZATION.lower(),
             header_names.organisation.lower(),
         }
-        self._keys = KeyCheck(orders, metrics, decisions)
+        self._keys = KeyCheck(orders, allowances, metrics, decisions)
         self._routing = routing
         self._rejected_configuration = rejected_configuration
         self._orders = orders
@@ -172,15 +173,14 @@
         if route.disabled:
             reason = f"route {route.name} is disabled: {route.disabled}"
             return self._error_response(request_id, 503, reason)
-        match self._keys.identify(request.headers, route, routing, request_id):
+        if not request_id:
+            reason = f"missing header {self._header_names.request_id}"
+            return self._error_response(request_id, 400, reason)
+        match await self._keys.admit(request.headers, route, routing, request_id):
             case Err(refused):
-                return self._refused_key_response(request_id, refused)
+                return self._refused_response(request_id, refused)
             case Ok(_):
                 pass
-        if not request_id:
-            return self._error_response(
-                request_id, 400, f"missing header {self._header_names.request_id}"
-            )
         deadline = min(started_at + self._timeout_s(request, route), self._answer_by)
         with BodyReservation(self.body_budget) as reservation:
             max_bytes = routing.limits.max_body_bytes
@@ -193,7 +193,7 @@
             in_force = self._routing()
             match self._keys.identify(request.headers, route, in_force, request_id):
                 case Err(refused):
-                    return self._refused_key_response(request_id, refused)
+                    return self._refused_response(request_id, refused)
                 case Ok(organisation):
                     pass
             call = self._build_call(request, route, body, started_at, deadline)
@@ -339,10 +339,9 @@
             case Err(failure):
                 return self._failure_response(call, failure, version, seconds)
 
-    def _refused_key_response(self, request_id: str, refused: RefusedKey) -> web.Response:
+    def _refused_response(self, request_id: str, refused: RefusedRequest) -> web.Response:
         response = self._error_response(request_id, refused.status, refused.reason)
-        if refused.status == UNAUTHORIZED:
-            response.headers["WWW-Authenticate"] = "Bearer"
+        response.headers.update(refused.headers)
         return response
 
     def _forward_response(self, call: Call, target_response: Response) -> web.Response:
--- a/src/bulrushflow/sidecar/calls/keys.py
+++ b/src/bulrushflow/sidecar/calls/keys.py
@@ -1,25 +1,45 @@
-"""Check of the API key of a caller's request."""
+"""Check of the API key of a caller's request, and of its organisation's allowance."""
+
+import math
 
 import msgspec
 from multidict import CIMultiDictProxy
+from result import Err
 from result import Ok
 from result import Result
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.organisations import KeyRefusal
 from bulrushflow.organisations import Organisation
+from bulrushflow.sidecar.calls.allowances import AllowanceService
 from bulrushflow.sidecar.calls.headers import AUTHORIZATION
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import Routing
 from bulrushflow.sidecar.records.replica import Replica
 
+UNAUTHORIZED = 401
+TOO_MANY_REQUESTS = 429
+ALLOWANCE_WAIT_FRACTION = 0.125
+"""Fraction of the route's latency objective for which a request waits for an allowance."""
+
 
-class RefusedKey(msgspec.Struct, frozen=True):
-    """The response to a request without a valid key."""
+class RefusedRequest(msgspec.Struct, frozen=True):
+    """The response to a request without a valid key or beyond its organisation's allowance."""
 
     status: int
     reason: str
+    retry_after_s: float | None = None
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """The headers of the response that depend on the refusal."""
+        if self.status == UNAUTHORIZED:
+            return {"WWW-Authenticate": "Bearer"}
+        if self.retry_after_s is None:
+            return {}
+        # Rounded up, since a caller that comes back too early is refused again.
+        return {"Retry-After": f"{math.ceil(self.retry_after_s * 100) / 100:.2f}"}
 
 
 class KeyCheck:
@@ -28,16 +48,38 @@
     :param orders: replica of the operator's records, which the configuration is one of.
     """
 
-    __slots__ = ("_decisions", "_metrics", "_orders")
+    __slots__ = ("_allowances", "_decisions", "_metrics", "_orders")
 
-    def __init__(self, orders: Replica, metrics: Metrics, decisions: DecisionLog) -> None:
+    def __init__(
+        self,
+        orders: Replica,
+        allowances: AllowanceService,
+        metrics: Metrics,
+        decisions: DecisionLog,
+    ) -> None:
+        self._allowances = allowances
         self._orders = orders
         self._metrics = metrics
         self._decisions = decisions
 
+    async def admit(
+        self, headers: "CIMultiDictProxy[str]", route: Route, routing: Routing, request_id: str
+    ) -> Result[Organisation | None, RefusedRequest]:
+        """Identify a request's organisation, and count the request against its allowance."""
+        found = self.identify(headers, route, routing, request_id)
+        organisation = found.unwrap_or(None)
+        if organisation is None or not organisation.rate_per_s:
+            return found
+        wait_s = route.latency_objective_s * ALLOWANCE_WAIT_FRACTION
+        retry_after_s = await self._allowances.admit(organisation.name, wait_s)
+        if retry_after_s is None:
+            return found
+        reason = f"{organisation.name} is beyond its limit of {organisation.rate_per_s:g} calls/s"
+        return Err(RefusedRequest(TOO_MANY_REQUESTS, reason, retry_after_s))
+
     def identify(
         self, headers: "CIMultiDictProxy[str]", route: Route, routing: Routing, request_id: str
-    ) -> Result[Organisation | None, RefusedKey]:
+    ) -> Result[Organisation | None, RefusedRequest]:
         """Return the organisation of a request, or ``None`` for one that needs no key.
 
         A refusal is final (401) only if no newer configuration, which may have the key, can be
@@ -52,9 +94,9 @@
 
     def _refuse(
         self, refusal: KeyRefusal, route: Route, routing: Routing, request_id: str
-    ) -> RefusedKey:
+    ) -> RefusedRequest:
         current = self._orders.is_current
-        status = 401 if current else 503
+        status = UNAUTHORIZED if current else 503
         self._metrics.count_key_refusal(refusal.value, status)
         self._decisions.event(
             "key refused",
@@ -69,4 +111,4 @@
         reason = f"{refusal.value} in configuration {routing.version}"
         if not current:
             reason += ", which may be outdated"
-        return RefusedKey(status, reason)
+        return RefusedRequest(status, reason)
--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -194,6 +194,8 @@
     crash_reports: tuple[CrashReport, ...] = ()
     """Crashes of the targets beside the node, with the requests that they ran."""
     cleared_requests: tuple[ClearedRequest, ...] = ()
+    divides_allowances: bool = False
+    """Whether the node can be the home of an organisation."""
     departed_targets: tuple[DepartedTarget, ...] = ()
     """Targets that left the node recently."""
 
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from bulrushflow.organisations import AllowanceBounds
+
 
 class Endpoint(msgspec.Struct, frozen=True):
     """An IP address and a TCP port."""
@@ -27,6 +29,8 @@
     """Fraction of a service's calls until a rollout's deadline that a faulty version may get."""
     unproved_slack: float = 50.0
     """Calls beyond that fraction that a faulty version may get."""
+    allowances: AllowanceBounds = AllowanceBounds()
+    """How far the requests of one organisation may exceed its limit, over all nodes."""
 
 
 class SidecarSettings(msgspec.Struct, frozen=True):
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -501,6 +501,95 @@
     ]
 
 
+class AllowanceDemand(TPayload):
+    thrift_spec = {
+        1: (TType.STRING, "organisation", True),
+        2: (TType.DOUBLE, "per_s", True),
+        3: (TType.I32, "wanted", True),
+        4: (TType.DOUBLE, "held_per_s", True),
+        5: (TType.DOUBLE, "held_depth", True),
+        6: (TType.I32, "spent", True),
+        7: (TType.DOUBLE, "unused", True),
+    }
+    default_spec = [
+        ("organisation", None),
+        ("per_s", None),
+        ("wanted", None),
+        ("held_per_s", None),
+        ("held_depth", None),
+        ("spent", None),
+        ("unused", None),
+    ]
+
+
+class AllowancesRequest(TPayload):
+    thrift_spec = {
+        1: (TType.STRING, "node_key", True),
+        2: (TType.LIST, "demands", (TType.STRUCT, AllowanceDemand), True),
+    }
+    default_spec = [
+        ("node_key", None),
+        ("demands", None),
+    ]
+
+
+class AllowanceGrant(TPayload):
+    thrift_spec = {
+        1: (TType.STRING, "organisation", True),
+        2: (TType.DOUBLE, "share_per_s", True),
+        3: (TType.DOUBLE, "share_depth", True),
+        4: (TType.I32, "tokens", True),
+        5: (TType.I32, "retry_after_ms", True),
+        6: (TType.I32, "renew_after_ms", True),
+        7: (TType.DOUBLE, "fallback_per_s", True),
+    }
+    default_spec = [
+        ("organisation", None),
+        ("share_per_s", None),
+        ("share_depth", None),
+        ("tokens", None),
+        ("retry_after_ms", None),
+        ("renew_after_ms", None),
+        ("fallback_per_s", None),
+    ]
+
+
+class AllowancesAnswer(TPayload):
+    thrift_spec = {
+        1: (TType.LIST, "grants", (TType.STRUCT, AllowanceGrant), True),
+    }
+    default_spec = [
+        ("grants", None),
+    ]
+
+
+class HoldingsRequest(TPayload):
+    thrift_spec: dict[int, object] = {}
+    default_spec: list[object] = []
+
+
+class AllowanceHolding(TPayload):
+    thrift_spec = {
+        1: (TType.STRING, "organisation", True),
+        2: (TType.DOUBLE, "per_s", True),
+        3: (TType.DOUBLE, "depth", True),
+    }
+    default_spec = [
+        ("organisation", None),
+        ("per_s", None),
+        ("depth", None),
+    ]
+
+
+class Holdings(TPayload):
+    thrift_spec = {
+        1: (TType.LIST, "holdings", (TType.STRUCT, AllowanceHolding), True),
+    }
+    default_spec = [
+        ("holdings", None),
+    ]
+
+
 class Frame(TPayload):
     thrift_spec = {
         1: (TType.I64, "exchange", True),
@@ -522,6 +611,10 @@
         71: (TType.STRUCT, "updates", Updates, False),
         80: (TType.STRUCT, "admission_request", AdmissionRequest, False),
         81: (TType.STRUCT, "admission_answer", AdmissionAnswer, False),
+        110: (TType.STRUCT, "allowances_request", AllowancesRequest, False),
+        111: (TType.STRUCT, "allowances_answer", AllowancesAnswer, False),
+        112: (TType.STRUCT, "holdings_request", HoldingsRequest, False),
+        113: (TType.STRUCT, "holdings", Holdings, False),
     }
     default_spec = [
         ("exchange", None),
@@ -543,4 +636,8 @@
         ("updates", None),
         ("admission_request", None),
         ("admission_answer", None),
+        ("allowances_request", None),
+        ("allowances_answer", None),
+        ("holdings_request", None),
+        ("holdings", None),
     ]
--- a/src/bulrushflow/wire/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -42,6 +42,8 @@
     "failure",
     "updates",
     "admission_answer",
+    "allowances_answer",
+    "holdings",
 )
 _REQUEST_FIELDS = (
     "call_request",
@@ -52,6 +54,8 @@
     "state_notice",
     "updates_request",
     "admission_request",
+    "allowances_request",
+    "holdings_request",
 )
 
 Handler = t.Callable[[t.Any], t.Awaitable[dict[str, t.Any] | None]]
--- a/src/bulrushflow/wire/messages.py
+++ b/src/bulrushflow/wire/messages.py
@@ -62,6 +62,13 @@
 StoreRecords: t.Any = generated_messages.StoreRecords
 TopicUpdate: t.Any = generated_messages.TopicUpdate
 Updates: t.Any = generated_messages.Updates
+AllowanceDemand: t.Any = generated_messages.AllowanceDemand
+AllowancesRequest: t.Any = generated_messages.AllowancesRequest
+AllowanceGrant: t.Any = generated_messages.AllowanceGrant
+AllowancesAnswer: t.Any = generated_messages.AllowancesAnswer
+HoldingsRequest: t.Any = generated_messages.HoldingsRequest
+AllowanceHolding: t.Any = generated_messages.AllowanceHolding
+Holdings: t.Any = generated_messages.Holdings
 Frame: t.Any = generated_messages.Frame
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -281,6 +281,56 @@
   1: required list<TopicUpdate> updates
 }
 
+// A node's report to the home of an organisation, with a request for tokens of its allowance.
+struct AllowanceDemand {
+  1: required string organisation
+  // Requests per second that arrive at the node.
+  2: required double per_s
+  3: required i32 wanted
+  // The share of the rate that the node holds, and the depth of its bucket.
+  4: required double held_per_s
+  5: required double held_depth
+  // Tokens that passed without the home's knowledge.
+  6: required i32 spent
+  // Tokens of the share that weren't used.
+  7: required double unused
+}
+
+struct AllowancesRequest {
+  // Key of the sender's entry in the store.
+  1: required string node_key
+  2: required list<AllowanceDemand> demands
+}
+
+struct AllowanceGrant {
+  1: required string organisation
+  2: required double share_per_s
+  3: required double share_depth
+  4: required i32 tokens
+  5: required i32 retry_after_ms
+  6: required i32 renew_after_ms
+  7: required double fallback_per_s
+}
+
+// Grants for those of the demands whose home the responding node is.
+struct AllowancesAnswer {
+  1: required list<AllowanceGrant> grants
+}
+
+// Asks a node which shares it holds.
+struct HoldingsRequest {
+}
+
+struct AllowanceHolding {
+  1: required string organisation
+  2: required double per_s
+  3: required double depth
+}
+
+struct Holdings {
+  1: required list<AllowanceHolding> holdings
+}
+
 // One message on a connection between nodes. A response has its request's exchange number.
 struct Frame {
   1: required i64 exchange
@@ -302,4 +352,8 @@
   71: optional Updates updates
   80: optional AdmissionRequest admission_request
   81: optional AdmissionAnswer admission_answer
+  110: optional AllowancesRequest allowances_request
+  111: optional AllowancesAnswer allowances_answer
+  112: optional HoldingsRequest holdings_request
+  113: optional Holdings holdings
 }
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,5 +1,6 @@
 import unittest
 
+from bulrushflow.organisations import AllowanceBounds
 from bulrushflow.platform.settings import decode_settings
 from bulrushflow.platform.settings import parse_duration
 from bulrushflow.sidecar.settings import Endpoint
@@ -26,6 +27,8 @@
 grace = "6s"
 retryBudgetSlack = 60
 canaryShare = 0.1
+quotaWindow = "4s"
+quotaSlack = 15
 [platform]
 address = "10.200.1.7:8309"
 """
@@ -36,6 +39,7 @@
         settings = decode_settings(FILE.encode()).unwrap()
         self.assertEqual(settings.callers, Endpoint("10.1.0.8", 8304))
         self.assertEqual(settings.target, Endpoint("10.1.0.8", 8301))
+        self.assertEqual(settings.bounds.allowances, AllowanceBounds(4.0, 0.1, 15.0))
         self.assertEqual((settings.bounds.grace_s, settings.bounds.retry_slack), (6.0, 60.0))
         self.assertEqual((settings.peer_port, settings.metrics_port), (7620, 7635))
 
