--- a/src/bulrushflow/platform/settings.py
+++ b/src/bulrushflow/platform/settings.py
@@ -12,6 +12,7 @@
 from result import Result
 
 from bulrushflow.addresses import parse_address
+from bulrushflow.organisations import AllowanceBounds
 from bulrushflow.sidecar.settings import Bounds
 from bulrushflow.sidecar.settings import Endpoint
 from bulrushflow.sidecar.settings import SidecarSettings
@@ -54,6 +55,9 @@
     canarySlack: float = 50.0  # noqa: N815  calls beyond that fraction
     coldOver: float = 1.5  # noqa: N815  factor on a cold target's rate in any second
     coldSlack: float = 8.0  # noqa: N815  calls beyond that
+    quotaWindow: str = "5s"  # noqa: N815  window in which an organisation's calls are counted
+    quotaOver: float = 0.1  # noqa: N815  fraction of its limit that they may exceed it by
+    quotaSlack: float = 20.0  # noqa: N815  calls beyond that fraction
 
 
 class _Limits(msgspec.Struct):
@@ -129,6 +133,9 @@
             unproved_slack=bounds.canarySlack,
             cold_over=bounds.coldOver,
             cold_slack=bounds.coldSlack,
+            allowances=AllowanceBounds(
+                parse_duration(bounds.quotaWindow), bounds.quotaOver, bounds.quotaSlack
+            ),
         ),
         limits_waits=shares_capacity,
         places_by_work=shares_capacity,
--- a/src/bulrushflow/sidecar/settings.py
+++ b/src/bulrushflow/sidecar/settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from bulrushflow.organisations import AllowanceBounds
+
 
 class Endpoint(msgspec.Struct, frozen=True):
     """An IP address and a TCP port."""
@@ -31,6 +33,8 @@
     """Factor on the rate of a cold target in the bound on its calls in any second."""
     cold_slack: float = 8.0
     """Calls beyond it that a cold target may get in any second."""
+    allowances: AllowanceBounds = AllowanceBounds()
+    """How far the requests of one organisation may exceed its limit, over all nodes."""
 
 
 class SidecarSettings(msgspec.Struct, frozen=True):
--- a/src/bulrushflow/wire/frames.py
+++ b/src/bulrushflow/wire/frames.py
@@ -19,6 +19,8 @@
     "failure",
     "updates",
     "admission_answer",
+    "allowances_answer",
+    "holdings",
 )
 REQUEST_FIELDS = (
     "call_request",
@@ -29,6 +31,8 @@
     "state_notice",
     "updates_request",
     "admission_request",
+    "allowances_request",
+    "holdings_request",
 )
 
 
