Leave the node that takes over from the driver time for the last share

Cause: the last share was due for half a second to one second only, and the next node acts 1.2 s after the driver.

Weighed: the last share 1.5 s earlier for all, which gives a fault that begins later more calls. Instead a late step may leave 1.5 s at the last share, where 80% of the calls are evidence.

--- a/src/bulrushflow/rollouts/bounded_steps.py
+++ b/src/bulrushflow/rollouts/bounded_steps.py
@@ -20,6 +20,9 @@
 """First share, which is within any allowance while the call rate is hardly known."""
 MAX_TEST_PERMILLE = 600
 """Highest share before the last one; the old version's calls are needed for comparison."""
+MIN_LATE_BAKE_S = 1.5
+"""Least time at the last share where a step is late: a node that takes over from the driver decides
+1.2 s after it, more than the usual bake time leaves."""
 MIN_SHARE_FACTOR = 1.25
 """Smallest change of the test share that is worth a step."""
 
@@ -38,11 +41,11 @@
         rule = f"{result.rule}, and no calls are left that it may get unproved{_used(schedule)}"
         return StepDecision(share_permille, rule, roll_back=True)
     if share_permille >= MIN_LAST_PERMILLE:
-        return bake(schedule, share_permille, result, now_s, stage_s)
+        return bake(schedule, share_permille, result, now_s, stage_s, MIN_LATE_BAKE_S)
     if now_s >= schedule.finish_by_s:
         return deadline_passed(share_permille, result)
-    if now_s > schedule.latest_bake_start_s:
-        rule = f"too little time for {MIN_BAKE_S:g} s at the last share: {result.rule}"
+    if now_s > schedule.latest_bake_start_s + MIN_BAKE_S - MIN_LATE_BAKE_S:
+        rule = f"too little time for {MIN_LATE_BAKE_S:g} s at the last share: {result.rule}"
         return StepDecision(share_permille, rule, at_risk=True)
     if share_permille == 0:
         if now_s < schedule.baseline_s:
--- a/src/bulrushflow/rollouts/steps.py
+++ b/src/bulrushflow/rollouts/steps.py
@@ -177,6 +177,7 @@
     result: AnalysisResult,
     now_s: float,
     stage_s: float,
+    min_bake_s: float = MIN_BAKE_S,
 ) -> StepDecision:
     """Return the step of a rollout at its last share."""
     # A baked rollout completes even if the log takes its record only after the deadline.
@@ -191,7 +192,7 @@
     # The fewer the calls, the weaker a regression signal has to be to be tolerated.
     few = result.stage_calls < MIN_STAGE_CALLS
     limit = UNCLEAR_STRENGTH if few else SUSPECT_STRENGTH
-    enough = stage_s >= MIN_BAKE_S and result.stage_calls >= MIN_STEP_CALLS
+    enough = stage_s >= min_bake_s and result.stage_calls >= MIN_STEP_CALLS
     if enough and result.strength < limit:
         rule = f"the deadline cut the bake time to {stage_s:.0f} s"
         return StepDecision(share_permille, rule, completed=True)
--- a/tests/rollouts/test_bounded_steps.py
+++ b/tests/rollouts/test_bounded_steps.py
@@ -21,6 +21,8 @@
 LIMITS = ExposureLimits(0.1, 50)
 DEADLINE_S = 15.0
 FINISH_S = 12.5
+TAKEOVER_S = 1.2 + 0.25 + 0.25
+"""Delay of the next node's step, interval of its checks, and a write."""
 HEALTHY = AnalysisResult(AnalysisOutcome.HEALTHY, "rule", "evidence", 100)
 UNCLEAR = AnalysisResult(AnalysisOutcome.INSUFFICIENT, "unclear", "evidence", 100, 0.5, 0.1)
 SUSPECT = AnalysisResult(AnalysisOutcome.SUSPECT, "suspect", "evidence", 100, 0.7, 0.1)
@@ -103,6 +105,18 @@
         unproven = replace(planned, proven=False)
         self.assertTrue(decide_bounded_step(unproven, 800, HEALTHY, 10.0, 1.0).roll_back)
 
+    # The last share was due for half a second only, so that a node that took over came too late.
+    def test_a_node_that_takes_over_from_the_driver_completes_a_proven_version(self) -> None:
+        for duration_s in (9.5, FINISH_S, 17.5):
+            with self.subTest(duration_s=duration_s):
+                planned = replace(schedule(50.0, 60.0, proven=True), finish_by_s=duration_s)
+                late_s = planned.bake_start_s + TAKEOVER_S
+                decision = decide_bounded_step(planned, 200, HEALTHY, late_s, 4.0)
+                self.assertGreaterEqual(decision.share_permille, MIN_LAST_PERMILLE)
+                end_s = planned.finish_by_s - planned.margin_s
+                decision = decide_bounded_step(planned, 800, HEALTHY, end_s, end_s - late_s)
+                self.assertTrue(decision.completed)
+
     # The share was sized for a call rate that was too low, and a good version was rolled back since
     # the last share would have brought too many calls.
     def test_a_test_share_that_would_spend_too_many_calls_is_lowered(self) -> None:
