Tell a late answer of an organisation's home from a refusal beyond its limit

Cause: a request whose wait, an eighth of its latency objective, ended before the home's answer was logged and counted as beyond the allowance, so operators would have looked at the limit.

The decision is unchanged: a token of the floor, or 429.

--- a/src/bulrushflow/sidecar/calls/allowances.py
+++ b/src/bulrushflow/sidecar/calls/allowances.py
@@ -38,6 +38,7 @@
 """Nodes that are asked what they hold at the same time."""
 BEYOND_ALLOWANCE = "beyond the allowance"
 HOME_AWAY = "the home of the organisation doesn't answer"
+ANSWER_LATE = "the home of the organisation didn't answer within the request's wait"
 
 
 class AllowanceService:
@@ -99,11 +100,14 @@
         if allowance is None:
             return None
         decision = allowance.arrive(_now())
+        reason = BEYOND_ALLOWANCE
         if decision is Decision.ASK:
             decision = await self._ask(allowance, wait_s)
+            if decision is Decision.ASK:
+                decision = self._decide_alone(allowance)
+                reason = HOME_AWAY if allowance.offline else ANSWER_LATE
         if decision is Decision.PASS:
             return None
-        reason = HOME_AWAY if allowance.offline else BEYOND_ALLOWANCE
         retry_after_s = allowance.retry_after_s(_now())
         self._metrics.count_allowance_refusal(organisation, reason)
         self._decisions.event(
@@ -119,7 +123,7 @@
         return retry_after_s
 
     async def _ask(self, allowance: Allowance, wait_s: float) -> Decision:
-        """Decide on a request after an answer of the home, or alone if there is none in time."""
+        """Decide on a request after an answer of the home; ``ASK`` if there is none in time."""
         allowance.wanted += 1
         try:
             async with asyncio.timeout(wait_s):
@@ -134,6 +138,9 @@
             pass
         finally:
             allowance.wanted -= 1
+        return Decision.ASK
+
+    def _decide_alone(self, allowance: Allowance) -> Decision:
         key, count = self._own_key, self._choice.reached_count
         passes = allowance.spend_floor(key, count, self._clock.wall_ms() / 1000)
         return Decision.PASS if passes else Decision.REFUSE
--- a/tests/sidecar/calls/test_allowances.py
+++ b/tests/sidecar/calls/test_allowances.py
@@ -159,6 +159,24 @@
         allowance = other.sidecar._allowances._allowances.by_organisation["oak"]
         self.assertTrue(allowance.offline)
         self.assertEqual(allowance.wanted, 0)
+        metrics = await self.metrics(self.instances.index(other))
+        self.assertIn("the home of the organisation doesn't answer", metrics)
+
+    # The wait is an eighth of the latency objective, and must not be told apart from the limit.
+    async def test_a_request_that_can_not_wait_for_the_answer_says_so(self) -> None:
+        await self.serve()
+        home = await self.until_one_home()
+        other = next(item for item in self.instances if item is not home)
+        retry_after_s = await other.sidecar._allowances.admit("oak", 0.0)
+        allowance = other.sidecar._allowances._allowances.by_organisation["oak"]
+        if retry_after_s is not None:
+            self.assertFalse(allowance.offline)
+            metrics = await self.metrics(self.instances.index(other))
+            self.assertIn("didn't answer within the request's wait", metrics)
+        else:
+            # It was this node's turn to spend a token of its own.
+            self.assertEqual(allowance.spent, 1)
+        await until(lambda: "oak" not in other.sidecar._allowances._reports_by_organisation)
 
 
 class CodecTests(OrganisationTestCase):
