Test the choice of targets by expected work, and try free targets after a late refusal

Queues held 3 to 5 calls per slot while other targets of the service had free slots: an origin node hears from one of 45 targets every few seconds, and a load of calls says little when some take seven times as long.

Three faults that the tests found in it: candidates of a small service that look equal were taken in the directory's order, by every node; own calls counted as a wait at targets that never reported, although these have slots; and a call that had waited at one target was refused although another one was free. The last one is tried elsewhere now unless it is expected to be refused there too.

--- a/src/bulrushflow/placement/choice.py
+++ b/src/bulrushflow/placement/choice.py
@@ -92,11 +92,12 @@
         means = self._means(peer, now)
         report = peer.work
         own_s = peer.sent_since_report * means.service_s * peer.slowness / _slots(peer)
+        free_slots = report.free_slots if report is not None else _slots(peer)
+        if free_slots > peer.sent_since_report:
+            own_s = 0.0
         if report is None:
             return means.wait_s + own_s
         weight = 0.5 ** ((now - peer.work_at) / REPORT_HALF_LIFE_S)
-        if report.free_slots > peer.sent_since_report:
-            own_s = 0.0
         return weight * report.wait_s + (1 - weight) * means.wait_s + own_s
 
     def all_wait_longer(
@@ -162,11 +163,14 @@
                         break
         if found:
             return list(found.values())
-        return [
+        available = [
             peer
             for peer in candidates
             if peer.entry.address not in excluded and _is_available(peer, now)
         ]
+        # Equal candidates would all get the calls of every node in the order of the directory.
+        self._rng.shuffle(available)
+        return available[:SAMPLE_SIZE]
 
     def _cost_s(self, peer: "Peer", now: float) -> float:
         """Return the expected time to a response, with the cost of the way."""
--- a/src/bulrushflow/placement/costs.py
+++ b/src/bulrushflow/placement/costs.py
@@ -69,7 +69,7 @@
 
 
 class CostModel:
-    """Chooses, for each call, the most specific distribution that predicts its service time."""
+    """Chooses, for each call, the distribution of the attribute that says most of its cost."""
 
     __slots__ = ("_by_key",)
 
@@ -81,13 +81,15 @@
         by_route = self._by_key.get((route,))
         if by_route is None:
             return CostHistogram()
+        best, most_s = by_route, MIN_DIFFERENCE * by_route.mean_s
         for key in _specific_keys(route, organisation, path):
             found = self._by_key.get(key)
             if found is None or found.weight < MIN_SAMPLES:
                 continue
-            if abs(found.mean_s - by_route.mean_s) > MIN_DIFFERENCE * by_route.mean_s:
-                return found
-        return by_route
+            difference_s = abs(found.mean_s - by_route.mean_s)
+            if difference_s > most_s:
+                best, most_s = found, difference_s
+        return best
 
     def route_mean_s(self, route: str) -> float:
         """Return the mean service time of a route's calls."""
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -198,8 +198,6 @@
         patience_until = self._patience_until(route)
         tried: set[str] = set()
         while loop.time() < call.deadline:
-            if progress.refusals and loop.time() >= patience_until:
-                break
             if progress.unanswered and self._quarantine.refusal(call) is not None:
                 break
             peer = self._choose(route, call, tried)
@@ -214,8 +212,12 @@
                 and peer.load(loop.time()) >= FULL_LOAD
             ):
                 break
+            # Run twice, a call would take the slot of another one; refused again, its caller would
+            # learn of it late.
             if progress.possible_runs and self._is_loaded(peer):
-                # Run twice, the call would take the slot of another one.
+                break
+            past_patience = progress.refusals and loop.time() >= patience_until
+            if past_patience and self._would_refuse(route, peer):
                 break
             tried.add(peer.entry.address)
             if self._may_hedge(route, call, progress):
@@ -269,6 +271,14 @@
         choice = self._work_choice
         return choice is not None and choice.expected_wait_s(peer, now) > LOADED_WAIT_S
 
+    def _would_refuse(self, route: Route, peer: Peer) -> bool:
+        """Return whether a target is expected to refuse a call of a route for its wait."""
+        if self._limits is None or self._work_choice is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        max_wait_s = self._limits.max_expected_wait_s(route.name, route.latency_objective_s)
+        return self._work_choice.expected_wait_s(peer, now) > max_wait_s
+
     def _may_hedge(self, route: Route, call: Call, progress: CallProgress) -> bool:
         """Return whether a call may be sent to two targets at once."""
         if not call.idempotent or progress.possible_runs + 1 >= route.max_attempts:
--- a/tests/sidecar/calls/test_dispatcher.py
+++ b/tests/sidecar/calls/test_dispatcher.py
@@ -329,10 +329,17 @@
 
     # Refusals came after several attempts, when the latency objective had passed.
     async def test_a_refused_call_is_tried_elsewhere_for_a_part_of_its_objective(self) -> None:
+        self.wait_s = 0.2
         self.delay_s = 0.07
         await self.dispatch()
         self.assertEqual(len(self.sent), 2)
 
+    # A call that had waited at one target was refused although another one had free slots.
+    async def test_a_call_that_was_refused_late_is_still_sent_to_a_free_target(self) -> None:
+        self.delay_s = 0.2
+        await self.dispatch()
+        self.assertGreater(len(self.sent), 1)
+
     async def test_a_call_that_may_have_run_is_not_sent_again_to_a_loaded_target(self) -> None:
         self.result = unknown("cut")
         self.work = WorkReport(0.3, 0, 0.1, 0.2)
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -53,7 +53,9 @@
     The system picks the ports. The one for other nodes stays the same after a restart.
     """
 
-    def __init__(self, address: str, store: Endpoint, target: Endpoint) -> None:
+    def __init__(
+        self, address: str, store: Endpoint, target: Endpoint, shares_capacity: bool = False
+    ) -> None:
         self.target_address = str(target)
         self.settings = SidecarSettings(
             node_id=f"n-{address}",
@@ -67,6 +69,8 @@
             target=target,
             own_service="s1",
             store=store,
+            limits_waits=shares_capacity,
+            places_by_work=shares_capacity,
         )
         self.sidecar = self.new_sidecar()
 
@@ -98,6 +102,8 @@
     """A test case with :attr:`node_count` sidecars of service ``s1``, with four slots each."""
 
     node_count = 2
+    shares_capacity = False
+    """Whether the settings have the contracts of shared capacity."""
     target_type = FakeTarget
     configuration = configuration(1)
     """The configuration that :meth:`serve` publishes."""
@@ -117,7 +123,9 @@
         for number, target in enumerate(self.targets):
             target_endpoint = await target.start()
             self.addAsyncCleanup(target.stop)
-            instance = Instance(f"127.0.0.{number + 1}", endpoint, target_endpoint)
+            instance = Instance(
+                f"127.0.0.{number + 1}", endpoint, target_endpoint, self.shares_capacity
+            )
             await instance.sidecar.start()
             self.instances.append(instance)
         self.addAsyncCleanup(self.stop_instances)
