--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -55,7 +55,12 @@
     """
 
     def __init__(
-        self, address: str, store: Endpoint, target: Endpoint, data_centre: str = "a"
+        self,
+        address: str,
+        store: Endpoint,
+        target: Endpoint,
+        data_centre: str = "a",
+        shares_capacity: bool = False,
     ) -> None:
         self.target_address = str(target)
         self.settings = SidecarSettings(
@@ -70,6 +75,8 @@
             target=target,
             own_service="s1",
             store=store,
+            limits_waits=shares_capacity,
+            places_by_work=shares_capacity,
         )
         self.sidecar = self.new_sidecar()
 
@@ -103,6 +110,8 @@
     node_count = 2
     data_centres: t.Sequence[str] = "a"
     """The data centres of the nodes, assigned in turn."""
+    shares_capacity = False
+    """Whether the settings have the contracts of shared capacity."""
     target_type = FakeTarget
     configuration = configuration(1)
     """The configuration that :meth:`serve` publishes."""
@@ -123,7 +132,13 @@
             target_endpoint = await target.start()
             self.addAsyncCleanup(target.stop)
             data_centre = self.data_centres[number % len(self.data_centres)]
-            instance = Instance(f"127.0.0.{number + 1}", endpoint, target_endpoint, data_centre)
+            instance = Instance(
+                f"127.0.0.{number + 1}",
+                endpoint,
+                target_endpoint,
+                data_centre,
+                self.shares_capacity,
+            )
             await instance.sidecar.start()
             self.instances.append(instance)
         self.addAsyncCleanup(self.stop_instances)
