--- a/src/bulrushflow/sidecar/model.py
+++ b/src/bulrushflow/sidecar/model.py
@@ -72,6 +72,12 @@
     organisations: Organisations | None = None
     """``None`` where keys aren't checked."""
 
+    def latency_objectives(self) -> t.Iterator[tuple[str, float]]:
+        """Yield the name and the latency objective in seconds of each route."""
+        for routes_by_prefix in self.routes_by_host.values():
+            for route in routes_by_prefix.values():
+                yield route.name, route.latency_objective_s
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``, or ``None``.
 
