Send refused callers the turn that was planned for them

Cause: in merging the streamed responses with the early refusals, _failure_response kept the return of one side above the code of the other, so that nothing below it ran. Callers that were refused under overload got the random 0.05 to 0.3 s again, in deployments with pool or health too. The doc string of the random range had also come to stand below another constant.

Weighed: keeping the second log call of the unreachable part. It would log each failure twice, so CallOutcomes.log_failed takes the turn instead.

Change: one path that plans the turn for 503, logs it and sets Retry-After. Without limits the header is random as before.

The test failed before: 0.23 instead of the planned 1.25 s.

--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -49,10 +49,10 @@
 outcome. A body is copied up to four times on its way, and instances have as little as 200 MB."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 0.3
+"""Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
 USEFUL_RETURN_FRACTION = 0.75
 """Fraction of the time until a call's latency objective by which its caller has to come back; the
 rest is for the target."""
-"""Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout of a call whose caller sets none; the route's shorter timeout applies as well."""
 TOO_MANY_REQUESTS = 429
@@ -463,18 +463,8 @@
             and asyncio.get_running_loop().time() >= call.deadline
         ):
             status = 504
-        self.outcomes.log_failed(call, failure, status, version, seconds)
-        return self._error_response(call.request_id, status, failure.reason, failure.retry_after_s)
         wait_s = self._retry_after_s(call, caller_deadline) if status == 503 else None
-        self._decisions.failed(
-            call,
-            failure.outcome.name.lower(),
-            status=status,
-            reason=failure.reason,
-            configuration=version,
-            seconds=round(seconds, 3),
-            retry_after_s=None if wait_s is None else round(wait_s, 2),
-        )
+        self.outcomes.log_failed(call, failure, status, version, seconds, wait_s)
         response = self._error_response(
             call.request_id, status, failure.reason, failure.retry_after_s
         )
--- a/src/bulrushflow/sidecar/calls/outcomes.py
+++ b/src/bulrushflow/sidecar/calls/outcomes.py
@@ -52,11 +52,18 @@
         )
 
     def log_failed(
-        self, call: Call, failure: CallFailure, status: int, version: int, seconds: float
+        self,
+        call: Call,
+        failure: CallFailure,
+        status: int,
+        version: int,
+        seconds: float,
+        retry_after_s: float | None = None,
     ) -> None:
         """Log a call that failed.
 
         :param status: the status that its caller got.
+        :param retry_after_s: the turn that its caller got, if it got one.
         """
         self._decisions.failed(
             call,
@@ -65,4 +72,5 @@
             reason=failure.reason,
             configuration=version,
             seconds=round(seconds, 3),
+            retry_after_s=None if retry_after_s is None else round(retry_after_s, 2),
         )
--- a/tests/sidecar/calls/test_overload.py
+++ b/tests/sidecar/calls/test_overload.py
@@ -1,7 +1,9 @@
 """Real nodes with too few slots for their callers."""
 
 import asyncio
+from unittest import mock
 
+from bulrushflow.overload.retry_after import RetryPlanner
 from tests.sidecar.fleet import FleetTestCase
 from tests.waiting import until
 
@@ -40,6 +42,15 @@
         received = [call_id for target in self.targets for call_id in target.received]
         self.assertNotIn("refused", received)
 
+    # The planned turn was computed behind a return statement, and never sent.
+    async def test_a_refused_caller_gets_the_turn_that_was_planned(self) -> None:
+        running = await self.occupy()
+        with mock.patch.object(RetryPlanner, "wait_s", return_value=1.25):
+            self.assertEqual(await self.refused("refused", 9_000), 1.25)
+        for target in self.targets:
+            target.released.set()
+        await asyncio.gather(*running)
+
     async def test_a_call_that_returned_is_recognised_and_answered(self) -> None:
         running = await self.occupy()
         await self.refused("first", 9_000)
