Complete a rollout by its deadline also if the driver ended during it

Change: the steps at the end wait 0.4 s for each node before instead of 1.2 s, and 3 s instead of 2.5 s are kept before the deadline. With 3 s alone a healthy version of an order of 12 s was rolled back (one of 24 cases of tests.sidecar.rollouts.test_tracker).

--- a/src/bulrushflow/rollouts/bounded_steps.py
+++ b/src/bulrushflow/rollouts/bounded_steps.py
@@ -11,6 +11,7 @@
 from bulrushflow.rollouts.schedule import MIN_BAKE_S
 from bulrushflow.rollouts.schedule import MIN_LAST_PERMILLE
 from bulrushflow.rollouts.schedule import MIN_STAGE_S
+from bulrushflow.rollouts.schedule import SCHEDULING_SLACK_S
 from bulrushflow.rollouts.schedule import RolloutSchedule
 from bulrushflow.rollouts.steps import StepDecision
 from bulrushflow.rollouts.steps import bake
@@ -20,13 +21,18 @@
 """First share, which is within any allowance while the call rate is hardly known."""
 MAX_TEST_PERMILLE = 600
 """Highest share before the last one; the old version's calls are needed for comparison."""
-MIN_LATE_BAKE_S = 1.5
+MIN_LATE_BAKE_S = 1.25
 """Least time at the last share where a step is late: a node that takes over from the driver decides
 1.2 s after it, more than the usual bake time leaves."""
 MIN_SHARE_FACTOR = 1.25
 """Smallest change of the test share that is worth a step."""
 
 
+def last_share_s(schedule: RolloutSchedule) -> float:
+    """Return when the last share is due; a late step only shortens its time."""
+    return schedule.bake_start_s + SCHEDULING_SLACK_S
+
+
 def decide_bounded_step(
     schedule: RolloutSchedule,
     share_permille: int,
@@ -51,7 +57,7 @@
         if now_s < schedule.baseline_s:
             return StepDecision(0, "learning the old version's figures")
         return StepDecision(FIRST_PERMILLE, "first share")
-    if now_s >= schedule.bake_start_s:
+    if now_s >= last_share_s(schedule):
         return _raise_to_last(schedule, share_permille, result, now_s)
     return _adjust_test_share(schedule, share_permille, result, now_s, stage_s)
 
@@ -100,13 +106,13 @@
     if stage_s < MIN_STAGE_S:
         return StepDecision(share_permille, "ahead of the schedule")
     left = schedule.test_calls - schedule.exposure.used
-    left_s = max(MIN_STAGE_S, schedule.bake_start_s - now_s)
+    left_s = max(MIN_STAGE_S, last_share_s(schedule) - now_s)
     share = int(1000 * max(0.0, left) / (max(1e-6, schedule.calls_per_s) * left_s))
     share = max(FIRST_PERMILLE, min(MAX_TEST_PERMILLE, share))
     if MIN_SHARE_FACTOR > share / share_permille > 1 / MIN_SHARE_FACTOR:
         return StepDecision(share_permille, "ahead of the schedule")
     if share > share_permille and result.outcome is AnalysisOutcome.SUSPECT:
         return StepDecision(share_permille, f"held: {result.rule}")
-    if share > share_permille and now_s > schedule.bake_start_s - MIN_STAGE_S:
+    if share > share_permille and now_s > last_share_s(schedule) - MIN_STAGE_S:
         return StepDecision(share_permille, "too late for a higher test share")
     return StepDecision(share, f"share for which its allowance lasts{_used(schedule)}")
--- a/src/bulrushflow/sidecar/rollouts/driver.py
+++ b/src/bulrushflow/sidecar/rollouts/driver.py
@@ -47,6 +47,9 @@
 without new calls, which nodes that have just begun to analyse need."""
 RANK_DELAY_S = 1.2
 """Time that each further node allows the ones before it to take a due step."""
+FINAL_RANK_DELAY_S = 0.4
+"""The same for the steps that give the version all calls and end the rollout, since its deadline is
+near. A status usually arrives within 0.3 s; if it is later, one of two appends fails."""
 DRAIN_S = 1.8
 """Time without new calls after which the old version has answered all earlier ones."""
 
@@ -249,7 +252,8 @@
             self._due = (key, now)
         rank = self._rank()
         # Other nodes have their own evidence only, which doesn't suffice to raise the share.
-        if rank >= ANALYSIS_NODES or now - self._due[1] < rank * RANK_DELAY_S:
+        delay_s = FINAL_RANK_DELAY_S if step.share_permille >= FULL_PERMILLE else RANK_DELAY_S
+        if rank >= ANALYSIS_NODES or now - self._due[1] < rank * delay_s:
             return
         if step.phase is RolloutPhase.ROLLED_BACK:
             self.roll_back(rollout, step.reason)
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -22,8 +22,9 @@
 from bulrushflow.sidecar.records.directory import Peer
 
 FULL_PERMILLE = 1000
-FINISH_MARGIN_S = 2.5
-"""Time reserved before the deadline for the last calls at the old version to end."""
+FINISH_MARGIN_S = 3.0
+"""Time reserved before the deadline for the last calls at the old version to end. With 2.5 s a node
+that took over from the driver completed a rollout too late."""
 OLD_VERSION = "old"
 """Stands for the version in use in the evidence, or for all others while it isn't known."""
 NO_VERSIONS: t.Final = ServiceVersions()
