Take only callers that set a time limit into account when returned calls are recognised

Beside a caller without the header, whose limit is 60 s, every other call on the route seemed to have little time left: it counted as returned, and its latency objective as past. A test has such a caller.

The counter of returned calls has bounded labels, and `call failed` has `retry_after_s` only where waits are limited, so that the lines of other deployments stay as they were.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -170,6 +170,10 @@
         self.call_seconds.observe(labels, seconds)
         self._histogram_by_labels[label, service] = self.call_seconds.get_value(labels)
 
+    def count_returned(self, tenant: str) -> None:
+        """Count a call that its caller sent again."""
+        self.returned_calls.inc({"tenant": self._tenants.label(tenant)})
+
     def observe_admission(self, queued: int, active: int, lingering: int, capacity: int) -> None:
         """Record the numbers of calls at this node's target, and its slots."""
         self.admission.set({"state": "queued"}, queued)
--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -249,14 +249,15 @@
 
     def _recognise(self, request: web.BaseRequest, route: Route, started_at: float) -> Arrival:
         """Return whether a call was sent before, and how long ago its caller sent it first."""
-        if self._limits is None:
+        # Beside callers that set no time limit, all others would seem to have little time left.
+        if self._limits is None or self._header_names.timeout_ms not in request.headers:
             return Arrival(False, 0.0)
         routing = self._routing()
         returns = self._limits.returns
         returns.configure(routing.version, routing.latency_objectives())
         arrival = returns.record(route.name, self._caller_timeout_s(request), started_at)
         if arrival.returned:
-            self._metrics.returned_calls.inc({"tenant": route.name})
+            self._metrics.count_returned(route.name)
         return arrival
 
     def _retry_after_s(self, call: Call, caller_deadline: float) -> float | None:
@@ -380,7 +381,7 @@
             reason=failure.reason,
             configuration=version,
             seconds=round(seconds, 3),
-            retry_after_s=None if wait_s is None else round(wait_s, 2),
+            **({} if wait_s is None else {"retry_after_s": round(wait_s, 2)}),
         )
         response = self._error_response(
             call.request_id, status, failure.reason, failure.retry_after_s
--- a/tests/sidecar/calls/test_overload.py
+++ b/tests/sidecar/calls/test_overload.py
@@ -50,6 +50,15 @@
         self.assertEqual((await self.call(0, "second"))[0], 200)
         self.assertRegex(await self.metrics(0), r"bulrushflow_returned_calls_total\{.*\} 1")
 
+    # Beside callers without a time limit, every first call seemed to be sent again.
+    async def test_calls_without_a_time_limit_say_nothing_of_others(self) -> None:
+        await self.serve()
+        url = self.instances[0].url("callers", "/a/b")
+        async with self.http.get(url, headers={"Host": "h", "X-Id": "no limit"}) as response:
+            self.assertEqual(response.status, 200)
+        self.assertEqual((await self.call(0, "limited"))[0], 200)
+        self.assertNotRegex(await self.metrics(0), r"bulrushflow_returned_calls_total\{")
+
     async def test_nodes_learn_the_work_at_other_targets(self) -> None:
         await self.serve()
         for i in range(20):
