--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -320,14 +320,15 @@
 
     def _recognise(self, request: web.BaseRequest, route: Route, started_at: float) -> Arrival:
         """Return whether a call was sent before, and how long ago its caller sent it first."""
-        if self._limits is None:
+        # Beside callers that set no time limit, all others would seem to have little time left.
+        if self._limits is None or self._header_names.timeout_ms not in request.headers:
             return Arrival(False, 0.0)
         routing = self._routing()
         returns = self._limits.returns
         returns.configure(routing.version, routing.latency_objectives())
         arrival = returns.record(route.name, self._caller_timeout_s(request), started_at)
         if arrival.returned:
-            self._metrics.returned_calls.inc({"tenant": route.name})
+            self._metrics.count_returned(route.name)
         return arrival
 
     def _record_answer(self, call: Call) -> None:
--- a/src/bulrushflow/sidecar/calls/outcomes.py
+++ b/src/bulrushflow/sidecar/calls/outcomes.py
@@ -72,5 +72,5 @@
             reason=failure.reason,
             configuration=version,
             seconds=round(seconds, 3),
-            retry_after_s=None if retry_after_s is None else round(retry_after_s, 2),
+            **({} if retry_after_s is None else {"retry_after_s": round(retry_after_s, 2)}),
         )
