Explain where a request would go, from the objects that decide

Cause: operators had to work out from logs and metrics why a request went to a target or was refused, after it had been sent.

Weighed: a separate model of the decisions, which would drift from them; and a dry run of the dispatcher, which would use tokens, turns and probes. Instead the deciding functions are split into a part that reads and one that records, and what a decision consumes is consumed from copies with random numbers of their own.

Change: Explainer in sidecar/calls/explanation.py; GET /explain on the metrics address; the command `bulrushflow explain`. A key is read from the header Authorization only. The metrics address now has the server for requests that may carry keys, since the library quotes a malformed header in its log.

--- a/src/bulrushflow/metrics.py
+++ b/src/bulrushflow/metrics.py
@@ -331,7 +331,7 @@
         """
         self.control_bytes.add({"direction": direction, "kind": kind}, count)
 
-    async def serve(self, request: web.Request) -> web.Response:
+    async def serve(self, request: web.BaseRequest) -> web.Response:
         """Respond with the metrics in Prometheus's text format."""
         body, headers = render(self.registry, request.headers.getall("accept", []))
         return web.Response(body=body, headers=headers)
--- a/src/bulrushflow/operators/client.py
+++ b/src/bulrushflow/operators/client.py
@@ -116,9 +116,11 @@
                 )
             await asyncio.sleep(POLL_S)
 
-    async def get(self, path: str, kind: type[T]) -> Result[T, str]:
+    async def get(
+        self, path: str, kind: type[T], headers: t.Mapping[str, str] | None = None
+    ) -> Result[T, str]:
         """Return a node's decoded response; the error is the node's or that of the connection."""
-        result = await self.get_bytes(path)
+        result = await self.get_bytes(path, headers)
         return result.and_then(lambda body: _decode(body, kind))
 
     async def configuration(self) -> Result[Configuration, str]:
@@ -126,14 +128,16 @@
         result = await self.get_bytes("/configuration")
         return result.and_then(_decode_configuration)
 
-    async def get_bytes(self, path: str) -> Result[bytes, str]:
+    async def get_bytes(
+        self, path: str, headers: t.Mapping[str, str] | None = None
+    ) -> Result[bytes, str]:
         """Return the body from the first node that responds, an error for a status other than 200.
 
         Nodes that can't be reached are skipped.
         """
         reasons = []
         for url in self._node_urls:
-            result = await self._request(url, path)
+            result = await self._request(url, path, headers)
             if result.is_ok():
                 return result.and_then(_body)
             reasons.append(result.unwrap_err())
@@ -147,13 +151,15 @@
             results.append(result.and_then(_body).and_then(lambda body: _decode(body, kind)))
         return results
 
-    async def _request(self, url: str, path: str) -> Result[_NodeResponse, str]:
+    async def _request(
+        self, url: str, path: str, headers: t.Mapping[str, str] | None = None
+    ) -> Result[_NodeResponse, str]:
         """Return one node's response, whatever its status."""
         limits = BodyLimits(REQUEST_TIMEOUT_S, MAX_TRANSFER_S, MAX_RESPONSE_BYTES)
         try:
             async with (
                 SilenceTimeout(REQUEST_TIMEOUT_S) as timeout,
-                self._session.get(url + path) as response,
+                self._session.get(url + path, headers=headers) as response,
             ):
                 body = await read_body(response, timeout, limits)
                 return Ok(_NodeResponse(url, response.status, body))
--- a/src/bulrushflow/operators/commands.py
+++ b/src/bulrushflow/operators/commands.py
@@ -4,6 +4,7 @@
 
 import cappa
 
+from bulrushflow.operators.explain_command import Explain
 from bulrushflow.operators.inspecting import Diff
 from bulrushflow.operators.inspecting import Get
 from bulrushflow.operators.inspecting import HistoryCommand
@@ -30,6 +31,7 @@
     | Watch
     | Get
     | StoryCommand
+    | Explain
 )
 
 
--- a/src/bulrushflow/organisations/allowances.py
+++ b/src/bulrushflow/organisations/allowances.py
@@ -11,6 +11,7 @@
 import typing as t
 
 import msgspec
+from msgspec.structs import replace
 
 from bulrushflow.organisations.limits import POOL_FRACTION
 from bulrushflow.organisations.limits import Demand
@@ -231,12 +232,22 @@
     def get(self, organisation: str, now: float) -> Allowance | None:
         """Return an organisation's allowance; ``None`` without a limit."""
         allowance = self.by_organisation.get(organisation)
-        if allowance is not None:
-            return allowance
+        if allowance is None:
+            allowance = self._new(organisation, now)
+            if allowance is not None:
+                self.by_organisation[organisation] = allowance
+        return allowance
+
+    def preview(self, organisation: str, now: float) -> Allowance | None:
+        """Return a copy of an organisation's allowance, on which requests can be tried."""
+        allowance = self.by_organisation.get(organisation)
+        return replace(allowance) if allowance is not None else self._new(organisation, now)
+
+    def _new(self, organisation: str, now: float) -> Allowance | None:
         limit = self._limits.get(organisation)
         if limit is None:
             return None
-        allowance = self.by_organisation[organisation] = Allowance(organisation, limit, now)
+        allowance = Allowance(organisation, limit, now)
         # Whatever the shares are, the home leaves as much to a node that it can't reach.
         allowance.fallback_per_s = limit.per_s * POOL_FRACTION / self.node_count
         return allowance
--- a/src/bulrushflow/overload/origin.py
+++ b/src/bulrushflow/overload/origin.py
@@ -30,10 +30,15 @@
         self.planner = RetryPlanner(rng)
         self._probed_at_by_service: dict[str, float] = {}
 
+    def is_probe_due(self, service: str, now: float) -> bool:
+        """Return whether the next call is a probe, without counting one."""
+        probed_at = self._probed_at_by_service.get(service, -PROBE_INTERVAL_S)
+        return now - probed_at >= PROBE_INTERVAL_S
+
     def may_probe(self, service: str, now: float) -> bool:
         """Return whether a call may be sent although all targets report long waits."""
         probed_at_by_service = self._probed_at_by_service
-        if now - probed_at_by_service.get(service, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
+        if not self.is_probe_due(service, now):
             return False
         if service in probed_at_by_service or len(probed_at_by_service) < MAX_PROBED_SERVICES:
             probed_at_by_service[service] = now
--- a/src/bulrushflow/overload/returns.py
+++ b/src/bulrushflow/overload/returns.py
@@ -42,6 +42,10 @@
         """Record a call that arrives with ``left_s`` until its caller's deadline."""
         self._objectives.record(route, objective_s, now)
         self._times_left.record(route, left_s, now)
+        return self.classify(route, left_s)
+
+    def classify(self, route: str, left_s: float) -> Arrival:
+        """Compare a call with those recorded before, without recording it."""
         usual_s = self._times_left.seconds(route)
         if usual_s is None or self.is_short(route):
             return Arrival(False, 0.0)
--- a/src/bulrushflow/placement/choice.py
+++ b/src/bulrushflow/placement/choice.py
@@ -9,6 +9,7 @@
 import typing as t
 
 import msgspec
+from msgspec.structs import replace
 
 from bulrushflow.placement.remaining_work import WorkReport
 
@@ -74,6 +75,18 @@
         self._means_by_service: dict[str, _ServiceMeans] = {}
         self._service_s_by_route: dict[str, float] = {}
 
+    def preview(self, rng: random.Random) -> "WorkChoice":
+        """Return a choice by the same figures whose use leaves this one unchanged.
+
+        Reading the means lowers them by their age, so the preview has copies.
+        """
+        copied = WorkChoice(self._data_centre, rng, self._wall_ms)
+        copied._means_by_service = {
+            service: replace(means) for service, means in self._means_by_service.items()
+        }
+        copied._service_s_by_route = dict(self._service_s_by_route)
+        return copied
+
     def choose(
         self,
         candidates: "t.Sequence[Peer]",
@@ -91,7 +104,7 @@
         local = [p for p in candidates if p.entry.data_centre == self._data_centre]
         best = self._cheapest(local, excluded, now, response_bytes)
         if best is not None and (
-            self._cost_s(best, now, response_bytes)
+            self.expected_response_s(best, now, response_bytes)
             <= latency_objective_s * LOCAL_OBJECTIVE_FRACTION
         ):
             return best
@@ -109,7 +122,11 @@
         healthy = [peer for peer in sample if peer.ejected_until <= now]
         if len(healthy) < len(sample) * MAX_EJECTED_FRACTION:
             healthy = sample
-        return min(healthy, key=lambda peer: self._cost_s(peer, now, response_bytes), default=None)
+        return min(
+            healthy,
+            key=lambda peer: self.expected_response_s(peer, now, response_bytes),
+            default=None,
+        )
 
     def expected_wait_s(self, peer: "Peer", now: float) -> float:
         """Return the expected time until a call sent now would start at a target."""
@@ -196,7 +213,7 @@
         self._rng.shuffle(available)
         return available[:SAMPLE_SIZE]
 
-    def _cost_s(self, peer: "Peer", now: float, response_bytes: float) -> float:
+    def expected_response_s(self, peer: "Peer", now: float, response_bytes: float) -> float:
         """Return the expected time to a response, with the cost of the way."""
         means = self._means(peer, now)
         target = peer.entry.target
--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -23,16 +23,17 @@
 from bulrushflow.sidecar.calls.balancer import Balancer
 from bulrushflow.sidecar.calls.callers import CallerServer
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
+from bulrushflow.sidecar.calls.explanation import Explainer
 from bulrushflow.sidecar.calls.forwarding import PeerForwarder
 from bulrushflow.sidecar.calls.quarantine import Quarantine
 from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
 from bulrushflow.sidecar.calls.target_signals import SignalReader
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.sidecar.diagnostics import diagnostics_server
 from bulrushflow.sidecar.endpoints import AnnouncementChecks
 from bulrushflow.sidecar.endpoints import ReadinessReport
 from bulrushflow.sidecar.endpoints import announcement_application
-from bulrushflow.sidecar.endpoints import metrics_application
 from bulrushflow.sidecar.endpoints import readiness_application
 from bulrushflow.sidecar.evacuations import EvacuationOrders
 from bulrushflow.sidecar.listeners import Listeners
@@ -201,6 +202,19 @@
             self._rng,
             limits,
         )
+        self._explainer = Explainer(
+            settings.node_id,
+            settings.data_centre,
+            lambda: self.settings.own_service,
+            lambda: self.routing,
+            self._callers,
+            self._allowances,
+            self._dispatcher,
+            self._rollouts,
+            self.directory,
+            self._quarantine,
+            limits,
+        )
 
     def _build_replicas(self, adapter: Adapter, store: Store) -> None:
         topics = adapter.topics
@@ -274,7 +288,8 @@
         readiness = readiness_application(self._adapter.paths.readiness, self._readiness_report)
         await serve("readiness", readiness, self.settings.readiness)
         metrics = Endpoint(self.settings.address, self.settings.metrics_port)
-        await serve("metrics", metrics_application(self._metrics), metrics)
+        diagnostics = diagnostics_server(self._metrics, self._explainer, self._decisions)
+        await serve("metrics", diagnostics, metrics)
         self._allowances.start(self.timers)
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
         self.timers.subscribe("state metrics", STATE_METRICS_S, self._observe_state)
--- a/src/bulrushflow/sidecar/calls/allowances.py
+++ b/src/bulrushflow/sidecar/calls/allowances.py
@@ -91,6 +91,10 @@
         self._allowances.configure(limits, _now())
         self._review_nodes(limits_changed=True)
 
+    def preview(self, organisation: str) -> Allowance | None:
+        """Return a copy of an organisation's allowance; ``None`` without a limit."""
+        return self._allowances.preview(organisation, _now())
+
     async def admit(self, organisation: str, wait_s: float) -> float | None:
         """Use a token for a request; return ``None``, or the seconds after which to come back.
 
--- a/src/bulrushflow/sidecar/calls/balancer.py
+++ b/src/bulrushflow/sidecar/calls/balancer.py
@@ -41,6 +41,16 @@
         self._rng = rng
         self._wall_ms = wall_ms
 
+    def preview(self, rng: random.Random) -> "Balancer":
+        """Return a balancer that decides alike, and draws from ``rng`` instead."""
+        return Balancer(self._data_centre, rng, self._wall_ms)
+
+    def expected_response_s(
+        self, peer: Peer, candidates: t.Sequence[Peer], now: float, response_bytes: float
+    ) -> float:
+        """Return the expected time to a peer's response among candidates, in seconds."""
+        return self._expected_latency_s(peer, now, _fast_latency_s(candidates), response_bytes)
+
     def choose(
         self,
         candidates: t.Sequence[Peer],
@@ -81,11 +91,7 @@
                 if chosen is not None or not warm:
                     return chosen or self._rng.choice(cold)
                 healthy = warm
-        # A target without a measured latency counts as fast, so that it gets calls.
-        measured = sorted(peer.latency_s for peer in healthy if peer.latency_s)
-        fast_latency_s = (
-            measured[int(len(measured) * FAST_QUANTILE)] if measured else DEFAULT_LATENCY_S
-        )
+        fast_latency_s = _fast_latency_s(healthy)
         local = [peer for peer in healthy if peer.entry.data_centre == self._data_centre]
         preferred = [
             peer
@@ -180,6 +186,15 @@
         )
 
 
+def _fast_latency_s(peers: t.Iterable[Peer]) -> float:
+    """Return the latency that counts as fast, also for a target without a measured one.
+
+    Such a target gets calls, which show its latency.
+    """
+    measured = sorted(peer.latency_s for peer in peers if peer.latency_s)
+    return measured[int(len(measured) * FAST_QUANTILE)] if measured else DEFAULT_LATENCY_S
+
+
 def _capacity_per_s(peer: Peer) -> float:
     """Return the calls per second that a warm target can take, by its slots and latency."""
     target = peer.entry.target
--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -35,6 +35,8 @@
 from bulrushflow.sidecar.calls.keys import KeyCheck
 from bulrushflow.sidecar.calls.keys import RefusedRequest
 from bulrushflow.sidecar.calls.outcomes import CallOutcomes
+from bulrushflow.sidecar.calls.route_lookup import MissingRoute
+from bulrushflow.sidecar.calls.route_lookup import RouteLookup
 from bulrushflow.sidecar.calls.streaming import stream_body
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import Route
@@ -47,12 +49,11 @@
 MAX_HELD_BODY_BYTES = 24 << 20
 """Bound on the request bodies that are held at the same time, from the first byte to the call's
 outcome. A body is copied up to four times on its way, and instances have as little as 200 MB."""
-MIN_RETRY_AFTER_S = 0.05
-MAX_RETRY_AFTER_S = 0.3
+RANDOM_RETRY_AFTER_S = (0.05, 0.3)
+"""Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
 USEFUL_RETURN_FRACTION = 0.75
 """Fraction of the time until a call's latency objective by which its caller has to come back; the
 rest is for the target."""
-"""Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout of a call whose caller sets none; the route's shorter timeout applies as well."""
 TOO_MANY_REQUESTS = 429
@@ -101,9 +102,9 @@
             AUTHORIZATION.lower(),
             header_names.organisation.lower(),
         }
-        self._keys = KeyCheck(orders, allowances, metrics, decisions)
+        self.routes = RouteLookup(rejected_configuration, orders)
+        self.keys = KeyCheck(orders, allowances, metrics, decisions)
         self._routing = routing
-        self._rejected_configuration = rejected_configuration
         self._orders = orders
         self._own_service = own_service
         self._dispatcher = dispatcher
@@ -135,6 +136,10 @@
             max_field_size=MAX_LINE_BYTES,
         )
 
+    def stopping_refusal(self) -> RefusedRequest | None:
+        """Return the refusal of all new requests, or ``None`` while they are accepted."""
+        return RefusedRequest(503, "this node is stopping") if self.closed else None
+
     def begin_stop(self, answer_by: float) -> None:
         """Close each connection with its response, and answer all calls by a time.
 
@@ -146,9 +151,10 @@
             timeout.reschedule(answer_by)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        if self.closed:
+        refused = self.stopping_refusal()
+        if refused is not None:
             request_id = request.headers.get(self._header_names.request_id, "")
-            rejection = self._error_response(request_id, 503, "this node is stopping")
+            rejection = self._error_response(request_id, refused.status, refused.reason)
             rejection.force_close()
             return rejection
         self.in_flight += 1
@@ -177,18 +183,17 @@
         started_at = asyncio.get_running_loop().time()
         request_id = request.headers.get(self._header_names.request_id, "")
         routing = self._routing()
-        if not routing.version:
-            return self._error_response(request_id, 503, self._missing_configuration_reason())
-        route = routing.match(request.headers.get("Host", "").lower(), request.raw_path)
-        if route is None:
-            return self._missing_route_response(request, request_id, routing.version)
-        if route.disabled:
-            reason = f"route {route.name} is disabled: {route.disabled}"
-            return self._error_response(request_id, 503, reason)
+        match self.routes.find(routing, request.headers.get("Host", ""), request.raw_path):
+            case Err(refused):
+                if isinstance(refused, MissingRoute):
+                    self._log_missing_route(request, request_id, routing.version, refused.status)
+                return self._error_response(request_id, refused.status, refused.reason)
+            case Ok(route):
+                pass
         if not request_id:
             reason = f"missing header {self._header_names.request_id}"
             return self._error_response(request_id, 400, reason)
-        match await self._keys.admit(request.headers, route, routing, request_id):
+        match await self.keys.admit(request.headers, route, routing, request_id):
             case Err(refused):
                 return self._refused_response(request_id, refused)
             case Ok(_):
@@ -203,7 +208,7 @@
                     pass
             # A key may be withdrawn while the body arrives, which takes seconds on slow links.
             in_force = self._routing()
-            match self._keys.identify(request.headers, route, in_force, request_id):
+            match self.keys.identify(request.headers, route, in_force, request_id):
                 case Err(refused):
                     return self._refused_response(request_id, refused)
                 case Ok(organisation):
@@ -264,18 +269,9 @@
             self.outcomes.log_failed(call, result.unwrap_err(), status, version, seconds)
         return response
 
-    def _missing_configuration_reason(self) -> str:
-        rejected = self._rejected_configuration()
-        if rejected is None:
-            return "no configuration received yet"
-        return f"the only configuration received was rejected: {rejected}"
-
-    def _missing_route_response(
-        self, request: web.BaseRequest, request_id: str, version: int
-    ) -> web.Response:
-        """Return 404, which is final for callers, only if no newer configuration may be missing."""
-        current = self._orders.is_current
-        status = 404 if current else 503
+    def _log_missing_route(
+        self, request: web.BaseRequest, request_id: str, version: int, status: int
+    ) -> None:
         self._decisions.event(
             "no route",
             request=request_id,
@@ -286,10 +282,6 @@
             records_behind=self._orders.records_behind,
             store_connected=self._orders.connected,
         )
-        reason = f"no route in configuration {version}"
-        if not current:
-            reason += ", which may be outdated"
-        return self._error_response(request_id, status, reason)
 
     async def _until_stop(
         self,
@@ -409,7 +401,7 @@
         headers = tuple((k, v) for k, v in call.headers if k.lower() not in stripped)
         if organisation is None:
             return replace(call, headers=headers)
-        priority = call.priority if organisation.priority is None else organisation.priority
+        priority = call_priority(call.priority, organisation)
         return replace(call, headers=headers, organisation=organisation.name, priority=priority)
 
     def _result_response(
@@ -454,10 +446,7 @@
         seconds: float,
         caller_deadline: float,
     ) -> web.Response:
-        status = _STATUS_BY_OUTCOME[failure.outcome]
-        if failure.retry_after_s is not None:
-            # 503 would invite the caller to repeat the call at once.
-            status = TOO_MANY_REQUESTS
+        status = failure_status(failure)
         if (
             failure.outcome is Outcome.UNKNOWN
             and asyncio.get_running_loop().time() >= call.deadline
@@ -491,11 +480,35 @@
         if retry_after_s is not None:
             response.headers["Retry-After"] = f"{retry_after_s:.0f}"
         elif status == 503:
-            wait_s = self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
+            wait_s = self._rng.uniform(*RANDOM_RETRY_AFTER_S)
             response.headers["Retry-After"] = f"{wait_s:.2f}"
         return response
 
 
+def call_priority(route_priority: int, organisation: Organisation | None) -> int:
+    """Return a call's priority: its organisation's, or else its route's."""
+    if organisation is None or organisation.priority is None:
+        return route_priority
+    return organisation.priority
+
+
+def retry_after_range_s(
+    status: int, retry_after_s: float | None
+) -> tuple[float, float] | tuple[None, None]:
+    """Return the range of the ``Retry-After`` of a refusal, in seconds; ``None`` without one."""
+    if retry_after_s is not None:
+        return retry_after_s, retry_after_s
+    return RANDOM_RETRY_AFTER_S if status == 503 else (None, None)
+
+
+def failure_status(failure: CallFailure) -> int:
+    """Return the status of the response to a call that failed before its deadline."""
+    if failure.retry_after_s is not None:
+        # 503 would invite the caller to repeat the call at once.
+        return TOO_MANY_REQUESTS
+    return _STATUS_BY_OUTCOME[failure.outcome]
+
+
 def _parse_timeout_s(text: str | None) -> float:
     """Return the seconds in a header given in milliseconds, at most ``DEFAULT_TIMEOUT_S``."""
     if text is None or not (text.isascii() and text.isdigit()):
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -1,10 +1,12 @@
 """Dispatch of calls to targets, with retries, hedging and deadlines."""
 
 import asyncio
+import copy
 import math
 import random
 import typing as t
 
+import msgspec
 from result import Err
 from result import Ok
 
@@ -55,6 +57,15 @@
 PeerFilter = t.Callable[[str, t.Sequence[Peer]], t.Sequence[Peer]]
 
 
+class OverloadRefusal(msgspec.Struct, frozen=True):
+    """Why a call is refused without an attempt."""
+
+    reason: str
+    target_count: int
+    mean_wait_s: float
+    max_wait_s: float
+
+
 class CallProgress:
     """The outcome of one call's attempts so far."""
 
@@ -178,6 +189,44 @@
         credit_by_service[best] -= total
         return best
 
+    def preview(self, rng: random.Random, filter_peers: PeerFilter) -> "Dispatcher":
+        """Return a dispatcher whose read-only decisions are this one's next ones.
+
+        Only :meth:`choose_service`, :meth:`candidates`, :meth:`choose_target`,
+        :meth:`overload_refusal`, :meth:`expected_wait_s` and :meth:`expected_response_s` may be
+        called on it. They change copies of what this one decides by.
+
+        :param filter_peers: draws from ``rng`` too.
+        """
+        preview = copy.copy(self)
+        preview._rng = rng
+        preview._filter_peers = filter_peers
+        preview._balancer = self._balancer.preview(rng)
+        if self._work_choice is not None:
+            preview._work_choice = self._work_choice.preview(rng)
+        preview._credit_by_route = {
+            key: dict(credit) for key, credit in self._credit_by_route.items()
+        }
+        return preview
+
+    def candidates(self, service: str) -> t.Sequence[Peer]:
+        """Return the peers of the version that a call is to go to; the version may be drawn."""
+        return self._filter_peers(service, self._directory.ready_peers(service))
+
+    def expected_wait_s(self, peer: Peer, now: float) -> float | None:
+        """Return the expected wait at a target; ``None`` where targets don't report their work."""
+        choice = self._work_choice
+        return choice.expected_wait_s(peer, now) if choice is not None else None
+
+    def expected_response_s(
+        self, route: Route, service: str, peer: Peer, candidates: t.Sequence[Peer], now: float
+    ) -> float:
+        """Return the expected time to a target's response, by which targets are compared."""
+        response_bytes = self._response_sizes.large_bytes(route.name)
+        if self._work_choice is not None and self._cold_start(service) is None:
+            return self._work_choice.expected_response_s(peer, now, response_bytes)
+        return self._balancer.expected_response_s(peer, candidates, now, response_bytes)
+
     def backlog_s(self, service: str) -> float:
         """Return the expected wait at a service's targets, as far as they report it."""
         if self._work_choice is None:
@@ -192,7 +241,7 @@
         overloaded = self._early_refusal(route, call)
         if overloaded is not None:
             return not_run(overloaded)
-        progress = CallProgress(not_run(f"no target of {call.service} takes calls"))
+        progress = CallProgress(not_run(no_target_reason(call.service)))
         try:
             async with asyncio.timeout_at(call.deadline):
                 await self._try_targets(route, call, progress)
@@ -248,38 +297,48 @@
     def _refuse_evacuated(self, call: Call, progress: CallProgress) -> None:
         """Refuse a call at once that no target may get; waiting would only delay its retry."""
         self._metrics.evacuation_refusals.inc({"at": "origin"})
-        reason = f"all targets of {call.service} are in evacuated data centres"
-        progress.record(not_run(reason), call.idempotent, 1)
+        progress.record(not_run(evacuated_reason(call.service)), call.idempotent, 1)
 
     def _early_refusal(self, route: Route, call: Call) -> str | None:
         """Return why no target is worth an attempt, or ``None``.
 
         Calls that returned, and those that running calls make, are sent in any case.
         """
+        now = asyncio.get_running_loop().time()
+        refusal = self.overload_refusal(route, call.service, call.returned, now)
+        if refusal is None or self._limits is None or self._limits.may_probe(call.service, now):
+            return None
+        self._metrics.early_refusals.inc({"service": call.service})
+        self._decisions.event(
+            "service overloaded",
+            service=call.service,
+            targets=refusal.target_count,
+            mean_wait_s=round(refusal.mean_wait_s, 3),
+            max_wait_s=round(refusal.max_wait_s, 3),
+        )
+        return refusal.reason
+
+    def overload_refusal(
+        self, route: Route, service: str, returned: bool, now: float
+    ) -> OverloadRefusal | None:
+        """Return why no target is worth an attempt unless it is a probe, or ``None``.
+
+        :param returned: whether the caller sent the call before.
+        """
         limits, choice = self._limits, self._work_choice
-        if limits is None or choice is None or call.returned:
+        if limits is None or choice is None or returned:
             return None
         if limits.returns.is_short(route.name):
             return None
         max_wait_s = limits.max_expected_wait_s(route.name, route.latency_objective_s)
-        now = asyncio.get_running_loop().time()
-        backlog_s = choice.backlog_s(call.service, now)
+        backlog_s = choice.backlog_s(service, now)
         if backlog_s <= max_wait_s:
             return None
-        candidates = self._filter_peers(call.service, self._directory.ready_peers(call.service))
+        candidates = self.candidates(service)
         if not choice.all_wait_longer(candidates, now, max_wait_s):
             return None
-        if limits.may_probe(call.service, now):
-            return None
-        self._metrics.early_refusals.inc({"service": call.service})
-        self._decisions.event(
-            "service overloaded",
-            service=call.service,
-            targets=len(candidates),
-            mean_wait_s=round(backlog_s, 3),
-            max_wait_s=round(max_wait_s, 3),
-        )
-        return f"no target of {call.service} is expected to start a call within {max_wait_s:.2f} s"
+        reason = f"no target of {service} is expected to start a call within {max_wait_s:.2f} s"
+        return OverloadRefusal(reason, len(candidates), backlog_s, max_wait_s)
 
     def _patience_until(self, route: Route) -> float:
         """Return the event loop time up to which a refused call is tried elsewhere."""
@@ -353,9 +412,22 @@
         return ended
 
     def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
-        candidates = self._filter_peers(call.service, self._directory.ready_peers(call.service))
         now = asyncio.get_running_loop().time()
-        cold_start = self._cold_start(call.service)
+        return self.choose_target(route, call.service, self.candidates(call.service), tried, now)
+
+    def choose_target(
+        self,
+        route: Route,
+        service: str,
+        candidates: t.Sequence[Peer],
+        tried: t.Collection[str],
+        now: float,
+    ) -> Peer | None:
+        """Return the target of one attempt among candidates; ``None`` if none is available.
+
+        :param tried: addresses of nodes that the call was sent to already.
+        """
+        cold_start = self._cold_start(service)
         response_bytes = self._response_sizes.large_bytes(route.name)
         # Only the balancer chooses between cold and warm targets.
         if self._work_choice is not None and cold_start is None:
@@ -457,6 +529,16 @@
         )
 
 
+def no_target_reason(service: str) -> str:
+    """Return why a call is refused for which no target became available in time."""
+    return f"no target of {service} takes calls"
+
+
+def evacuated_reason(service: str) -> str:
+    """Return why a call is refused whose service has targets in evacuated data centres only."""
+    return f"all targets of {service} are in evacuated data centres"
+
+
 def _close_response(result: CallResult) -> None:
     if result.is_ok():
         result.unwrap().close()
--- a/src/bulrushflow/sidecar/calls/keys.py
+++ b/src/bulrushflow/sidecar/calls/keys.py
@@ -1,6 +1,7 @@
 """Check of the API key of a caller's request, and of its organisation's allowance."""
 
 import math
+import typing as t
 
 import msgspec
 from multidict import CIMultiDictProxy
@@ -74,8 +75,12 @@
         retry_after_s = await self._allowances.admit(organisation.name, wait_s)
         if retry_after_s is None:
             return found
+        return Err(self.beyond_allowance(organisation, retry_after_s))
+
+    def beyond_allowance(self, organisation: Organisation, retry_after_s: float) -> RefusedRequest:
+        """Return the refusal of a request beyond its organisation's allowance."""
         reason = f"{organisation.name} is beyond its limit of {organisation.rate_per_s:g} calls/s"
-        return Err(RefusedRequest(TOO_MANY_REQUESTS, reason, retry_after_s))
+        return RefusedRequest(TOO_MANY_REQUESTS, reason, retry_after_s)
 
     def identify(
         self, headers: "CIMultiDictProxy[str]", route: Route, routing: Routing, request_id: str
@@ -85,30 +90,44 @@
         A refusal is final (401) only if no newer configuration, which may have the key, can be
         missing here.
         """
-        if routing.organisations is None:
-            return Ok(None)
-        found = routing.organisations.identify(
-            headers.getall(AUTHORIZATION, []), route.allow_anonymous
-        )
+        found = _find(headers.getall(AUTHORIZATION, []), route, routing)
         return found.map_err(lambda refusal: self._refuse(refusal, route, routing, request_id))
 
+    def check(
+        self, authorizations: t.Sequence[str], route: Route, routing: Routing
+    ) -> Result[Organisation | None, RefusedRequest]:
+        """Decide as :meth:`identify` does, without counting or logging a refusal."""
+        found = _find(authorizations, route, routing)
+        return found.map_err(lambda refusal: self._refused(refusal, routing))
+
     def _refuse(
         self, refusal: KeyRefusal, route: Route, routing: Routing, request_id: str
     ) -> RefusedRequest:
-        current = self._orders.is_current
-        status = UNAUTHORIZED if current else 503
-        self._metrics.count_key_refusal(refusal.value, status)
+        refused = self._refused(refusal, routing)
+        self._metrics.count_key_refusal(refusal.value, refused.status)
         self._decisions.event(
             "key refused",
             request=request_id,
             route=route.name,
-            status=status,
+            status=refused.status,
             reason=refusal.value,
             configuration=routing.version,
             records_behind=self._orders.records_behind,
             store_connected=self._orders.connected,
         )
+        return refused
+
+    def _refused(self, refusal: KeyRefusal, routing: Routing) -> RefusedRequest:
+        current = self._orders.is_current
         reason = f"{refusal.value} in configuration {routing.version}"
         if not current:
             reason += ", which may be outdated"
-        return RefusedRequest(status, reason)
+        return RefusedRequest(UNAUTHORIZED if current else 503, reason)
+
+
+def _find(
+    authorizations: t.Sequence[str], route: Route, routing: Routing
+) -> Result[Organisation | None, KeyRefusal]:
+    if routing.organisations is None:
+        return Ok(None)
+    return routing.organisations.identify(authorizations, route.allow_anonymous)
--- a/src/bulrushflow/sidecar/endpoints.py
+++ b/src/bulrushflow/sidecar/endpoints.py
@@ -1,4 +1,4 @@
-"""HTTP applications for the target's registration, readiness checks and metrics."""
+"""HTTP applications for the target's registration and readiness checks."""
 
 import typing as t
 
@@ -9,7 +9,6 @@
 from result import Ok
 from result import Result
 
-from bulrushflow.metrics import Metrics
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import TargetEntry
@@ -123,13 +122,6 @@
     return app
 
 
-def metrics_application(metrics: Metrics) -> web.Application:
-    """Return the application that serves the counters and histograms."""
-    app = web.Application()
-    app.router.add_get("/metrics", metrics.serve)
-    return app
-
-
 def readiness_application(path: str, report: t.Callable[[], ReadinessReport]) -> web.Application:
     """Return the readiness check: status 200 while this node accepts calls, else 503.
 
--- a/src/bulrushflow/sidecar/records/directory.py
+++ b/src/bulrushflow/sidecar/records/directory.py
@@ -224,9 +224,13 @@
         """Return the peers with a ready target of a service, evacuated ones left out."""
         return self._ready_by_service.get(service, ())
 
+    def evacuated_peers(self, service: str) -> t.Sequence[Peer]:
+        """Return the peers that would be ready if their data centre weren't evacuated."""
+        return self._evacuated_by_service.get(service, ())
+
     def all_evacuated(self, service: str) -> bool:
         """Return whether all ready targets of a service are in evacuated data centres."""
-        return bool(self._evacuated_by_service.get(service)) and not self.ready_peers(service)
+        return bool(self.evacuated_peers(service)) and not self.ready_peers(service)
 
     def _list_if_ready(self, peer: Peer) -> None:
         target = peer.entry.target
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -249,6 +249,12 @@
 
     def filter_peers(self, service: str, peers: t.Sequence[Peer]) -> t.Sequence[Peer]:
         """Choose one call's version by the traffic share and return the peers that run it."""
+        return self.select_peers(service, peers, self._rng)
+
+    def select_peers(
+        self, service: str, peers: t.Sequence[Peer], rng: random.Random
+    ) -> t.Sequence[Peer]:
+        """Do as :meth:`filter_peers`, with draws from ``rng``."""
         rollout = self.by_service.get(service)
         versions = self._versions_by_service.get(service)
         if rollout is None:
@@ -262,7 +268,7 @@
             share = FULL_PERMILLE
         if rollout.phase is RolloutPhase.ROLLED_BACK or not share:
             return old
-        if share >= FULL_PERMILLE or self._rng.randrange(FULL_PERMILLE) < share:
+        if share >= FULL_PERMILLE or rng.randrange(FULL_PERMILLE) < share:
             return new or old
         # Before the last share, the version isn't proven healthy and can't replace the old one.
         return old or new if share >= MIN_LAST_PERMILLE else old
