--- a/src/bulrushflow/overload/returns.py
+++ b/src/bulrushflow/overload/returns.py
@@ -55,6 +55,10 @@
     def record(self, route: str, left_s: float, now: float) -> Arrival:
         """Record a call that arrives with ``left_s`` until its caller's deadline."""
         self._times_left.record(route, left_s, now)
+        return self.classify(route, left_s)
+
+    def classify(self, route: str, left_s: float) -> Arrival:
+        """Compare a call with those recorded before, without recording it."""
         usual_s = self._times_left.seconds(route)
         if usual_s is None or self.is_short(route):
             return Arrival(False, 0.0)
