Keep the outcomes of hedged attempts that end at the same moment

Cause: two gaps in the dispatcher where two things end in one turn of the event loop. - An attempt that ended with the call's deadline was not recorded: its task was done, so it was neither cancelled nor counted, and the call kept its first result, 'not run'. The caller got 503 for a call that a target had answered, or that may run. - A failure that came with another attempt's success replaced it: the caller got 502, and the stream of the success was never closed.

Weighed: returning the answer of the first case. The deadline has passed, and the caller has gone.

Change: CallProgress.record_unread counts such an attempt as one that may have run, unless it was refused; CallProgress.record keeps the first success and closes what comes after it.

Both tests failed before: NOT_RUN instead of UNKNOWN, and UNKNOWN instead of the success.

--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -70,7 +70,7 @@
         self.unanswered = 0
         """Number of attempts that ended without a response and may have run."""
         self.abandoned = False
-        """Whether an attempt was cancelled without an outcome, so that it may have run."""
+        """Whether an attempt's outcome was not recorded, so that it may have run."""
 
     @property
     def succeeded(self) -> bool:
@@ -79,6 +79,10 @@
 
     def record(self, result: CallResult, idempotent: bool, max_attempts: int) -> bool:
         """Record an attempt's outcome; return whether the call must not be tried again."""
+        if self.succeeded:
+            # Two attempts may end at the same moment; the first success is the call's result.
+            _close_response(result)
+            return True
         match result:
             case Ok(response):
                 self.discard()
@@ -104,6 +108,12 @@
         self.deliveries += 1
         return final or not idempotent or self.possible_runs >= max_attempts
 
+    def record_unread(self, result: CallResult) -> None:
+        """Record the outcome of an attempt that ended at the moment at which the call did."""
+        _close_response(result)
+        if result.is_ok() or result.unwrap_err().outcome not in (Outcome.NOT_RUN, Outcome.REFUSED):
+            self.abandoned = True
+
     def discard(self) -> None:
         """Stop the transfer of the recorded response, if its body is still arriving."""
         _close_response(self.result)
@@ -349,7 +359,7 @@
             for result in await asyncio.gather(*running, return_exceptions=True):
                 # One that ended at the same moment has a response that nobody reads.
                 if not isinstance(result, BaseException):
-                    _close_response(result)
+                    progress.record_unread(result)
         return ended
 
     def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
--- a/tests/sidecar/calls/test_dispatcher.py
+++ b/tests/sidecar/calls/test_dispatcher.py
@@ -182,6 +182,37 @@
                 for stream in streams:
                     self.assertEqual(stream.close.called, stream not in kept)
 
+    # A failure that came with the success replaced it, and left its stream open.
+    async def test_a_failure_at_the_same_moment_does_not_replace_a_success(self) -> None:
+        for failed in (0, 1):
+            with self.subTest(failed=failed):
+                self.sent.clear()
+                running = self.start()
+                await until(lambda: len(self.sent) == 2)
+                stream = mock.Mock(total=50_000)
+                results = [Response(200, (), b"", stream).as_result()] * 2
+                results[failed] = unknown("cut")
+                for (address, _), result in zip(self.sent, results, strict=True):
+                    self.responses[address].set_result(result)
+                self.assertIs((await running).unwrap().stream, stream)
+                stream.close.assert_not_called()
+
+    # The call was certified not to have run, though a target had answered it.
+    async def test_a_hedged_call_answered_at_its_deadline_may_have_run(self) -> None:
+        for result in (response_with(200).as_result(), unknown("cut"), not_run("full")):
+            with self.subTest(result=result), stopped_loop_clock() as clock:
+                self.sent.clear()
+                deadline = call().deadline
+                running = self.start()
+                while not self.sent:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+                # The attempt and the call's deadline end in the same turn of the event loop.
+                self.responses[self.sent[0][0]].set_result(result)
+                clock.advance(deadline - clock.now)
+                outcome = (await running).unwrap_err().outcome
+                ran = result != not_run("full")
+                self.assertIs(outcome, Outcome.UNKNOWN if ran else Outcome.NOT_RUN)
+
     async def test_a_call_is_not_hedged_without_a_free_slot(self) -> None:
         now = asyncio.get_running_loop().time()
         for target_peer in self.directory.ready_peers("statements"):
