Overwrite a late write that is read before the response to a newer one

Cause: Registration took its own entry for the stored one whenever its append was confirmed. If an earlier append without a response is executed after it, and both are read before the confirmation arrives, the older entry stayed in the store: a leave was acknowledged, and the node used the target again after a restart.

Also, an entry that was read and not changed since never counted as written, so that whoever waited for it got 503.

Weighed: comparing offsets. The handler passes none, and a rare extra write does no harm.

Change: what was read during an append stays the stored entry and is overwritten; an entry that nothing was published after counts as written. A late write that is executed after the confirmation is overwritten once it is read, as before.

Both tests failed before: the entry was written once, and the wait timed out.

--- a/src/bulrushflow/sidecar/records/registration.py
+++ b/src/bulrushflow/sidecar/records/registration.py
@@ -50,8 +50,11 @@
     def reconcile(self, entry: NodeEntry | None) -> None:
         """Record the entry that the store has; overwrite it if it isn't the published one."""
         self._stored = entry
-        if self._desired is not None:
-            self.publish(self._desired)
+        if self._desired is None:
+            # Nothing has changed since the start.
+            self._in_sync.set()
+            return
+        self.publish(self._desired)
 
     async def wait_written(self, timeout_s: float) -> bool:
         """Wait until the store has the published entry; return ``False`` on a timeout."""
@@ -72,13 +75,17 @@
             if entry is None or entry == self._stored:
                 self._in_sync.set()
                 continue
+            before = self._stored
             write = StoreWrite(node_key(entry.address), encode_node_entry(entry))
             match await self._store.append(self._topic, [write]):
                 case Ok(offset):
-                    self._stored = entry
+                    if self._stored == before:
+                        self._stored = entry
+                    # Else another entry was read meanwhile, perhaps of an earlier write that was
+                    # executed late and replaced this one; reconcile has it overwritten.
                     self._backoff.reset()
                     self._decisions.event("entry written", offset=offset)
-                    if entry == self._desired:
+                    if entry == self._desired == self._stored:
                         self._in_sync.set()
                 case Err(error):
                     self._decisions.event("entry not written", reason=error.message)
--- a/tests/sidecar/records/test_registration.py
+++ b/tests/sidecar/records/test_registration.py
@@ -1,4 +1,6 @@
+import asyncio
 import random
+import typing as t
 import unittest
 from unittest import mock
 
@@ -70,6 +72,32 @@
         self.store.unavailable = False
         self.assertTrue(await self.registration.wait_written(GUARD_S))
 
+    # DRAIN: a leave was acknowledged although an earlier write, executed late, had replaced it, and
+    # the leave was never written again.
+    async def test_a_late_write_that_is_read_before_the_response_is_overwritten(self) -> None:
+        late = replace(ENTRY, target=target(sequence=2))
+        response = asyncio.Event()
+        append = self.store.append
+
+        async def slow(*args: t.Any) -> t.Any:
+            result = await append(*args)
+            await response.wait()
+            return result
+
+        with mock.patch.object(self.store, "append", slow):
+            self.registration.publish(ENTRY)
+            await until(lambda: len(self.store.records) == 1)
+            self.registration.reconcile(ENTRY)
+            self.registration.reconcile(late)
+            response.set()
+            self.assertTrue(await self.registration.wait_written(GUARD_S))
+        self.assertEqual(self.written(), [ENTRY, ENTRY])
+
+    async def test_an_entry_that_was_read_and_not_changed_since_counts_as_written(self) -> None:
+        self.registration.reconcile(ENTRY)
+        self.assertTrue(await self.registration.wait_written(GUARD_S))
+        self.assertEqual(self.written(), [])
+
     async def test_another_entry_in_the_store_is_overwritten(self) -> None:
         self.registration.publish(ENTRY)
         self.assertTrue(await self.registration.wait_written(GUARD_S))
