Acknowledge a late announcement of a leave only once the store has it

Cause: an announcement that isn't applied, since its target departed or a newer one is known, was answered with 200 at once, also when it said that the target drains. A target whose DELETE got 503 while the store was away, and whose announcement as draining came after it, had its acknowledgement, and a node that restarted then used it again.

Weighed: answering such announcements with an error. Late ones that say ready need none.

Change: each announcement of a target that isn't ready waits for the store.

The test failed before: 200 instead of 503.

--- a/src/bulrushflow/sidecar/endpoints.py
+++ b/src/bulrushflow/sidecar/endpoints.py
@@ -106,7 +106,8 @@
                 incarnation=entry.incarnation,
                 sequence=entry.sequence,
             )
-        elif entry.state is not TargetState.READY:
+        if entry.state is not TargetState.READY:
+            # Also if it is late: the leave that it follows may not be in the store yet.
             return await acknowledge_leave(target_id)
         return web.json_response({})
 
--- a/tests/sidecar/calls/test_acknowledged_leaves.py
+++ b/tests/sidecar/calls/test_acknowledged_leaves.py
@@ -51,6 +51,22 @@
         self.assertIsNone(self.stored_entry(0)["target"])
         self.assertEqual(await self.announce(1, state="draining", sequence=2), 200)
 
+    # DRAIN: a late announcement of the same leave was acknowledged at once.
+    async def test_a_late_announcement_of_a_leave_is_acknowledged_once_the_store_has_it(
+        self,
+    ) -> None:
+        await self.serve()
+        await until(lambda: bool(self.stored_entry(0).get("target")))
+        self.store.status = 503
+        self.assertEqual(await self.deregister(0), 503)
+        self.assertEqual(await self.announce(0, state="draining", sequence=2), 503)
+        self.assertEqual(await self.announce(1, state="draining", sequence=3), 503)
+        self.assertEqual(await self.announce(1, state="draining", sequence=2), 503)
+        self.store.status = 200
+        self.assertEqual(await self.announce(0, state="draining", sequence=2), 200)
+        self.assertEqual(await self.announce(1, state="draining", sequence=2), 200)
+        self.assertIsNone(self.stored_entry(0)["target"])
+
     async def test_a_leave_without_the_store_holds_at_once_at_the_node_itself(self) -> None:
         await self.serve()
         self.store.status = 503
