Forget a departure after its retention time also where nothing is published

Cause: departures were dropped only when the node's entry was published, and a rejected announcement publishes nothing. A target that runs on was rejected for ever: one at whose address another process had answered with 421 for a moment, or one that restarted with the same id within the millisecond or after the clock was set back.

Weighed: shortening the retention, or leaving targets that answer 421 out. Announcements of both kinds arrive seconds late, so both are needed.

Change: DepartedTargets.includes applies the retention time itself.

--- a/src/bulrushflow/sidecar/calls/departures.py
+++ b/src/bulrushflow/sidecar/calls/departures.py
@@ -43,7 +43,9 @@
     def includes(self, target_id: str, incarnation: int) -> bool:
         """Return whether a target of this start, or a later one of its id, has left."""
         departed = self._by_id.get(target_id)
-        return departed is not None and incarnation <= departed.incarnation
+        if departed is None or departed.at_ms < self._oldest_ms():
+            return False
+        return incarnation <= departed.incarnation
 
     def includes_entry(self, entry: TargetEntry) -> bool:
         """Return whether the target of an entry has left."""
@@ -57,8 +59,12 @@
 
     def recent(self) -> tuple[DepartedTarget, ...]:
         """Return the departures to publish; those of before the retention time are dropped."""
-        oldest_ms = self._clock.wall_ms() - int(RETENTION_S * 1000)
+        oldest_ms = self._oldest_ms()
         expired = [target_id for target_id, d in self._by_id.items() if d.at_ms < oldest_ms]
         for target_id in expired:
             del self._by_id[target_id]
         return tuple(self._by_id.values())
+
+    def _oldest_ms(self) -> int:
+        """Return the time from which on departures are remembered."""
+        return self._clock.wall_ms() - int(RETENTION_S * 1000)
