Release the space of expired body reservations for unannounced bodies too

Cause: reservations for bodies that never arrive were expired only when another body was announced.

Weighed: a timer for each reservation. Expiring before space is taken does the same without timers.

Change: PeerForwarder expires reservations before it takes the space of a body.

The test failed before: the call was refused after the reservation's time.

--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -265,6 +265,7 @@
 
     async def _run(self, call: Call) -> CallResult:
         size = len(call.body)
+        self._reservations.expire(asyncio.get_running_loop().time())
         self._reservations.release(call.request_id)
         with BodyReservation(self.body_budget) as reservation:
             if not reservation.grow(size):
--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -14,6 +14,7 @@
 from bulrushflow.routing import Outcome
 from bulrushflow.sidecar.calls import forwarding
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.body_reservations import RESERVATION_S
 from bulrushflow.sidecar.calls.forwarding import LARGE_BODY_BYTES
 from bulrushflow.sidecar.calls.forwarding import PeerForwarder
 from bulrushflow.sidecar.calls.retry_budget import TargetRetryBudget
@@ -251,6 +252,23 @@
         self.assertEqual(result.unwrap().body, b"body")
         self.assertEqual(self.remote.forwarder.body_budget.used_bytes, 0)
 
+    # Expired only by the next announcement of a body, it kept the space from bodies that need none.
+    async def test_the_space_of_a_body_that_never_arrives_is_free_for_unannounced_ones(
+        self,
+    ) -> None:
+        self.remote.forwarder.body_budget.max_bytes = LARGE_BODY_BYTES
+        announced = replace(call("r-1"), body=b"x" * LARGE_BODY_BYTES)
+        link = (await self.local.links.connect(self.peer.entry.endpoint, 5.0)).unwrap()
+        self.assertIsNone(await self.local.forwarder._request_admission(link, announced))
+        small = replace(call("r-2"), body=b"x")
+        result, _ = await self.local.forwarder.send(self.peer, small)
+        self.assertIn("no buffer space", result.unwrap_err().reason)
+        with stopped_loop_clock() as clock:
+            clock.advance(RESERVATION_S)
+            later = replace(call("r-3"), body=b"x")
+            result, _ = await self.local.forwarder.send(self.peer, later)
+        self.assertEqual(result.unwrap().body, b"body")
+
     async def test_a_node_that_answers_no_admission_request_has_not_run_the_call(self) -> None:
         self.remote.links._handlers.pop("admission_request")
         large = replace(call(), body=b"x" * LARGE_BODY_BYTES)
