Stop counting attempts at a target once they ended without a report

Cause: WorkChoice counted each attempt as work at its target until the target's next report. Attempts that are cancelled (hedges that lost, callers that left), lost with a connection or refused without a report, and those at nodes that report none, were never taken off. After many of them the target's expected wait stayed high for as long as its process lived: it got no calls while others were cheaper, so it never reported either.

Weighed: letting the count decay with the age of the report. Calls that still run would be forgotten.

Change: an attempt that ends without a report is taken off the count, which doesn't fall below 0: a report in between has reset it.

Both tests failed before: the counts stayed at 1 after all attempts had ended.

--- a/src/bulrushflow/placement/choice.py
+++ b/src/bulrushflow/placement/choice.py
@@ -142,6 +142,10 @@
         """Count an attempt that is sent to a target."""
         peer.sent_since_report += 1
 
+    def record_unreported(self, peer: "Peer") -> None:
+        """Count an attempt that ended without a report: the target doesn't work on it any more."""
+        peer.sent_since_report = max(0, peer.sent_since_report - 1)
+
     def record_report(self, peer: "Peer", report: WorkReport, route: str, now: float) -> None:
         """Record what a target's node said with the answer to a call on ``route``."""
         peer.work = report
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -396,6 +396,8 @@
             result, report = await self._send(peer, attempt)
         except asyncio.CancelledError:
             progress.abandoned = True
+            if self._work_choice is not None:
+                self._work_choice.record_unreported(peer)
             # An attempt that is cancelled because another one succeeded has not failed.
             if not progress.succeeded:
                 late = loop.time() >= call.deadline
@@ -424,8 +426,11 @@
             peer.record_cold(report.cold_ms, now)
         if report.link_reported:
             peer.record_link_backlog(report.link_backlog_s, now)
-        if self._work_choice is not None and report.work is not None:
-            self._work_choice.record_report(peer, report.work, call.route, now)
+        if self._work_choice is not None:
+            if report.work is not None:
+                self._work_choice.record_report(peer, report.work, call.route, now)
+            else:
+                self._work_choice.record_unreported(peer)
         match result:
             case Ok(response):
                 if not response.is_failure:
--- a/tests/sidecar/calls/test_dispatcher.py
+++ b/tests/sidecar/calls/test_dispatcher.py
@@ -393,6 +393,32 @@
     free: Peer | None = None
     clock: StoppedClock
 
+    # They counted as work for ever: a target that many calls were lost at got none any more.
+    async def test_attempts_without_a_report_do_not_count_once_they_ended(self) -> None:
+        for result in (unknown("cut"), not_run("full"), response_with(200).as_result()):
+            with self.subTest(result=result):
+                self.sent.clear()
+                self.result = result
+                await self.dispatch(returned=True)
+                self.assertGreater(len(self.sent), 0)
+                self.assertEqual([peer.sent_since_report for peer in self.peers], [0, 0, 0])
+
+    async def test_a_cancelled_attempt_does_not_count_any_more(self) -> None:
+        began = asyncio.Event()
+
+        async def wait_forever(*_: t.Any) -> t.Any:
+            began.set()
+            await asyncio.Event().wait()
+
+        route = Route("r", "h", "/", (WeightedService("statements", 1.0),), False, 5.0, 1.0, 1, 0)
+        with mock.patch.object(self.dispatcher, "_send", wait_forever):
+            running = asyncio.ensure_future(self.dispatcher.dispatch(route, call(idempotent=False)))
+            await began.wait()
+            self.assertEqual(sum(peer.sent_since_report for peer in self.peers), 1)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(sum(peer.sent_since_report for peer in self.peers), 0)
+
     async def test_a_call_is_not_sent_while_no_target_would_start_it_in_time(self) -> None:
         self.wait_s = 0.2
         self.limits.may_probe("statements", asyncio.get_running_loop().time())
