Explain a rollout's share as calls are drawn by it

Cause: the explanation showed the share of the status. For an order of the version in use, calls are drawn by 1000 thousandths instead.

Weighed: repeating the rule in the explanation, which would drift.

Change: Rollouts.drawn_permille, which the choice of a call's version and the explanation both use.

--- a/src/bulrushflow/sidecar/calls/explanation.py
+++ b/src/bulrushflow/sidecar/calls/explanation.py
@@ -241,7 +241,7 @@
         return RolloutReport(
             rollout.order.to_version,
             rollout.phase.value,
-            rollout.share_permille,
+            self._rollouts.drawn_permille(rollout),
             self._rollouts.versions(service).in_use,
         )
 
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -262,17 +262,24 @@
         ordered = rollout.order.to_version
         new = [peer for peer in peers if _version(peer) == ordered]
         old = _usable_peers(peers, versions or NO_VERSIONS, ordered)
-        share = rollout.share_permille
-        if versions is not None and ordered == versions.in_use:
-            # An order of the version in use takes no calls from it.
-            share = FULL_PERMILLE
-        if rollout.phase is RolloutPhase.ROLLED_BACK or not share:
+        share = self.drawn_permille(rollout)
+        if not share:
             return old
         if share >= FULL_PERMILLE or rng.randrange(FULL_PERMILLE) < share:
             return new or old
         # Before the last share, the version isn't proven healthy and can't replace the old one.
         return old or new if share >= MIN_LAST_PERMILLE else old
 
+    def drawn_permille(self, rollout: Rollout) -> int:
+        """Return the share of the calls for which the ordered version is drawn, in thousandths."""
+        if rollout.phase is RolloutPhase.ROLLED_BACK:
+            return 0
+        versions = self._versions_by_service.get(rollout.order.service)
+        if versions is not None and rollout.order.to_version == versions.in_use:
+            # An order of the version in use takes no calls from it.
+            return FULL_PERMILLE
+        return rollout.share_permille
+
     def count_sent(self, call: Call) -> None:
         """Count a call that is sent to this node's own target."""
         rollout = self.by_service.get(call.service)
--- a/tests/sidecar/calls/test_explanation.py
+++ b/tests/sidecar/calls/test_explanation.py
@@ -250,6 +250,29 @@
         self.assertEqual((last.node, last.reason), ("n-4", "version v2 gets no calls"))
         self.assertFalse(last.available)
 
+    # The share of an order of the version in use isn't the share that calls are drawn by.
+    async def test_the_share_is_the_one_by_which_versions_are_drawn(self) -> None:
+        self.directory.update("node/4", peer(4, version="v2").entry)
+        self.rollouts.apply_order(RolloutOrder("statements", "v2", 60.0, 5), 0.0)
+        for step, from_version, permille in ((1, "v1", 400), (2, "v2", 1000)):
+            status = RolloutStatus(
+                "statements",
+                "v2",
+                5,
+                step,
+                400,
+                RolloutPhase.RUNNING,
+                0,
+                0,
+                from_version=from_version,
+            )
+            self.rollouts.apply_status(status, 0.0)
+            rollout = self.explain().rollout
+            assert rollout is not None
+            self.assertEqual(rollout.share_permille, permille)
+        chosen = {self.explain(seed=seed).choice for seed in range(20)}
+        self.assertEqual(chosen, {"n-4"})
+
 
 class RefusalTests(ExplanationTestCase):
     async def test_no_route(self) -> None:
