Remember a draining target that another one replaced

Cause: while a newer target is known, its revision rejects the delayed announcements of the one before. Once the newer one leaves, or is dropped since another process answered at its address, nothing did. A target whose drain was acknowledged came back with an announcement of before it.

Weighed: remembering each replaced target. One that was ready and is still there, beside one that announced itself for a moment, would not be used any more.

The test failed before: the delayed announcement was accepted. The second test holds the case that was weighed and passed before.

--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -157,6 +157,9 @@
         if current is not None and current.leaving and not replaced:
             # Targets that announce their leave in responses may still announce that they are ready.
             entry = replace(entry, state=TargetState.DRAINING, leaving=True)
+        if replaced and current is not None and current.state is not TargetState.READY:
+            # Once the new target is gone, no revision is left that rejects a delayed announcement.
+            self.departed.add(current.target_id, current.incarnation)
         if replaced or endpoint != self.endpoint:
             self._replace(entry, endpoint)
         entry = self.warmth.announce(entry, replaced, not self.reachable, restored)
--- a/tests/sidecar/calls/test_admission_controller.py
+++ b/tests/sidecar/calls/test_admission_controller.py
@@ -89,6 +89,24 @@
     def announce(self, entry: TargetEntry) -> bool:
         return self.controller.apply_announcement(entry, self.endpoint)
 
+    # DRAIN: the revision that rejected delayed announcements left with the target that replaced it.
+    async def test_a_draining_target_that_was_replaced_does_not_come_back(self) -> None:
+        old = target("t-old", incarnation=5, sequence=3, state=TargetState.DRAINING)
+        new = target("t-new", incarnation=9)
+        self.controller.apply_announcement(old, self.endpoint)
+        self.controller.apply_announcement(new, self.endpoint)
+        self.controller.remove_target("t-new")
+        late = target("t-old", incarnation=5, sequence=2)
+        self.assertFalse(self.controller.apply_announcement(late, self.endpoint))
+        self.assertIsNone(self.controller.entry)
+
+    async def test_a_ready_target_that_was_replaced_comes_back_once_the_other_left(self) -> None:
+        self.controller.apply_announcement(target("t-old", incarnation=5), self.endpoint)
+        self.controller.apply_announcement(target("t-new", incarnation=9), self.endpoint)
+        self.controller.remove_target("t-new")
+        again = target("t-old", incarnation=5, sequence=2)
+        self.assertTrue(self.controller.apply_announcement(again, self.endpoint))
+
     def assert_refused(self, result: CallResult) -> None:
         self.assertIs(result.unwrap_err().outcome, Outcome.NOT_RUN)
         self.assertFalse(result.unwrap_err().reached_target)
