Move call progress and the statuses of refusals to modules of their own

Weighed: a module for the choice of targets, which is a larger change of the dispatcher; left for later.

Change: call_progress.py and refusals.py, without a change of behaviour.

--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -35,6 +35,8 @@
 from bulrushflow.sidecar.calls.keys import KeyCheck
 from bulrushflow.sidecar.calls.keys import RefusedRequest
 from bulrushflow.sidecar.calls.outcomes import CallOutcomes
+from bulrushflow.sidecar.calls.refusals import RANDOM_RETRY_AFTER_S
+from bulrushflow.sidecar.calls.refusals import failure_status
 from bulrushflow.sidecar.calls.route_lookup import MissingRoute
 from bulrushflow.sidecar.calls.route_lookup import RouteLookup
 from bulrushflow.sidecar.calls.streaming import stream_body
@@ -49,21 +51,11 @@
 MAX_HELD_BODY_BYTES = 24 << 20
 """Bound on the request bodies that are held at the same time, from the first byte to the call's
 outcome. A body is copied up to four times on its way, and instances have as little as 200 MB."""
-RANDOM_RETRY_AFTER_S = (0.05, 0.3)
-"""Range of the randomized ``Retry-After`` values, which spread the retries of refused callers."""
 USEFUL_RETURN_FRACTION = 0.75
 """Fraction of the time until a call's latency objective by which its caller has to come back; the
 rest is for the target."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout of a call whose caller sets none; the route's shorter timeout applies as well."""
-TOO_MANY_REQUESTS = 429
-"""Status of a quarantined request, which did not run."""
-_STATUS_BY_OUTCOME = {
-    Outcome.NOT_RUN: 503,
-    Outcome.REFUSED: 503,
-    Outcome.UNKNOWN: 502,
-    Outcome.ANSWER_LOST: 502,
-}
 
 
 class CallerServer:
@@ -492,23 +484,6 @@
     return organisation.priority
 
 
-def retry_after_range_s(
-    status: int, retry_after_s: float | None
-) -> tuple[float, float] | tuple[None, None]:
-    """Return the range of the ``Retry-After`` of a refusal, in seconds; ``None`` without one."""
-    if retry_after_s is not None:
-        return retry_after_s, retry_after_s
-    return RANDOM_RETRY_AFTER_S if status == 503 else (None, None)
-
-
-def failure_status(failure: CallFailure) -> int:
-    """Return the status of the response to a call that failed before its deadline."""
-    if failure.retry_after_s is not None:
-        # 503 would invite the caller to repeat the call at once.
-        return TOO_MANY_REQUESTS
-    return _STATUS_BY_OUTCOME[failure.outcome]
-
-
 def _parse_timeout_s(text: str | None) -> float:
     """Return the seconds in a header given in milliseconds, at most ``DEFAULT_TIMEOUT_S``."""
     if text is None or not (text.isascii() and text.isdigit()):
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -21,12 +21,15 @@
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import Response
 from bulrushflow.routing import not_run
-from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
 from bulrushflow.sidecar.calls.balancer import Balancer
+from bulrushflow.sidecar.calls.call_progress import CallProgress
+from bulrushflow.sidecar.calls.call_progress import close_response
 from bulrushflow.sidecar.calls.forwarding import PeerForwarder
 from bulrushflow.sidecar.calls.forwarding import PeerReport
 from bulrushflow.sidecar.calls.quarantine import Quarantine
+from bulrushflow.sidecar.calls.refusals import evacuated_reason
+from bulrushflow.sidecar.calls.refusals import no_target_reason
 from bulrushflow.sidecar.calls.target_signals import SignalReader
 from bulrushflow.sidecar.calls.target_warmth import ColdStartLookup
 from bulrushflow.sidecar.decisions import DecisionLog
@@ -34,11 +37,6 @@
 from bulrushflow.sidecar.records.directory import Directory
 from bulrushflow.sidecar.records.directory import Peer
 
-MAX_UNANSWERED_ATTEMPTS = 2
-"""Attempts without a response after which a call isn't tried again: it may be the call that ends
-the targets."""
-MAX_REFUSALS = 4
-"""Refusals by targets after which a call is not tried again."""
 MAX_REFUSALS_AT_FULL_LOAD = 2
 """Refusals after which targets are no longer tried if their last known load leaves no slot free."""
 TARGET_WAIT_FRACTION = 0.1
@@ -66,66 +64,6 @@
     max_wait_s: float
 
 
-class CallProgress:
-    """The outcome of one call's attempts so far."""
-
-    __slots__ = ("abandoned", "deliveries", "possible_runs", "refusals", "result", "unanswered")
-
-    def __init__(self, result: CallResult) -> None:
-        self.result = result
-        self.deliveries = 0
-        """Number of attempts that may have reached a target."""
-        self.possible_runs = 0
-        """Number of attempts that may have run."""
-        self.refusals = 0
-        self.unanswered = 0
-        """Number of attempts that ended without a response and may have run."""
-        self.abandoned = False
-        """Whether an attempt was cancelled without an outcome, so that it may have run."""
-
-    @property
-    def succeeded(self) -> bool:
-        """Whether a target responded without a server error."""
-        return self.result.is_ok() and not self.result.unwrap().is_failure
-
-    def record(self, result: CallResult, idempotent: bool, max_attempts: int) -> bool:
-        """Record an attempt's outcome; return whether the call must not be tried again."""
-        match result:
-            case Ok(response):
-                self.discard()
-                self.result = result
-                final = not response.is_failure
-            case Err(failure) if failure.outcome in (Outcome.NOT_RUN, Outcome.REFUSED):
-                # A refusal does not replace the result of an earlier attempt that may have run.
-                if not self.possible_runs:
-                    self.result = result
-                if failure.outcome is Outcome.REFUSED:
-                    return True
-                self.refusals += 1
-                self.deliveries += failure.reached_target
-                return self.refusals >= MAX_REFUSALS
-            case Err(failure):
-                self.result = result
-                self.unanswered += 1
-                final = (
-                    failure.outcome is not Outcome.UNKNOWN
-                    or self.unanswered >= MAX_UNANSWERED_ATTEMPTS
-                )
-        self.possible_runs += 1
-        self.deliveries += 1
-        return final or not idempotent or self.possible_runs >= max_attempts
-
-    def discard(self) -> None:
-        """Stop the transfer of the recorded response, if its body is still arriving."""
-        _close_response(self.result)
-
-    def result_at_deadline(self) -> CallResult:
-        """Return the outcome of a call whose deadline has passed."""
-        if self.abandoned and not self.result.is_ok():
-            return unknown("no answer within the timeout")
-        return self.result
-
-
 class Dispatcher:
     """Sends each call to a target of its service, and retries it within the route's limits.
 
@@ -408,7 +346,7 @@
             for result in await asyncio.gather(*running, return_exceptions=True):
                 # One that ended at the same moment has a response that nobody reads.
                 if not isinstance(result, BaseException):
-                    _close_response(result)
+                    close_response(result)
         return ended
 
     def _choose(self, route: Route, call: Call, tried: set[str]) -> Peer | None:
@@ -527,18 +465,3 @@
             load=load,
             seconds=round(seconds, 3),
         )
-
-
-def no_target_reason(service: str) -> str:
-    """Return why a call is refused for which no target became available in time."""
-    return f"no target of {service} takes calls"
-
-
-def evacuated_reason(service: str) -> str:
-    """Return why a call is refused whose service has targets in evacuated data centres only."""
-    return f"all targets of {service} are in evacuated data centres"
-
-
-def _close_response(result: CallResult) -> None:
-    if result.is_ok():
-        result.unwrap().close()
--- a/src/bulrushflow/sidecar/calls/explanation.py
+++ b/src/bulrushflow/sidecar/calls/explanation.py
@@ -23,11 +23,7 @@
 from bulrushflow.sidecar.calls.allowances import AllowanceService
 from bulrushflow.sidecar.calls.callers import CallerServer
 from bulrushflow.sidecar.calls.callers import call_priority
-from bulrushflow.sidecar.calls.callers import failure_status
-from bulrushflow.sidecar.calls.callers import retry_after_range_s
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
-from bulrushflow.sidecar.calls.dispatcher import evacuated_reason
-from bulrushflow.sidecar.calls.dispatcher import no_target_reason
 from bulrushflow.sidecar.calls.explanation_report import AllowanceReport
 from bulrushflow.sidecar.calls.explanation_report import CandidateReport
 from bulrushflow.sidecar.calls.explanation_report import Explanation
@@ -37,6 +33,10 @@
 from bulrushflow.sidecar.calls.explanation_report import ServiceWeight
 from bulrushflow.sidecar.calls.keys import RefusedRequest
 from bulrushflow.sidecar.calls.quarantine import Quarantine
+from bulrushflow.sidecar.calls.refusals import evacuated_reason
+from bulrushflow.sidecar.calls.refusals import failure_status
+from bulrushflow.sidecar.calls.refusals import no_target_reason
+from bulrushflow.sidecar.calls.refusals import retry_after_range_s
 from bulrushflow.sidecar.model import Route
 from bulrushflow.sidecar.model import Routing
 from bulrushflow.sidecar.records.directory import Directory
--- a/tests/sidecar/calls/test_dispatcher.py
+++ b/tests/sidecar/calls/test_dispatcher.py
@@ -22,8 +22,8 @@
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls import dispatcher
 from bulrushflow.sidecar.calls.balancer import Balancer
-from bulrushflow.sidecar.calls.dispatcher import MAX_REFUSALS
-from bulrushflow.sidecar.calls.dispatcher import CallProgress
+from bulrushflow.sidecar.calls.call_progress import MAX_REFUSALS
+from bulrushflow.sidecar.calls.call_progress import CallProgress
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
 from bulrushflow.sidecar.calls.forwarding import PeerReport
 from bulrushflow.sidecar.calls.target_signals import SignalReader
--- a/tests/sidecar/calls/test_explanation.py
+++ b/tests/sidecar/calls/test_explanation.py
@@ -21,12 +21,12 @@
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.sidecar.calls.allowances import AllowanceService
 from bulrushflow.sidecar.calls.balancer import Balancer
-from bulrushflow.sidecar.calls.callers import RANDOM_RETRY_AFTER_S
 from bulrushflow.sidecar.calls.callers import CallerServer
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
 from bulrushflow.sidecar.calls.explanation import Explainer
 from bulrushflow.sidecar.calls.explanation import Question
 from bulrushflow.sidecar.calls.explanation_report import Explanation
+from bulrushflow.sidecar.calls.refusals import RANDOM_RETRY_AFTER_S
 from bulrushflow.sidecar.calls.target_signals import SignalReader
 from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutPhase
