Mark cold targets in explanations

Cause: a cold target gets few calls whatever its other figures are, and the explanation did not say so.

Weighed: a field of the report; a reason says the same to people and programs.

Change: Balancer.is_cold, which the choice and the explanation both use.

--- a/src/bulrushflow/sidecar/calls/balancer.py
+++ b/src/bulrushflow/sidecar/calls/balancer.py
@@ -45,6 +45,10 @@
         """Return a balancer that decides alike, and draws from ``rng`` instead."""
         return Balancer(self._data_centre, rng, self._wall_ms)
 
+    def is_cold(self, peer: Peer, cold_start: ColdStart, now: float) -> bool:
+        """Return whether a target counts as cold in the choice."""
+        return peer.is_cold(now, self._wall_ms(), cold_start.start_s)
+
     def expected_response_s(
         self, peer: Peer, candidates: t.Sequence[Peer], now: float, response_bytes: float
     ) -> float:
@@ -82,11 +86,9 @@
         if len(healthy) < len(candidates) * MAX_EJECTED_FRACTION:
             healthy = available
         if cold_start is not None:
-            now_ms = self._wall_ms()
-            start_s = cold_start.start_s
-            cold = [peer for peer in healthy if peer.is_cold(now, now_ms, start_s)]
+            cold = [peer for peer in healthy if self.is_cold(peer, cold_start, now)]
             if cold:
-                warm = [peer for peer in healthy if not peer.is_cold(now, now_ms, start_s)]
+                warm = [peer for peer in healthy if not self.is_cold(peer, cold_start, now)]
                 chosen = self._choose_cold(cold, warm, cold_start, now)
                 if chosen is not None or not warm:
                     return chosen or self._rng.choice(cold)
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -131,8 +131,9 @@
         """Return a dispatcher whose read-only decisions are this one's next ones.
 
         Only :meth:`choose_service`, :meth:`candidates`, :meth:`choose_target`,
-        :meth:`overload_refusal`, :meth:`expected_wait_s` and :meth:`expected_response_s` may be
-        called on it. They change copies of what this one decides by.
+        :meth:`overload_refusal`, :meth:`is_cold`, :meth:`expected_wait_s` and
+        :meth:`expected_response_s` may be called on it. They change copies of what this
+        one decides by.
 
         :param filter_peers: draws from ``rng`` too.
         """
@@ -151,6 +152,11 @@
         """Return the peers of the version that a call is to go to; the version may be drawn."""
         return self._filter_peers(service, self._directory.ready_peers(service))
 
+    def is_cold(self, service: str, peer: Peer, now: float) -> bool:
+        """Return whether a target gets few calls a second, since it counts as cold."""
+        cold_start = self._cold_start(service)
+        return cold_start is not None and self._balancer.is_cold(peer, cold_start, now)
+
     def expected_wait_s(self, peer: Peer, now: float) -> float | None:
         """Return the expected wait at a target; ``None`` where targets don't report their work."""
         choice = self._work_choice
--- a/src/bulrushflow/sidecar/calls/explanation.py
+++ b/src/bulrushflow/sidecar/calls/explanation.py
@@ -268,6 +268,8 @@
                     f"ejected after failures for {peer.ejected_until - now:.1f} s, used only "
                     "if too few others are left"
                 )
+            elif available and preview.is_cold(service, peer, now):
+                reason = "cold, gets few calls a second"
             response_s = preview.expected_response_s(route, service, peer, candidates, now)
             wait_s = preview.expected_wait_s(peer, now)
             reports.append(_candidate_report(peer, now, available, reason, wait_s, response_s))
--- a/tests/sidecar/calls/test_explanation.py
+++ b/tests/sidecar/calls/test_explanation.py
@@ -15,6 +15,7 @@
 from bulrushflow.organisations import Organisations
 from bulrushflow.organisations.keys import key_digest
 from bulrushflow.overload import OriginLimits
+from bulrushflow.placement import ColdStart
 from bulrushflow.placement import Evacuations
 from bulrushflow.placement import WorkChoice
 from bulrushflow.placement import WorkReport
@@ -225,6 +226,13 @@
         self.assertFalse(second.available)
         self.assertEqual((third.data_centre, third.version, third.load), ("b", "v1", 0.5))
 
+    async def test_a_cold_target_is_marked(self) -> None:
+        self.dispatcher._cold_start = lambda service: ColdStart(9.0, 3.0, 22)
+        now = asyncio.get_running_loop().time()
+        self.directory.peers_by_key["node/2"].record_cold(3_600_000, now)
+        reasons = [candidate.reason for candidate in self.explain().candidates]
+        self.assertEqual(reasons, ["", "cold, gets few calls a second", ""])
+
     async def test_a_key_names_its_organisation_and_its_allowance(self) -> None:
         explanation = self.explain(key=KEY)
         self.assertEqual(explanation.organisation, "oak")
