--- a/src/bulrushflow/placement/choice.py
+++ b/src/bulrushflow/placement/choice.py
@@ -44,6 +44,9 @@
 LOCAL_OBJECTIVE_FRACTION = 0.6
 """Fraction of the latency objective within which the best target of the own data centre must be
 expected to respond to be chosen before remote ones. Traffic between data centres is expensive."""
+LOCAL_WAIT_FRACTION = 0.125
+"""Fraction of the latency objective up to which a call may wait at the best target of the own data
+centre. It is the target's own bound: with a longer wait it is about to refuse."""
 MIN_LINK_MBPS = 0.1
 """Least bandwidth that is assumed of a link; entries of other writers may have 0."""
 MAX_MEANS = 1024
@@ -103,8 +106,12 @@
         """
         local = [p for p in candidates if p.entry.data_centre == self._data_centre]
         best = self._cheapest(local, excluded, now, response_bytes)
-        if best is not None and (
-            self.expected_response_s(best, now, response_bytes)
+        # A retry goes to the target that is expected to respond first, wherever it is.
+        if (
+            best is not None
+            and not excluded
+            and self.expected_wait_s(best, now) <= latency_objective_s * LOCAL_WAIT_FRACTION
+            and self.expected_response_s(best, now, response_bytes)
             <= latency_objective_s * LOCAL_OBJECTIVE_FRACTION
         ):
             return best
--- a/src/bulrushflow/sidecar/calls/body_reservations.py
+++ b/src/bulrushflow/sidecar/calls/body_reservations.py
@@ -8,9 +8,11 @@
 
 from bulrushflow.routing import ByteBudget
 
-RESERVATION_S = 3.0
-"""Time within which an announced body has to arrive. A body of 16 MiB takes some 1.3 s on a link of
-100 Mbit/s; one that arrives later takes its space then, if there is any."""
+MIN_RESERVATION_S = 3.0
+"""Least time within which an announced body has to arrive, unless its call ends before."""
+SLOWEST_LINK_BYTES_PER_S = 5_000_000 / 8
+"""Rate at which a body is expected to arrive at least; a slow link of 5 Mbit/s takes 26 s for a
+body of 16 MiB. One that arrives later takes its space then, if there is any."""
 
 
 class _Reservation(msgspec.Struct):
@@ -30,18 +32,20 @@
         self._budget = budget
         self._by_call_id: dict[str, _Reservation] = {}
 
-    def reserve(self, call_id: str, size: int, now: float) -> bool:
+    def reserve(self, call_id: str, size: int, now: float, deadline: float) -> bool:
         """Reserve ``size`` bytes for a call; return ``False`` if there is no space for them.
 
         A second announcement of the call replaces the first.
 
         :param now: event loop time in seconds.
+        :param deadline: event loop time at which the call ends.
         """
         self.expire(now)
         self.release(call_id)
         if not self._budget.reserve(size):
             return False
-        self._by_call_id[call_id] = _Reservation(size, now + RESERVATION_S)
+        expires_at = min(deadline, now + max(MIN_RESERVATION_S, size / SLOWEST_LINK_BYTES_PER_S))
+        self._by_call_id[call_id] = _Reservation(size, expires_at)
         return True
 
     def release(self, call_id: str) -> None:
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -226,7 +226,7 @@
 
     def _reserve_space(self, call: Call, body_bytes: int, now: float) -> str | None:
         """Reserve space for the body that follows; return why that is impossible, or ``None``."""
-        if self._reservations.reserve(call.request_id, body_bytes, now):
+        if self._reservations.reserve(call.request_id, body_bytes, now, call.deadline):
             return None
         return no_space_error(self.body_budget, body_bytes).reason
 
