Explain the turns that refused callers get

The explanation was written beside a fault that gave every refused caller a random Retry-After of 0.05 to 0.3 s.

--- a/src/bulrushflow/overload/retry_after.py
+++ b/src/bulrushflow/overload/retry_after.py
@@ -79,6 +79,13 @@
         wait_s = self._rng.uniform(longest_s * (1 - SPREAD_FRACTION), longest_s)
         return max(MIN_WAIT_S, wait_s)
 
+    def wait_range_s(self, left_s: float) -> tuple[float, float]:
+        """Return the shortest and the longest wait of a refused caller, without giving a turn.
+
+        :param left_s: time that the caller has left for its call.
+        """
+        return MIN_WAIT_S, max(MIN_WAIT_S, left_s * MAX_WAIT_FRACTION)
+
     def _turns(self, service: str) -> _Turns:
         turns = self._turns_by_service.get(service)
         if turns is None:
--- a/src/bulrushflow/sidecar/calls/explanation.py
+++ b/src/bulrushflow/sidecar/calls/explanation.py
@@ -200,18 +200,29 @@
         overloaded = preview.overload_refusal(route, service, returned, now)
         if overloaded is not None and self._limits is not None:
             if not self._limits.is_probe_due(service, now):
-                return _not_run(explanation, overloaded.reason)
+                return self._not_run(explanation, question, overloaded.reason)
             explanation = _replace(explanation, probes=True)
         if explanation.time_left_s <= 0:
-            return _not_run(explanation, no_target_reason(service))
+            return self._not_run(explanation, question, no_target_reason(service))
         chosen = preview.choose_target(route, service, candidates, (), now)
         if chosen is not None:
             return _replace(explanation, choice=chosen.entry.node_id)
         if self._directory.all_evacuated(service):
-            return _not_run(explanation, evacuated_reason(service))
+            return self._not_run(explanation, question, evacuated_reason(service))
         # The refusal follows unless a target becomes available in time.
         explanation = _replace(explanation, waits_for_target=True)
-        return _not_run(explanation, no_target_reason(service))
+        return self._not_run(explanation, question, no_target_reason(service))
+
+    def _not_run(self, explanation: Explanation, question: Question, reason: str) -> Explanation:
+        """Return the refusal of a call that was not run, with the range of its turns."""
+        failed = _failed(explanation, CallFailure(Outcome.NOT_RUN, reason))
+        if self._limits is None or failed.refusal is None:
+            return failed
+        low_s, high_s = self._limits.planner.wait_range_s(question.time_left_s)
+        refusal = msgspec.structs.replace(
+            failed.refusal, retry_after_min_s=low_s, retry_after_max_s=high_s
+        )
+        return _replace(failed, refusal=refusal)
 
     def _is_returned(self, route: Route, question: Question) -> bool:
         if self._limits is None:
@@ -341,9 +352,5 @@
     return _refused(explanation, RefusedRequest(status, failure.reason, failure.retry_after_s))
 
 
-def _not_run(explanation: Explanation, reason: str) -> Explanation:
-    return _failed(explanation, CallFailure(Outcome.NOT_RUN, reason))
-
-
 def _replace(explanation: Explanation, **changes: t.Any) -> Explanation:
     return msgspec.structs.replace(explanation, **changes)
--- a/tests/sidecar/calls/test_explanation.py
+++ b/tests/sidecar/calls/test_explanation.py
@@ -365,6 +365,10 @@
         assert explanation.refusal is not None
         self.assertEqual(explanation.refusal.status, 503)
         self.assertIn("is expected to start a call within", explanation.refusal.reason)
+        # Refused callers get turns, which may lie far beyond the random values of other refusals.
+        low_s, high_s = self.limits.planner.wait_range_s(9.0)
+        self.assertEqual(explanation.refusal.retry_after_min_s, low_s)
+        self.assertEqual(explanation.refusal.retry_after_max_s, high_s)
         for candidate in explanation.candidates:
             assert candidate.expected_wait_s is not None
             self.assertGreater(candidate.expected_wait_s, 0.0)
