--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 from msgspec.structs import replace
-from multidict import CIMultiDict
 from result import Err
 from result import Ok
 from result import Result
@@ -28,15 +27,14 @@
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.allowances import AllowanceService
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
-from bulrushflow.sidecar.calls.headers import AUTHORIZATION
-from bulrushflow.sidecar.calls.headers import HOP_BY_HOP_HEADERS
 from bulrushflow.sidecar.calls.headers import HeaderNames
 from bulrushflow.sidecar.calls.http_server import HttpServer
 from bulrushflow.sidecar.calls.keys import KeyCheck
 from bulrushflow.sidecar.calls.keys import RefusedRequest
 from bulrushflow.sidecar.calls.outcomes import CallOutcomes
-from bulrushflow.sidecar.calls.refusals import RANDOM_RETRY_AFTER_S
 from bulrushflow.sidecar.calls.refusals import failure_status
+from bulrushflow.sidecar.calls.request_headers import RequestHeaders
+from bulrushflow.sidecar.calls.responses import ResponseBuilder
 from bulrushflow.sidecar.calls.route_lookup import MissingRoute
 from bulrushflow.sidecar.calls.route_lookup import RouteLookup
 from bulrushflow.sidecar.calls.streaming import stream_body
@@ -84,16 +82,7 @@
     ) -> None:
         self._limits = limits
         self._header_names = header_names
-        self._stripped_headers = HOP_BY_HOP_HEADERS | {
-            header_names.request_id.lower(),
-            header_names.timeout_ms.lower(),
-            header_names.caller_service.lower(),
-            header_names.expected_target.lower(),
-        }
-        self._stripped_with_organisations = self._stripped_headers | {
-            AUTHORIZATION.lower(),
-            header_names.organisation.lower(),
-        }
+        self._request_headers = RequestHeaders(header_names)
         self.routes = RouteLookup(rejected_configuration, orders)
         self.keys = KeyCheck(orders, allowances, metrics, decisions)
         self._routing = routing
@@ -103,7 +92,7 @@
         self._metrics = metrics
         self.outcomes = CallOutcomes(metrics, decisions)
         self._decisions = decisions
-        self._rng = rng
+        self._responses = ResponseBuilder(header_names, rng)
         self.body_budget = ByteBudget(MAX_HELD_BODY_BYTES)
         self.in_flight = 0
         self.stopping = False
@@ -146,7 +135,7 @@
         refused = self.stopping_refusal()
         if refused is not None:
             request_id = request.headers.get(self._header_names.request_id, "")
-            rejection = self._error_response(request_id, refused.status, refused.reason)
+            rejection = self._responses.error(request_id, refused.status, refused.reason)
             rejection.force_close()
             return rejection
         self.in_flight += 1
@@ -179,15 +168,15 @@
             case Err(refused):
                 if isinstance(refused, MissingRoute):
                     self._log_missing_route(request, request_id, routing.version, refused.status)
-                return self._error_response(request_id, refused.status, refused.reason)
+                return self._responses.error(request_id, refused.status, refused.reason)
             case Ok(route):
                 pass
         if not request_id:
             reason = f"missing header {self._header_names.request_id}"
-            return self._error_response(request_id, 400, reason)
+            return self._responses.error(request_id, 400, reason)
         match await self.keys.admit(request.headers, route, routing, request_id):
             case Err(refused):
-                return self._refused_response(request_id, refused)
+                return self._responses.refused(request_id, refused)
             case Ok(_):
                 pass
         deadline = min(started_at + self._timeout_s(request, route), self._answer_by)
@@ -202,7 +191,7 @@
             in_force = self._routing()
             match self.keys.identify(request.headers, route, in_force, request_id):
                 case Err(refused):
-                    return self._refused_response(request_id, refused)
+                    return self._responses.refused(request_id, refused)
                 case Ok(organisation):
                     pass
             call = self._build_call(request, route, body, started_at, deadline)
@@ -240,7 +229,7 @@
     ) -> web.StreamResponse:
         """Pass a response on as its body arrives; the call's outcome is recorded at its end."""
         response = web.StreamResponse(
-            status=target_response.status, headers=self._response_headers(call, target_response)
+            status=target_response.status, headers=self._responses.headers(call, target_response)
         )
         if self.stopping:
             response.force_close()
@@ -344,14 +333,14 @@
                 read = await read_body(request, max_bytes, reservation)
         except TimeoutError:
             reason = "the body did not arrive before the call's deadline"
-            response = self._error_response(request_id, 408, reason)
+            response = self._responses.error(request_id, 408, reason)
         else:
             match read:
                 case Ok(body):
                     return Ok(body)
                 case Err(error):
                     pass
-            response = self._error_response(request_id, error.status, error.reason)
+            response = self._responses.error(request_id, error.status, error.reason)
         # The rest of the body would be taken for the next request.
         response.force_close()
         return Err(response)
@@ -374,9 +363,7 @@
             route=route.name,
             method=request.method,
             path=request.raw_path,
-            headers=tuple(
-                (k, v) for k, v in headers.items() if k.lower() not in self._stripped_headers
-            ),
+            headers=self._request_headers.passed_on(headers),
             body=body,
             deadline=deadline,
             idempotent=route.idempotent,
@@ -386,12 +373,8 @@
         )
 
     def _with_organisation(self, call: Call, organisation: Organisation | None) -> Call:
-        """Return the call of an organisation, or of none, without its key.
-
-        A header with the organisation's name is left out too: the admitting node sets its own.
-        """
-        stripped = self._stripped_with_organisations
-        headers = tuple((k, v) for k, v in call.headers if k.lower() not in stripped)
+        """Return the call of an organisation, or of none, without its key."""
+        headers = self._request_headers.without_key(call.headers)
         if organisation is None:
             return replace(call, headers=headers)
         priority = call_priority(call.priority, organisation)
@@ -410,27 +393,10 @@
                 if not target_response.is_failure:
                     self._record_answer(call)
                 self.outcomes.log_answered(call, target_response, version, seconds)
-                return self._forward_response(call, target_response)
+                return self._responses.forwarded(call, target_response)
             case Err(failure):
                 return self._failure_response(call, failure, version, seconds, caller_deadline)
 
-    def _refused_response(self, request_id: str, refused: RefusedRequest) -> web.Response:
-        response = self._error_response(request_id, refused.status, refused.reason)
-        response.headers.update(refused.headers)
-        return response
-
-    def _forward_response(self, call: Call, target_response: Response) -> web.Response:
-        return web.Response(
-            status=target_response.status,
-            headers=self._response_headers(call, target_response),
-            body=target_response.body,
-        )
-
-    def _response_headers(self, call: Call, target_response: Response) -> CIMultiDict[str]:
-        headers = CIMultiDict(target_response.headers)
-        headers[self._header_names.request_id] = call.request_id
-        return headers
-
     def _failure_response(
         self,
         call: Call,
@@ -447,26 +413,13 @@
             status = 504
         wait_s = self._retry_after_s(call, caller_deadline) if status == 503 else None
         self.outcomes.log_failed(call, failure, status, version, seconds, wait_s)
-        response = self._error_response(
+        response = self._responses.error(
             call.request_id, status, failure.reason, failure.retry_after_s
         )
         if wait_s is not None:
             response.headers["Retry-After"] = f"{wait_s:.2f}"
         return response
 
-    def _error_response(
-        self, request_id: str, status: int, reason: str, retry_after_s: float | None = None
-    ) -> web.Response:
-        response = web.json_response({"error": reason}, status=status)
-        if request_id:
-            response.headers[self._header_names.request_id] = request_id
-        if retry_after_s is not None:
-            response.headers["Retry-After"] = f"{retry_after_s:.0f}"
-        elif status == 503:
-            wait_s = self._rng.uniform(*RANDOM_RETRY_AFTER_S)
-            response.headers["Retry-After"] = f"{wait_s:.2f}"
-        return response
-
 
 def call_priority(route_priority: int, organisation: Organisation | None) -> int:
     """Return a call's priority: its organisation's, or else its route's."""
