Let calls wait for the orders of a node that has just started

Weighed: publishing the target only after the orders are read, which the other nodes don't see, since they know the entry from before; no refusal, which may run calls in an evacuated data centre.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -151,6 +151,7 @@
             OVERLOAD_RULES if settings.limits_waits else PLAIN_RULES,
             self._cold_start,
             settings.places_by_work,
+            self._evacuations.wait_until_known,
         )
         self._build_replicas(adapter, store)
         self._transfers = ResponseTransfers(self._pacer, self._metrics, self._decisions)
--- a/src/bulrushflow/sidecar/calls/admission_controller.py
+++ b/src/bulrushflow/sidecar/calls/admission_controller.py
@@ -62,6 +62,7 @@
         to be informed.
     :param suspension: returns why no call may begin at this node, whatever the state of its target,
         or ``None``.
+    :param wait_for_orders: waits for the orders that ``suspension`` goes by, for a bounded time.
     :param cold_start: returns the limits for the cold targets of a service, if it has any.
     """
 
@@ -80,6 +81,7 @@
         rules: QueueRules = PLAIN_RULES,
         cold_start: ColdStartLookup = lambda service: None,
         reports_work: bool = False,
+        wait_for_orders: t.Callable[[], t.Awaitable[None]] | None = None,
     ) -> None:
         self.entry: TargetEntry | None = None
         self.endpoint: Endpoint | None = None
@@ -94,6 +96,7 @@
         self._decisions = decisions
         self._clock = clock
         self._suspension = suspension
+        self._wait_for_orders = wait_for_orders
         self.suspended_count = 0
         """Number of calls that were refused since no call may begin at this node."""
         self.warmth = TargetWarmth(cold_start, decisions, clock)
@@ -264,6 +267,8 @@
         quarantined = self._quarantine.refusal(call)
         if quarantined is not None:
             return self._refuse_quarantined(call, quarantined)
+        if self._wait_for_orders is not None:
+            await self._wait_for_orders()
         refusal = self._refusal(call)
         slots = self._slots
         if refusal is None:
--- a/tests/sidecar/calls/test_admission_controller.py
+++ b/tests/sidecar/calls/test_admission_controller.py
@@ -1,6 +1,7 @@
 import asyncio
 import functools
 import operator
+import typing as t
 import unittest
 
 from msgspec.structs import replace
@@ -41,7 +42,11 @@
         self.retry_budget = TargetRetryBudget(0.2, 20.0, 10.0)
         self.controller = self.new_controller(PLAIN_RULES)
 
-    def new_controller(self, rules: QueueRules) -> AdmissionController:
+    def new_controller(
+        self,
+        rules: QueueRules,
+        wait_for_orders: t.Callable[[], t.Awaitable[None]] | None = None,
+    ) -> AdmissionController:
         controller = AdmissionController(
             NAMES,
             lambda service, version: version in self.forbidden,
@@ -54,6 +59,7 @@
             FixedClock(1_000),
             lambda: self.suspension,
             rules,
+            wait_for_orders=wait_for_orders,
         )
         self.addCleanup(controller.close)
         return controller
@@ -317,6 +323,23 @@
         self.suspension = None
         self.assertEqual((await self.controller.run(call("r-5"))).unwrap().status, 200)
 
+    # After a restart of all processes, calls were refused by nodes that read the orders just then.
+    async def test_a_call_waits_for_the_orders_of_a_node_that_has_just_started(self) -> None:
+        loaded = asyncio.Event()
+        self.suspension = "unread"
+
+        async def wait_for_orders() -> None:
+            await loaded.wait()
+
+        controller = self.new_controller(PLAIN_RULES, wait_for_orders)
+        controller.apply_announcement(target(), self.endpoint)
+        waiting = asyncio.ensure_future(controller.run(call("r-1")))
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        self.suspension = None
+        loaded.set()
+        self.assertEqual((await waiting).unwrap().status, 200)
+
     # EVACUATION: a call that was granted its slot just before the order was sent after it.
     async def test_a_suspension_refuses_a_call_that_was_granted_a_slot_but_not_sent(self) -> None:
         self.announce(target(slots=1))
