--- a/src/bulrushflow/overload/origin.py
+++ b/src/bulrushflow/overload/origin.py
@@ -44,7 +44,7 @@
             probed_at_by_service[service] = now
         return True
 
-    def patience_s(self, route: str, latency_objective_s: float) -> float:
+    def retry_window_s(self, route: str, latency_objective_s: float) -> float:
         """Return the time from its arrival within which a refused call is tried elsewhere."""
         if self.returns.is_short(route):
             return latency_objective_s * OVERLOAD_RULES.max_short_wait_fraction
@@ -52,4 +52,4 @@
 
     def max_expected_wait_s(self, route: str, latency_objective_s: float) -> float:
         """Return the expected wait at every target from which a call isn't sent at all."""
-        return self.patience_s(route, latency_objective_s) * EARLY_REFUSAL_FACTOR
+        return self.retry_window_s(route, latency_objective_s) * EARLY_REFUSAL_FACTOR
--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -201,7 +201,7 @@
         wait_until = min(
             call.deadline, loop.time() + route.latency_objective_s * TARGET_WAIT_FRACTION
         )
-        patience_until = self._patience_until(route)
+        retry_until = self._retry_window_end(route)
         tried: set[str] = set()
         while loop.time() < call.deadline:
             if progress.unanswered and self._quarantine.refusal(call) is not None:
@@ -225,8 +225,8 @@
             # learn of it late.
             if progress.possible_runs and self._is_loaded(peer):
                 break
-            past_patience = progress.refusals and loop.time() >= patience_until
-            if past_patience and self._would_refuse(route, peer):
+            past_retry_window = progress.refusals and loop.time() >= retry_until
+            if past_retry_window and self._would_refuse(route, peer):
                 break
             tried.add(peer.entry.address)
             if self._may_hedge(route, call, progress):
@@ -284,12 +284,12 @@
         reason = f"no target of {service} is expected to start a call within {max_wait_s:.2f} s"
         return OverloadRefusal(reason, len(candidates), backlog_s, max_wait_s)
 
-    def _patience_until(self, route: Route) -> float:
+    def _retry_window_end(self, route: Route) -> float:
         """Return the event loop time up to which a refused call is tried elsewhere."""
         if self._limits is None:
             return math.inf
-        patience_s = self._limits.patience_s(route.name, route.latency_objective_s)
-        return asyncio.get_running_loop().time() + patience_s
+        retry_window_s = self._limits.retry_window_s(route.name, route.latency_objective_s)
+        return asyncio.get_running_loop().time() + retry_window_s
 
     def _is_loaded(self, peer: Peer) -> bool:
         """Return whether a target has no time for a second run of a call."""
--- a/tests/overload/replay.py
+++ b/tests/overload/replay.py
@@ -186,7 +186,7 @@
         self._swing = swing
         self._impatient_fraction = impatient_fraction
         self._max_attempts = max_attempts
-        self._patience_fraction = rules.max_wait_fraction
+        self._retry_window_fraction = rules.max_wait_fraction
         self._slow_fraction = slow_fraction
         self._on_answer = on_answer
         self._retry_after = retry_after or self._default_retry_after
@@ -278,8 +278,8 @@
 
     def _attempt(self, job: Job, tried: set[int], since: float, deadline: float) -> None:
         target = None
-        patience_s = job.kind.objective_s * self._patience_fraction
-        if len(tried) < self._max_attempts and self.now < min(deadline, since + patience_s):
+        retry_window_s = job.kind.objective_s * self._retry_window_fraction
+        if len(tried) < self._max_attempts and self.now < min(deadline, since + retry_window_s):
             target = self.choice.choose(job, tried, self.now)
         if target is None:
             self._refused(job, self.now - since)
--- a/tests/overload/test_retry_after.py
+++ b/tests/overload/test_retry_after.py
@@ -78,8 +78,8 @@
         self.assertFalse(self.returns.record("inner", 0.3, 1.0).returned)
 
     def test_refused_calls_are_tried_elsewhere_for_an_eighth_of_the_objective(self) -> None:
-        self.assertAlmostEqual(self.limits.patience_s("read", 0.98), 0.1225)
-        self.assertAlmostEqual(self.limits.patience_s("inner", 0.327), 0.1635)
+        self.assertAlmostEqual(self.limits.retry_window_s("read", 0.98), 0.1225)
+        self.assertAlmostEqual(self.limits.retry_window_s("inner", 0.327), 0.1635)
 
     def test_an_overloaded_service_is_probed_at_intervals(self) -> None:
         probes = [self.limits.may_probe("s", i * PROBE_INTERVAL_S / 10) for i in range(30)]
