--- a/src/bulrushflow/overload/retry_after.py
+++ b/src/bulrushflow/overload/retry_after.py
@@ -16,8 +16,8 @@
 """Fraction of the longest wait over which callers are spread that can't be given a turn within
 it."""
 TURNS_PER_ANSWER = 2.0
-"""Turns given out for each answered call: some callers don't come back, and a turn after the latency
-objective helps nobody."""
+"""Turns given out for each answered call: some callers don't come back, and a turn after the
+latency objective helps nobody."""
 RATE_HALF_LIFE_S = 1.0
 MIN_RATE_PER_S = 2.0
 """Answers per second assumed of a service that answers fewer."""
