Restart a read that lags behind without a wait

When a peer names the later era it was restarted with the same wait, and learned of the restore only at its end, up to 5 s later. It doesn't wait now. Weighed: counting a peer's later era as records behind, which would change what the metrics say.

--- a/src/bulrushflow/sidecar/records/store_reader.py
+++ b/src/bulrushflow/sidecar/records/store_reader.py
@@ -212,4 +212,7 @@
             reading_for_s=round(now - self._read_started_at, 3),
         )
         self.replica.count_restart()
+        # Of a restored store, whose records may be as many as before, a read that waits again would
+        # learn only when its time is over.
+        self._poll_timeout_s = 0.0
         self._reading.cancel()
--- a/tests/sidecar/records/test_replica.py
+++ b/tests/sidecar/records/test_replica.py
@@ -299,6 +299,17 @@
         self.assertFalse(self.replica.is_current)
         await until(lambda: set(self.handler.by_key) == {"a", "new-0", "new-1"})
 
+    # CONFIG: restarted, a read that had begun after the restore waited once more.
+    async def test_a_read_that_began_after_the_restore_does_not_wait_again(self) -> None:
+        await until(lambda: self.store.reads[-1][1] > 0)
+        self.store.misses_wakeups = True
+        self.restore_and_write(2)
+        self.reader.interrupt_wait()
+        reads = len(self.store.reads)
+        await until(lambda: len(self.store.reads) > reads)
+        self.replica.note_peer_offset(3, self.store.era)
+        await until(lambda: set(self.handler.by_key) == {"a", "new-0", "new-1"})
+
     async def test_a_late_response_of_an_earlier_era_is_ignored(self) -> None:
         self.restore_and_write(1)
         await until(lambda: set(self.handler.by_key) == {"a", "new-0"})
