review: case 9, machines that reach the store serve a stale configuration

Seen: one machine is partitioned from the store. The four others of its data centre, which reach the store, run requests by the old service up to 2.8 s after the acknowledgement of a configuration that moved the route; configApply is 2 s (CONFIG).

Cause, as far as known: followers take a relay's silence for the lack of news until the relay's own keep-alive ends its long poll after 3 s. With one data centre no node compares the relay with a reader of its own.

Runs: review/9/run.sh, five times: failed five times. With TROUBLE=0, five times: held five times.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -213,12 +213,19 @@
         self._passing.clear()
         self.record(f"{self.name} is cut off from the store")
 
-    def heal(self) -> None:
+    async def refuse(self) -> None:
+        """End the open connections and open no more, as after a time-out at the machine."""
+        self._server.close()
+        self.end_connections()
+        self.record(f"{self.name}: its connections to the store end")
+
+    async def heal(self) -> None:
         self._passing.set()
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
         self.record(f"{self.name} reaches the store again")
 
     def end_connections(self) -> None:
-        """End the open connections, as a keep-alive without answers does at the machine."""
         for writer in list(self._open):
             writer.transport.abort()
 
