--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -27,6 +27,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+BROKEN_STATUS = 81
+"""Exit status of a case's process that found the rule broken."""
 ID = "X-Bulrushflow-Attempt-Id"
 DEADLINE = "X-Bulrushflow-Deadline-Ms"
 SIGNATURE = "X-Bulrushflow-Response-Signature"
@@ -580,11 +582,15 @@
                     return await case(record, stack)
             except TimeoutError:
                 record("the case did not end in time")
-                return NOT_RUN
+            except Exception as exc:
+                record(f"the case failed: {exc!r}")
+            return NOT_RUN
 
     record(f"TROUBLE={int(TROUBLE)}")
     verdict = asyncio.run(bounded())
+    # run.sh turns any other status, such as Python's for an error, into "could not run".
+    status = {HELD: HELD, BROKEN: BROKEN_STATUS, NOT_RUN: NOT_RUN}[verdict]
     names = {HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "the case could not run"}
     record(names[verdict])
     print(names[verdict])
-    sys.exit(verdict)
+    sys.exit(status)
