--- a/review/6/case.py
+++ b/review/6/case.py
@@ -68,6 +68,7 @@
     await asyncio.gather(*(requester.send(HOST, PATH + "before") for _ in range(10)))
     # It leaves: DELETE first, then it goes on serving, as some backends do.
     leaving.end_pings()
+    leaving.leaving = True
     if await leaving.leave() != 200:
         return h.NOT_RUN
     acknowledged = record.now()
@@ -91,8 +92,8 @@
     await asyncio.sleep(max(0.0, a.started_at + STABLE_S + 0.5 - record.now()))
     in_touch = record.now()
     record("all machines are in touch")
-    for _ in range(10):
-        await asyncio.gather(*(requester.send(HOST, PATH + "after") for _ in range(10)))
+    for _ in range(5):
+        await asyncio.gather(*(requester.send(HOST, PATH + "after") for _ in range(20)))
         await asyncio.sleep(0.1)
     late = [
         attempt
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -287,6 +287,8 @@
         self.born = 0
         self.seq = 0
         self.state = "ready"
+        self.leaving = False
+        """Whether the backend is about to leave, which it says in all its answers."""
         self.runs: list[tuple[str, float]] = []
         """Attempt id and time of each run."""
         self.behave = None
@@ -379,6 +381,8 @@
 
     def answer(self, attempt: str, status: int = 200) -> web.Response:
         headers = {ID: attempt, SIGNATURE: f"{attempt}.{self.id}"}
+        if self.leaving:
+            headers |= {"Connection": "close", "Server-Leaving": "1"}
         return web.Response(status=status, headers=headers, body=f"{attempt} by {self.id}".encode())
 
 
