--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,6 +17,7 @@
 DRAIN_S = 2.0  # bound drain
 STABLE_S = 3.0  # bound stableWindow
 DOWN_S = 1.0  # between the end of A's process and its start by the platform
+WORK_S = 0.22  # dues-history, work_ms
 HOST, PATH = "dues.example", "/history/"
 
 
@@ -28,7 +29,7 @@
     store.put("keyed.op", "config", h.configuration(1, routes, ["statements", "plots"]))
     backends, sidecars = [], []
     for number, service in ((1, "statements"), (2, "statements"), (3, "plots")):
-        backend = h.Backend(record, service, number, "")
+        backend = h.Backend(record, service, number, "", work_s=WORK_S)
         backend.port = h.free_port(backend.host)
         app = f"{backend.host}:{backend.port}"
         sidecar = h.Sidecar(record, number, service, app, store.address)
@@ -93,7 +94,7 @@
     in_touch = record.now()
     record("all machines are in touch")
     for _ in range(5):
-        await asyncio.gather(*(requester.send(HOST, PATH + "after") for _ in range(20)))
+        await asyncio.gather(*(requester.send(HOST, PATH + "after") for _ in range(40)))
         await asyncio.sleep(0.1)
     late = [
         attempt
