--- a/review/10/case.py
+++ b/review/10/case.py
@@ -134,4 +134,4 @@
     return h.HELD if all(complete) else h.BROKEN
 
 
-h.run(case, __file__)
+h.run(case, pathlib.Path(__file__).resolve().with_name("record.txt"))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -110,4 +110,4 @@
     return h.BROKEN if late else h.HELD
 
 
-h.run(case, __file__)
+h.run(case, pathlib.Path(__file__).resolve().with_name("record.txt"))
