--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -183,6 +183,80 @@
         return web.json_response({"items": items, "more": len(keys) > 500, "end": len(log)})
 
 
+class Path:
+    """The network path from one machine to the store: a proxy that can be cut without a sign."""
+
+    def __init__(self, record: Record, name: str, store: str) -> None:
+        self.record = record
+        self.name = name
+        self._host, _, port = store.rpartition(":")
+        self._port = int(port)
+        self._server = None
+        self._open: set[asyncio.StreamWriter] = set()
+        self._passing = asyncio.Event()
+        self._passing.set()
+        self.address = ""
+        self.reads: list[float] = []
+        """Times of the machine's reads of the operator's topic."""
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        self._passing.set()
+        self._server.close()
+        self.end_connections()
+
+    def cut(self) -> None:
+        self._passing.clear()
+        self.record(f"{self.name} is cut off from the store")
+
+    async def refuse(self) -> None:
+        """End the open connections and open no more, as after a time-out at the machine."""
+        self._server.close()
+        self.end_connections()
+        self.record(f"{self.name}: its connections to the store end")
+
+    async def heal(self) -> None:
+        self._passing.set()
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.record(f"{self.name} reaches the store again")
+
+    def end_connections(self) -> None:
+        for writer in list(self._open):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
+        upstream = None
+        try:
+            await self._passing.wait()
+            up_reader, upstream = await asyncio.open_connection(self._host, self._port)
+            self._open.add(upstream)
+            await asyncio.gather(
+                self._pass(reader, upstream, True), self._pass(up_reader, writer, False)
+            )
+        except OSError:
+            pass
+        finally:
+            for end in (writer, upstream):
+                if end is not None:
+                    self._open.discard(end)
+                    end.transport.abort()
+
+    async def _pass(self, reader, writer, outward: bool) -> None:
+        while data := await reader.read(65536):
+            if outward and b"GET /-/log-read" in data and b"topic=keyed.op" in data:
+                self.reads.append(self.record.now())
+            await self._passing.wait()
+            writer.write(data)
+            await writer.drain()
+        writer.transport.abort()
+
+
 def summary(records: list[tuple[str, bytes]]) -> str:
     """Return what a node's record says of its backend, for the record of the run."""
     texts = []
