Log how late a configuration may be, from whom it came, and reads that are slow or fail

Change: 'configuration in force' names its source and the time since the state before was confirmed by the store; 'store response slow' has what a node's link takes for a response; 'store probe failed' has the pause in which a node has no source at all. No logic changes.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -1,6 +1,7 @@
 """The sidecar process: wires its components together, and starts and stops them in order."""
 
 import asyncio
+import math
 import random
 
 from loguru import logger
@@ -398,8 +399,13 @@
         self.rejected_configuration = None
         if routing.version <= self.routing.version:
             return
+        age_s = self._operator_replica.confirmed_s_ago
         self._decisions.event(
-            "configuration in force", version=routing.version, before=self.routing.version
+            "configuration in force",
+            version=routing.version,
+            before=self.routing.version,
+            source=self.relay.source or "store",
+            unconfirmed_s=None if math.isinf(age_s) else round(age_s, 3),
         )
         before = self.routing.disabled_routes()
         for route in routing.disabled_routes():
--- a/src/bulrushflow/sidecar/records/relay.py
+++ b/src/bulrushflow/sidecar/records/relay.py
@@ -206,7 +206,11 @@
             await first.wait_for_read(PROBE_S)
             if first.has_failed or first.replica.confirmed_s_ago > PROBE_S:
                 self._stop_reading()
-                await asyncio.sleep(self._rng.uniform(MIN_PROBE_PAUSE_S, MAX_PROBE_PAUSE_S))
+                pause_s = self._rng.uniform(MIN_PROBE_PAUSE_S, MAX_PROBE_PAUSE_S)
+                self._decisions.event(
+                    "store probe failed", topic=first.replica.topic, pause_s=round(pause_s, 3)
+                )
+                await asyncio.sleep(pause_s)
                 return
         self._use_store("no other node is available")
         if starting:
--- a/src/bulrushflow/sidecar/records/store_reader.py
+++ b/src/bulrushflow/sidecar/records/store_reader.py
@@ -32,6 +32,9 @@
 MAX_HISTORY_RECORDS = 1
 """Number of missing records up to which they are read one by one. Beyond it the newest record of
 each key is loaded, which leaves out those that later ones replaced."""
+SLOW_RESPONSE_S = 0.3
+"""Time from the begin of a response to its end from which on it is logged: a record that takes so
+long on this node's link is late, and calls share the link with it."""
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
 
@@ -55,6 +58,7 @@
         self._enabled_again = asyncio.Event()
         self._reading: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
+        self._responded_at = 0.0
         self._waiting = False
         self._read_ended = asyncio.Event()
         self.has_failed = False
@@ -134,6 +138,7 @@
                 return False
             case Ok(page):
                 pass
+        self._log_slow_response(page)
         if not replica.apply_page(page):
             # Without an offset, the next read loads the topic.
             return replica.offset is None
@@ -174,7 +179,7 @@
         """Wait for records; return ``None`` if the read was cancelled to be restarted."""
         loop = asyncio.get_running_loop()
         self.replica.begin_request()
-        self._read_started_at = loop.time()
+        self._read_started_at = self._responded_at = loop.time()
         wait_s = 0.0 if self.replica.is_behind else self._poll_timeout_s
         if self.replica.freshness is not None:
             wait_s = min(wait_s, self.replica.freshness.max_wait_s)
@@ -196,6 +201,19 @@
 
     def _end_wait(self) -> None:
         self._waiting = False
+        self._responded_at = asyncio.get_running_loop().time()
+
+    def _log_slow_response(self, page: StorePage) -> None:
+        seconds = asyncio.get_running_loop().time() - self._responded_at
+        if seconds < SLOW_RESPONSE_S:
+            return
+        self._decisions.event(
+            "store response slow",
+            topic=self.replica.topic,
+            records=len(page.records),
+            bytes=sum(len(record.value) for record in page.records),
+            seconds=round(seconds, 3),
+        )
 
     def _restart_read(self, offset: int, era: int) -> None:
         """Restart a read that still waits though another node has later records.
--- a/tests/sidecar/records/test_relay.py
+++ b/tests/sidecar/records/test_relay.py
@@ -13,6 +13,7 @@
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import Instance
 from tests.sidecar.fleet import configuration
+from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import GUARD_S
 from tests.waiting import until
 
@@ -82,6 +83,22 @@
             )
             self.assertLess(float(line.split()[-1]), GUARD_S)
 
+    async def test_the_log_shows_from_whom_a_configuration_came_and_how_late_it_may_be(
+        self,
+    ) -> None:
+        reader = await self.until_one_reads()
+        logs_by_node = {}
+        for instance in self.instances:
+            decisions = instance.sidecar._decisions = RecordingDecisions()
+            logs_by_node[instance.settings.node_id] = decisions
+        self.store.put("keyed.op", "config", configuration(2))
+        await self.until_in_force(self.instances, 2)
+        reader_id = reader.settings.node_id
+        for node_id, decisions in logs_by_node.items():
+            [change] = decisions.inputs("configuration in force")
+            self.assertEqual(change["source"], "store" if node_id == reader_id else reader_id)
+            self.assertLess(change["unconfirmed_s"], GUARD_S)
+
     async def test_a_change_comes_into_force_though_the_reader_is_frozen(self) -> None:
         reader = await self.until_one_reads()
         reader.sidecar._links._handlers["updates_request"] = hang
@@ -256,8 +273,11 @@
             mock.patch.object(relay, "MIN_PROBE_PAUSE_S", 0.5),
             mock.patch.object(relay, "MAX_PROBE_PAUSE_S", 0.5),
         ):
+            decisions = self.sidecar.relay._decisions = RecordingDecisions()
             await self.sidecar.relay._read_alone()
         self.assertEqual(self.store.reads - before, 1)
+        [probe] = decisions.inputs("store probe failed")
+        self.assertEqual((probe["topic"], probe["pause_s"]), ("keyed.op", 0.5))
 
     async def test_a_node_that_starts_while_the_store_fails_reads_one_topic_only(self) -> None:
         started = self.instances[0].new_sidecar()
--- a/tests/sidecar/records/test_replica.py
+++ b/tests/sidecar/records/test_replica.py
@@ -117,6 +117,15 @@
         await until(lambda: self.handler.by_key == {"a": b"4"})
         self.assertEqual(cancelled, 0)
 
+    async def test_a_response_that_takes_long_is_logged(self) -> None:
+        await self.start()
+        await until(lambda: bool(self.store.reads))
+        with mock.patch.object(store_reader, "SLOW_RESPONSE_S", 0.0):
+            self.store.put("a", b"123")
+            await until(lambda: bool(self.decisions.inputs("store response slow")))
+        [slow] = self.decisions.inputs("store response slow")
+        self.assertEqual((slow["topic"], slow["records"], slow["bytes"]), ("x", 1, 3))
+
     async def test_a_read_that_fetches_known_records_is_not_restarted_by_newer_ones(self) -> None:
         # A slow store needs longer for each answer than the operator for the next record.
         await self.start()
