Bound the age of the operator's records by the store's answers alone

Callers were served by the former configuration for longer than the bound, where the readers of all data centres are cut off from the store, or read it slowly, at the same moment.

Cause: while a node of another data centre answered, nothing bounded the age of what a reader handed on. Such an answer shows a lag only if the other node has later records. Besides, a state counted as just confirmed at the end of a transfer, or by a response that left records out.

The age runs from the begin of the last complete response.

--- a/src/bulrushflow/sidecar/records/relay.py
+++ b/src/bulrushflow/sidecar/records/relay.py
@@ -29,7 +29,7 @@
 from bulrushflow.wire import messages
 from bulrushflow.wire.links import Links
 
-UPDATE_WAIT_S = 0.6
+MAX_UPDATE_WAIT_S = 0.6
 """Time after which a request is answered without records; the answer shows that the node lives."""
 RESPONSE_MARGIN_S = 0.4
 """Time beyond it after which the node counts as failed."""
@@ -64,7 +64,7 @@
     :param readers: readers of all topics.
     :param nodes: reader of the node entries, which are loaded before there is a choice.
     :param peer_entry: returns the entry of a node by its key, or ``None``.
-    :param freshness: is told of comparisons with nodes of other data centres.
+    :param freshness: bounds the time that a request waits at another node.
     """
 
     def __init__(
@@ -176,8 +176,6 @@
                     return
                 case Ok(updates):
                     pass
-            if self._upstreams.is_remote(key):
-                self._freshness.note_compared()
             for update in updates:
                 replica = self._replica(update.topic)
                 if replica is None:
@@ -272,10 +270,11 @@
         entry = self._peer_entry(key)
         if entry is None:
             return Err("the node left")
-        timeout_s = LOAD_TIMEOUT_S if self._starting else UPDATE_WAIT_S + RESPONSE_MARGIN_S
+        wait_s = min(MAX_UPDATE_WAIT_S, self._freshness.update_wait_s)
+        timeout_s = LOAD_TIMEOUT_S if self._starting else wait_s + RESPONSE_MARGIN_S
         request = messages.UpdatesRequest(
             positions=[position_to_message(_position(replica)) for replica in self._replicas],
-            wait_ms=int(UPDATE_WAIT_S * 1000),
+            wait_ms=int(wait_s * 1000),
             offsets_only=offsets_only,
         )
         match await self._links.exchange(entry.endpoint, timeout_s, updates_request=request):
--- a/src/bulrushflow/sidecar/records/replica.py
+++ b/src/bulrushflow/sidecar/records/replica.py
@@ -44,7 +44,7 @@
 
     While the store is unavailable the handler keeps its state.
 
-    :param freshness: bounds the age of the state; ``None`` if it may be of any age.
+    :param freshness: bounds the age of the state, ``None`` if it may be of any age.
     """
 
     __slots__ = (
@@ -61,6 +61,7 @@
         "_loaded",
         "_observers",
         "_peer_era",
+        "_requested_at",
         "_restarts",
         "freshness",
         "offset",
@@ -91,7 +92,10 @@
         self._observers: list[t.Callable[[], None]] = []
         self._lag_observers: list[LagObserver] = []
         self._confirmed_at: float | None = None
-        """When the store confirmed the state last, directly or through another node."""
+        """Since when the state is known to lack nothing: when the store began its last answer that
+        had everything, to this node or to the one that feeds it."""
+        self._requested_at = 0.0
+        """When the pending request was sent, or its response began."""
         self._confirmed_directly = False
         self.offset: int | None = None
         """Start offset of the next read; ``None`` while the whole state has to be loaded."""
@@ -176,6 +180,11 @@
     def begin_request(self) -> None:
         """Note that a request for the topic's records is sent to the store."""
         self._end.begin_request()
+        self._requested_at = asyncio.get_running_loop().time()
+
+    def begin_response(self) -> None:
+        """Note that the store's response begins: it has what the topic had until then."""
+        self._requested_at = asyncio.get_running_loop().time()
 
     def apply_state(self, page: StorePage) -> bool:
         """Replace the state by a page of the store with the newest record of each key.
@@ -190,7 +199,7 @@
             self.mark_disconnected(f"the topic ends at {page.end}, before {self.offset}")
             return False
         self._replace(page)
-        self._confirm()
+        self._confirm(page)
         return True
 
     def apply_page(self, page: StorePage) -> bool:
@@ -202,7 +211,7 @@
         if self._rejects_era(page) or self._enter_era(page):
             return False
         self._apply_records(page)
-        self._confirm()
+        self._confirm(page)
         return True
 
     def count_restart(self) -> None:
@@ -240,20 +249,23 @@
             return False
         if update.era == self.era and update.end_offset < (self.offset or 0):
             return False
+        restored = update.era != self.era
         page = StorePage(
             update.records,
             update.end_offset,
-            max(update.end_offset, self._end.offset if update.era == self.era else 0),
+            max(update.end_offset, 0 if restored else self._end.offset),
             update.era,
         )
         if update.start_offset is None:
             self._enter_era(page)
             self._replace(page)
         else:
-            if update.era != self.era or update.start_offset != self.offset:
+            if restored or update.start_offset != self.offset:
                 return False
             self._apply_records(page)
-        self._confirmed_at = asyncio.get_running_loop().time() - update.confirmed_s_ago
+        confirmed_at = asyncio.get_running_loop().time() - update.confirmed_s_ago
+        if self._confirmed_at is None or restored or confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
         self._confirmed_directly = False
         return True
 
@@ -322,8 +334,9 @@
                 self._handler.apply(record)
         self._advance(page)
 
-    def _confirm(self) -> None:
-        self._confirmed_at = asyncio.get_running_loop().time()
+    def _confirm(self, page: StorePage) -> None:
+        if page.next_offset >= page.end:
+            self._confirmed_at = self._requested_at
         if not self._confirmed_directly:
             self._confirmed_directly = True
             self._notify()
--- a/src/bulrushflow/sidecar/records/store_reader.py
+++ b/src/bulrushflow/sidecar/records/store_reader.py
@@ -28,7 +28,8 @@
 LONG_POLL_S = 5.0
 """Long-poll timeout of later reads. A silent connection is noticed only when the read times out."""
 BATCH_PAUSE_S = 0.5
-"""Pause after records arrived, so that the next read returns several at once."""
+"""Pause after a response with records began, so that the next read returns several at once. The
+transfer, which takes long on a narrow link, is a part of it."""
 MAX_HISTORY_RECORDS = 1
 """Number of missing records up to which they are read one by one. Beyond it the newest record of
 each key is loaded, which leaves out those that later ones replaced."""
@@ -115,7 +116,7 @@
             return
         self._enabled_again.clear()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._pause_s):
+            async with asyncio.timeout_at(self._responded_at + self._pause_s):
                 await self._enabled_again.wait()
 
     async def _read_once(self) -> bool:
@@ -152,6 +153,7 @@
         """Load the newest record of each key; return whether the store responded."""
         replica = self.replica
         replica.begin_request()
+        self._responded_at = asyncio.get_running_loop().time()
         before = replica.offset
         match await self._store.newest(replica.topic):
             case Err(error):
@@ -174,15 +176,16 @@
         # Reads don't wait while others are known to have read more than the store returns here.
         if complete and (received or self.replica.is_behind):
             self._pause_s = BATCH_PAUSE_S
+            if self.replica.freshness is not None:
+                self._pause_s = min(self._pause_s, self.replica.freshness.max_wait_s)
 
     async def _read(self, offset: int) -> Result[StorePage, StoreError] | None:
         """Wait for records; return ``None`` if the read was cancelled to be restarted."""
         loop = asyncio.get_running_loop()
         self.replica.begin_request()
+        since_response_s = loop.time() - self._responded_at
         self._read_started_at = self._responded_at = loop.time()
-        wait_s = 0.0 if self.replica.is_behind else self._poll_timeout_s
-        if self.replica.freshness is not None:
-            wait_s = min(wait_s, self.replica.freshness.max_wait_s)
+        wait_s = self._wait_s(since_response_s)
         self._waiting = wait_s > 0
         reading = loop.create_task(
             self._store.read(self.replica.topic, offset, wait_s, on_response=self._end_wait)
@@ -199,9 +202,22 @@
         finally:
             self._reading = None
 
+    def _wait_s(self, since_response_s: float) -> float:
+        """Return how long the next read waits for records.
+
+        :param since_response_s: seconds since the last response began, which count for the bound.
+        """
+        if self.replica.is_behind:
+            return 0.0
+        if self.replica.freshness is None:
+            return self._poll_timeout_s
+        left_s = self.replica.freshness.max_wait_s - since_response_s
+        return max(0.0, min(self._poll_timeout_s, left_s))
+
     def _end_wait(self) -> None:
         self._waiting = False
         self._responded_at = asyncio.get_running_loop().time()
+        self.replica.begin_response()
 
     def _log_slow_response(self, page: StorePage) -> None:
         seconds = asyncio.get_running_loop().time() - self._responded_at
--- a/src/bulrushflow/sidecar/records/upstreams.py
+++ b/src/bulrushflow/sidecar/records/upstreams.py
@@ -82,11 +82,6 @@
         others = [first_by_data_centre[name] for name in names]
         return [*others, *(key for key in local if key != self._own_key)][:count]
 
-    def is_remote(self, key: str) -> bool:
-        """Return whether a node is in another data centre, where others read the store."""
-        peer = self._peers_by_key.get(key)
-        return peer is not None and peer.entry.data_centre != self._data_centre
-
     def exclude(self, key: str, now: float, first_s: float = FIRST_EXCLUSION_S) -> None:
         """Exclude a node that failed as upstream.
 
--- a/tests/sidecar/records/test_replica.py
+++ b/tests/sidecar/records/test_replica.py
@@ -10,6 +10,7 @@
 from bulrushflow.sidecar.records.storage import KeyedRecord
 from bulrushflow.sidecar.records.storage import StorePage
 from bulrushflow.sidecar.records.store_reader import StoreReader
+from tests.clocks import stopped_loop_clock
 from tests.sidecar.samples import MemoryStore
 from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import GUARD_S
@@ -117,6 +118,22 @@
         await until(lambda: self.handler.by_key == {"a": b"4"})
         self.assertEqual(cancelled, 0)
 
+    # CONFIG: a state counted as just confirmed at the end of a slow transfer, or of a part.
+    async def test_the_age_of_the_state_runs_from_the_begin_of_a_complete_response(self) -> None:
+        page = StorePage((KeyedRecord("a", b"1", 0, 1),), 1, 1, 1)
+        partial = StorePage((KeyedRecord("a", b"2", 1, 1),), 2, 3, 1)
+        with stopped_loop_clock() as clock:
+            self.replica.begin_request()
+            clock.advance(1.0)
+            self.replica.begin_response()
+            clock.advance(2.0)
+            self.replica.apply_state(page)
+            self.assertEqual(self.replica.confirmed_s_ago, 2.0)
+            self.replica.begin_request()
+            self.replica.begin_response()
+            self.replica.apply_page(partial)
+            self.assertEqual(self.replica.confirmed_s_ago, 2.0)
+
     async def test_a_response_that_takes_long_is_logged(self) -> None:
         await self.start()
         await until(lambda: bool(self.store.reads))
