Read the store once where the records of a node are too old

Callers of nodes that reach the store were served by the former configuration for longer than the bound, where the node that these had their records from and those that would be next are frozen, slow or fed by such a node.

Cause: a follower gives each source a second, three of its own data centre and one of another; nothing bounded the sum. A read without an answer was given up only 2 s beyond its wait.

Change: each node checks the age of the operator's records. From 0.7 of the bound on it reads them once for itself, whatever its source, and restarts a read that the store doesn't answer, with twice the time each time.

--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -52,6 +52,8 @@
 from bulrushflow.sidecar.records.freshness import FreshnessBound
 from bulrushflow.sidecar.records.handlers import NodeEntryHandler
 from bulrushflow.sidecar.records.handlers import RolloutStatusHandler
+from bulrushflow.sidecar.records.refresher import CHECK_PERIOD_S as RECORDS_AGE_CHECK_S
+from bulrushflow.sidecar.records.refresher import RecordRefresher
 from bulrushflow.sidecar.records.registration import Registration
 from bulrushflow.sidecar.records.relay import RecordRelay
 from bulrushflow.sidecar.records.replica import Replica
@@ -271,6 +273,14 @@
             self._decisions,
             self._rng,
         )
+        self._refresher = RecordRefresher(
+            self._readers[0],
+            freshness,
+            lambda: self.relay.may_refresh,
+            lambda: self.relay.source,
+            self._decisions,
+            self._rng,
+        )
         self._update_server = UpdateServer(self._links, self._replicas, self.relay.note_request)
 
     async def on_start(self) -> None:
@@ -317,6 +327,7 @@
         self._allowances.start(self.timers)
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
         self.timers.subscribe("state metrics", STATE_METRICS_S, self._observe_state)
+        self.timers.subscribe("records age", RECORDS_AGE_CHECK_S, self._refresher.check)
         memory = MemoryWatch(resident_bytes)
         self.timers.subscribe("memory", MEMORY_CHECK_S, memory.check)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
--- a/src/bulrushflow/sidecar/records/freshness.py
+++ b/src/bulrushflow/sidecar/records/freshness.py
@@ -9,6 +9,9 @@
 between two confirmations, and the transfer of a large record over a narrow link."""
 UPDATE_WAIT_FRACTION = 0.2
 """Part of it that a request for another node's records may wait there."""
+REFRESH_FRACTION = 0.7
+"""Part of it after which a node whose records weren't confirmed reads the store itself. The rest is
+for that read: a large record takes 0.4 s on a link of 5 Mbit/s."""
 
 
 class FreshnessBound:
@@ -37,6 +40,11 @@
         """Greatest age of the store's confirmation in seconds for records that are handed on."""
         return MAX_AGE_FRACTION * self._apply_s()
 
+    @property
+    def refresh_age_s(self) -> float:
+        """Age of the store's confirmation in seconds at which a node reads the store itself."""
+        return REFRESH_FRACTION * self._apply_s()
+
     @property
     def update_wait_s(self) -> float:
         """Seconds that a request for another node's records may wait there."""
--- a/src/bulrushflow/sidecar/records/relay.py
+++ b/src/bulrushflow/sidecar/records/relay.py
@@ -100,6 +100,14 @@
         """Whether other nodes have requested records recently."""
         return asyncio.get_running_loop().time() - self._asked_at < DEMAND_S
 
+    @property
+    def may_refresh(self) -> bool:
+        """Whether this node may read the store for once.
+
+        Not while it stops, nor while it has no source and pauses between probes of the store.
+        """
+        return not self.stopping and (self.source is not None or self._readers[0].enabled)
+
     @property
     def _starting(self) -> bool:
         """Whether a topic was not loaded yet."""
--- a/src/bulrushflow/sidecar/records/store_reader.py
+++ b/src/bulrushflow/sidecar/records/store_reader.py
@@ -36,6 +36,9 @@
 SLOW_RESPONSE_S = 0.3
 """Time from the begin of a response to its end from which on it is logged: a record that takes so
 long on this node's link is late, and calls share the link with it."""
+MIN_PATIENCE_S = 0.4
+"""Time beyond its wait for records that a read without an answer is left alone at first. The store
+answers within some ms, and its reads time out only after seconds."""
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
 
@@ -51,25 +54,33 @@
         self._store = store
         self._decisions = decisions
         self._backoff = Backoff(FIRST_BACKOFF_S, MAX_BACKOFF_S, rng)
-        self._enabled = asyncio.Event()
-        self._enabled.set()
+        self.enabled = True
+        """Whether the topic is read."""
+        self._refresh_requested = False
+        """Whether one read is requested, also while the topic isn't read."""
+        self._woken = asyncio.Event()
+        """Set when a read is requested, which ends a pause."""
         self._poll_timeout_s = SHORT_POLL_S
         self._pause_s = 0.0
-        """Pause before the next read, unless the reader is enabled again meanwhile."""
-        self._enabled_again = asyncio.Event()
+        """Pause before the next read, unless one is requested meanwhile."""
         self._reading: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
         self._responded_at = 0.0
+        self._response_due_at = 0.0
+        """When the pending read's wait for records ends."""
+        self._patience_s = MIN_PATIENCE_S
         self._waiting = False
+        self._responding = False
         self._read_ended = asyncio.Event()
+        self._read_pending = False
         self.has_failed = False
         """Whether the last read failed."""
         replica.subscribe_lag(self._restart_read)
 
     @property
-    def enabled(self) -> bool:
-        """Whether the topic is read."""
-        return self._enabled.is_set()
+    def reading(self) -> bool:
+        """Whether a read is pending."""
+        return self._read_pending
 
     def enable(self) -> None:
         """Read the topic from now on."""
@@ -77,14 +88,39 @@
             return
         # The first read doesn't wait, so that its answer shows that the store is reached.
         self._poll_timeout_s = 0.0
-        self._enabled.set()
-        self._enabled_again.set()
+        self.enabled = True
+        self._woken.set()
 
     def disable(self) -> None:
         """Read the topic no longer; a read that fetches records is left to finish."""
-        self._enabled.clear()
+        self.enabled = False
         self.interrupt_wait()
 
+    def refresh(self) -> None:
+        """Read the topic once without waiting for records, also while it isn't read."""
+        self._refresh_requested = True
+        self._woken.set()
+
+    def restart_overdue(self) -> None:
+        """Restart a read that the store doesn't answer, on a new connection.
+
+        It gets twice the time with each restart, so that a slow store's answer is reached.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._reading is None or self._responding:
+            return
+        if now < self._response_due_at + self._patience_s:
+            return
+        self._decisions.event(
+            "read without answer",
+            topic=self.replica.topic,
+            offset=self.replica.offset,
+            reading_for_s=round(now - self._read_started_at, 3),
+        )
+        self._patience_s *= 2
+        self._refresh_requested = True
+        self._reading.cancel()
+
     async def wait_for_read(self, timeout_s: float) -> None:
         """Wait until a read ends, well or not, and at most ``timeout_s`` seconds."""
         self._read_ended.clear()
@@ -100,8 +136,10 @@
     async def run(self) -> None:
         """See :meth:`BackgroundService.run`."""
         while True:
-            await self._enabled.wait()
+            await self._until_requested()
+            self._read_pending = True
             self.has_failed = not await self._read_once()
+            self._read_pending = False
             self._read_ended.set()
             if not self.has_failed:
                 self._backoff.reset()
@@ -111,13 +149,21 @@
             self._poll_timeout_s = 0.0
             await asyncio.sleep(self._backoff.next_s())
 
+    async def _until_requested(self) -> None:
+        while not (self.enabled or self._refresh_requested):
+            self._woken.clear()
+            await self._woken.wait()
+        if self._refresh_requested:
+            self._refresh_requested = False
+            self._poll_timeout_s = 0.0
+
     async def _pause(self) -> None:
-        if not self._pause_s:
+        if not self._pause_s or self._refresh_requested:
             return
-        self._enabled_again.clear()
+        self._woken.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self._responded_at + self._pause_s):
-                await self._enabled_again.wait()
+                await self._woken.wait()
 
     async def _read_once(self) -> bool:
         """Load the state or read new records once; return whether the store responded."""
@@ -186,7 +232,9 @@
         since_response_s = loop.time() - self._responded_at
         self._read_started_at = self._responded_at = loop.time()
         wait_s = self._wait_s(since_response_s)
+        self._response_due_at = self._read_started_at + wait_s
         self._waiting = wait_s > 0
+        self._responding = False
         reading = loop.create_task(
             self._store.read(self.replica.topic, offset, wait_s, on_response=self._end_wait)
         )
@@ -216,6 +264,8 @@
 
     def _end_wait(self) -> None:
         self._waiting = False
+        self._responding = True
+        self._patience_s = MIN_PATIENCE_S
         self._responded_at = asyncio.get_running_loop().time()
         self.replica.begin_response()
 
