Probe the store again sooner after a failed read

A node without a source, whose read of the store had failed, read nothing for up to 2.5 s more, and used the former configuration for longer than the bound after the store served it again.

Change: the pause is 0.7 to 1.4 s, so that probe, pause and transfer are within 2.5 s of the end of a trouble. While the store is away from all nodes, a node without a source costs it a call each 1.4 s instead of 2.1 s on average, with the 0.4 s of the probe.

--- a/src/bulrushflow/sidecar/records/relay.py
+++ b/src/bulrushflow/sidecar/records/relay.py
@@ -53,9 +53,10 @@
 itself with. A read that waits for records is confirmed after 5 s at the latest."""
 PROBE_S = 0.4
 """Time that a node without an upstream waits for the store's answer to one read."""
-MIN_PROBE_PAUSE_S = 1.0
-MAX_PROBE_PAUSE_S = 2.5
-"""Bounds of the random pause after such a read failed."""
+MIN_PROBE_PAUSE_S = 0.7
+MAX_PROBE_PAUSE_S = 1.4
+"""Bounds of the random pause after such a read failed. A change has to be in force 2 s after the
+store serves the node again, and its transfer takes up to 0.4 s on a narrow link."""
 
 
 class RecordRelay(BackgroundService):
