Have the records handed on by the nodes with the fastest links

A node on a narrow link that had just been added came first a second after its start.

Change: the fastest link comes first, a hash decides among equal ones.

The test of the rank asks for the fastest node in each of 200 draws instead of in 150.

--- a/src/bulrushflow/sidecar/records/upstreams.py
+++ b/src/bulrushflow/sidecar/records/upstreams.py
@@ -1,10 +1,11 @@
 """Choice of the node from which this node has the store's records.
 
-All nodes of a data centre rank its nodes alike, so most of them choose the same one without an
-election. Where their views differ for a moment, more nodes read the store than needed.
+All nodes of a data centre rank its nodes alike, by the bandwidth of their links and then by a hash,
+so most of them choose the same one without an election. Where their views differ for a moment, more
+nodes read the store than needed. A narrow link takes longer to read a configuration than pass
+between two in a series, and hands it on to one node after another.
 """
 
-import math
 import typing as t
 
 import xxhash
@@ -21,8 +22,7 @@
 STARTING_EXCLUSION_S = 0.5
 """The first exclusion while the own node starts. Nodes mostly start together, so one that refuses
 connections, or is still loading its topics, is likely to relay records soon."""
-MAX_CACHED_RANKS = 8192
-_HASH_RANGE = float(1 << 64)
+MAX_CACHED_HASHES = 8192
 
 
 class _Exclusion(t.NamedTuple):
@@ -36,15 +36,21 @@
     :param peers_by_key: known nodes, which change over time.
     """
 
-    __slots__ = ("_data_centre", "_exclusions_by_key", "_own_key", "_peers_by_key", "_ranks")
+    __slots__ = (
+        "_data_centre",
+        "_exclusions_by_key",
+        "_hashes_by_key",
+        "_own_key",
+        "_peers_by_key",
+    )
 
     def __init__(self, own_key: str, data_centre: str, peers_by_key: t.Mapping[str, Peer]) -> None:
         self._own_key = own_key
         self._data_centre = data_centre
         self._peers_by_key = peers_by_key
         self._exclusions_by_key: dict[str, _Exclusion] = {}
-        self._ranks: dict[tuple[str, float], float] = {}
-        """Ranks by key and bandwidth, which cost more than a look-up."""
+        self._hashes_by_key: dict[str, int] = {}
+        """Computed once, since all nodes are ranked with each choice."""
 
     def choose(self, now: float) -> str | None:
         """Return the key of the node to request records from; ``None`` to read the store.
@@ -104,31 +110,26 @@
 
     def _candidates(self) -> tuple[list[str], list[str]]:
         """Return the keys of the own data centre's nodes and of all others, highest rank first."""
-        local: list[tuple[float, str]] = []
-        remote: list[tuple[float, str]] = []
+        local: list[tuple[float, int, str]] = []
+        remote: list[tuple[float, int, str]] = []
         for key, peer in self._peers_by_key.items():
             if not _relays(peer.entry):
                 continue
             ranked = remote if peer.entry.data_centre != self._data_centre else local
-            ranked.append((self._rank(key, peer.entry.link_mbps), key))
-        return [key for _, key in sorted(local)], [key for _, key in sorted(remote)]
+            ranked.append((-peer.entry.link_mbps, self._hash(key), key))
+        return [item[-1] for item in sorted(local)], [item[-1] for item in sorted(remote)]
 
-    def _rank(self, key: str, weight: float) -> float:
-        rank = self._ranks.get((key, weight))
-        if rank is None:
-            if len(self._ranks) >= MAX_CACHED_RANKS:
-                self._ranks.clear()
-            rank = self._ranks[key, weight] = _weighted_rank(key, weight)
-        return rank
+    def _hash(self, key: str) -> int:
+        """Return a node's place among those with the same bandwidth."""
+        found = self._hashes_by_key.get(key)
+        if found is None:
+            if len(self._hashes_by_key) >= MAX_CACHED_HASHES:
+                self._hashes_by_key.clear()
+            found = self._hashes_by_key[key] = xxhash.xxh64_intdigest(key.encode())
+        return found
 
 
 def _relays(entry: NodeEntry) -> bool:
     """Return whether a node relays records; one whose target leaves is about to stop."""
     target = entry.target
     return entry.relays_records and target is not None and target.state is TargetState.READY
-
-
-def _weighted_rank(key: str, weight: float) -> float:
-    """Return a node's rank by weighted rendezvous hashing; the least goes first."""
-    fraction = (xxhash.xxh64_intdigest(key.encode()) + 1) / (_HASH_RANGE + 1)
-    return -math.log(fraction) / max(weight, 1e-3)
--- a/tests/sidecar/records/test_upstreams.py
+++ b/tests/sidecar/records/test_upstreams.py
@@ -87,7 +87,8 @@
         self.peers_by_key[leader].unreachable = True
         self.assertNotEqual(self.upstreams("k-new").choose(0.0), leader)
 
-    def test_nodes_with_faster_links_relay_more_often(self) -> None:
+    # CONFIG: a node on a narrow link was first by chance, and fell behind in a series of changes.
+    def test_the_node_with_the_fastest_link_relays(self) -> None:
         leaders = []
         for group in range(200):
             self.peers_by_key = {
@@ -95,7 +96,7 @@
                 for number in range(10)
             }
             leaders.append(self.leader())
-        self.assertGreater(sum(key.endswith("-0") for key in leaders), 150)
+        self.assertEqual(sum(key.endswith("-0") for key in leaders), 200)
 
     def test_a_reading_node_watches_other_data_centres_before_its_own(self) -> None:
         [remote] = self.upstreams("k-1").watched(1)
