Answer 503 instead of 404 where the configuration may be too old

Cause, found by looking for the same on related paths: a node whose state the store hadn't confirmed for longer than a change may take, without knowing of a missing record, answered 404 or 401, which callers don't repeat.

Change: such a state isn't current, so that the answer is 503 with Retry-After.

Test: test_replica, a state that may lack a change by its age; it failed before, since the age didn't count.

--- a/src/bulrushflow/sidecar/records/freshness.py
+++ b/src/bulrushflow/sidecar/records/freshness.py
@@ -30,6 +30,11 @@
     def __init__(self, apply_s: t.Callable[[], float]) -> None:
         self._apply_s = apply_s
 
+    @property
+    def apply_s(self) -> float:
+        """Seconds within which a change has to be in force; an older state may lack one."""
+        return self._apply_s()
+
     @property
     def max_wait_s(self) -> float:
         """Seconds between the store's answer to a read and the end of the next one's wait."""
--- a/src/bulrushflow/sidecar/records/replica.py
+++ b/src/bulrushflow/sidecar/records/replica.py
@@ -132,8 +132,11 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the store responds and no record is known that this replica has not read."""
-        return self.connected and self.offset is not None and not self.is_behind
+        """Whether the store responds, and a record that this replica hasn't read is neither known
+        nor possible because of the state's age."""
+        if not self.connected or self.offset is None or self.is_behind:
+            return False
+        return self.freshness is None or self.confirmed_s_ago <= self.freshness.apply_s
 
     @property
     def stale(self) -> bool:
--- a/tests/sidecar/records/test_replica.py
+++ b/tests/sidecar/records/test_replica.py
@@ -6,6 +6,7 @@
 
 from bulrushflow.sidecar.records import replica as replica_module
 from bulrushflow.sidecar.records import store_reader
+from bulrushflow.sidecar.records.freshness import FreshnessBound
 from bulrushflow.sidecar.records.replica import Replica
 from bulrushflow.sidecar.records.storage import KeyedRecord
 from bulrushflow.sidecar.records.storage import StorePage
@@ -134,6 +135,18 @@
             self.replica.apply_page(partial)
             self.assertEqual(self.replica.confirmed_s_ago, 2.0)
 
+    # DENIED: a node that didn't know of a missing configuration answered 404, which is final, for
+    # a route in it.
+    async def test_a_state_that_may_lack_a_change_by_its_age_is_not_current(self) -> None:
+        replica = Replica("x", self.handler, self.decisions, FreshnessBound(lambda: 2.0))
+        with stopped_loop_clock() as clock:
+            replica.begin_request()
+            replica.apply_state(StorePage((), 0, 0, 1))
+            clock.advance(1.9)
+            self.assertTrue(replica.is_current)
+            clock.advance(0.2)
+            self.assertFalse(replica.is_current)
+
     async def test_a_response_that_takes_long_is_logged(self) -> None:
         await self.start()
         await until(lambda: bool(self.store.reads))
