Count the way between two nodes in the age of records

Cause: a follower counted the age that the other node named from the arrival of its answer, so that up to 0.8 s of a slow way between them were missing, and it read the store for itself that much too late.

Change: the answer says how long the request waited there; the rest of the time since it was sent is added. An earlier build doesn't say so, and counts as having waited for the whole time that it was asked to.

--- a/src/bulrushflow/sidecar/records/relay.py
+++ b/src/bulrushflow/sidecar/records/relay.py
@@ -9,6 +9,7 @@
 import random
 import typing as t
 
+from msgspec.structs import replace
 from result import Err
 from result import Ok
 from result import Result
@@ -286,6 +287,8 @@
             wait_ms=int(wait_s * 1000),
             offsets_only=offsets_only,
         )
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         match await self._links.exchange(entry.endpoint, timeout_s, updates_request=request):
             case Err(error):
                 return Err(error.reason)
@@ -293,13 +296,18 @@
                 pass
             case _:
                 return Err("unexpected message instead of updates")
+        waited_ms = frame.updates.waited_ms
+        # An earlier build doesn't say how long the request waited there.
+        waited_s = wait_s if waited_ms is None else waited_ms / 1000
+        on_way_s = max(0.0, loop.time() - sent_at - waited_s)
         updates = []
         for message in frame.updates.updates:
             match update_from_message(message):
                 case Err(reason):
                     return Err(reason)
                 case Ok(update):
-                    updates.append(update)
+                    age_s = update.confirmed_s_ago + on_way_s
+                    updates.append(replace(update, confirmed_s_ago=age_s))
         return Ok(updates)
 
     def _replica(self, topic: str) -> Replica | None:
--- a/src/bulrushflow/sidecar/records/update_server.py
+++ b/src/bulrushflow/sidecar/records/update_server.py
@@ -68,13 +68,16 @@
             replica.note_peer_offset(position.known_end, position.era)
         valid_for_s = min(self._replicas_by_topic[p.topic].valid_for_s for p in positions)
         wait_s = min(MAX_WAIT_S, message.wait_ms / 1000, max(0.0, valid_for_s))
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         await self._wait_until_due(positions, wait_s)
         updates = [
             self._update(position, message.offsets_only)
             for position in positions
             if self._replicas_by_topic[position.topic].offset is not None
         ]
-        return {"updates": messages.Updates(updates=updates)}
+        waited_ms = int((loop.time() - started_at) * 1000)
+        return {"updates": messages.Updates(updates=updates, waited_ms=waited_ms)}
 
     async def _wait_until_due(self, positions: t.Sequence[TopicPosition], wait_s: float) -> None:
         try:
--- a/src/bulrushflow/wire/generated_messages.py
+++ b/src/bulrushflow/wire/generated_messages.py
@@ -539,9 +539,11 @@
 class Updates(TPayload):
     thrift_spec = {
         1: (TType.LIST, "updates", (TType.STRUCT, TopicUpdate), True),
+        2: (TType.I32, "waited_ms", False),
     }
     default_spec = [
         ("updates", None),
+        ("waited_ms", None),
     ]
 
 
--- a/src/bulrushflow/wire/messages.thrift
+++ b/src/bulrushflow/wire/messages.thrift
@@ -321,6 +321,8 @@
 
 struct Updates {
   1: required list<TopicUpdate> updates
+  // Time that the request waited at the sender.
+  2: optional i32 waited_ms
 }
 
 // A node's report to the home of an organisation, with a request for tokens of its allowance.
--- a/tests/sidecar/records/test_time_to_in_force.py
+++ b/tests/sidecar/records/test_time_to_in_force.py
@@ -11,6 +11,8 @@
 
 from bulrushflow.sidecar.records import relay
 from bulrushflow.sidecar.records import store_reader
+from bulrushflow.sidecar.records.replica import Replica
+from bulrushflow.sidecar.records.storage import TopicUpdate
 from bulrushflow.sidecar.records.upstreams import LOCAL_CANDIDATES
 from bulrushflow.sidecar.records.upstreams import Upstreams
 from tests.sidecar.fleet import FleetTestCase
@@ -22,6 +24,9 @@
 SLOW_TRANSFER_S = 4.0
 """Time from the begin of a response to its end; longer than a change may take to be in force."""
 
+SLOW_WAY_S = 0.25
+"""Time that an answer takes between two nodes; too little for the node to count as failed."""
+
 
 async def hang(*_: t.Any, **__: t.Any) -> t.Any:
     await asyncio.Event().wait()
@@ -142,6 +147,33 @@
 class OneDataCentreTests(InForceTestCase):
     node_count = 6
 
+    # Records counted as just confirmed after a slow way from the reader to the follower.
+    async def test_the_age_of_records_has_the_time_that_they_took_between_the_nodes(self) -> None:
+        [reader] = await self.until_settled()
+        follower = self.all_but([reader])[0]
+        await follower.sidecar.relay.stop()
+        handlers = reader.sidecar._links._handlers
+        answer = handlers["updates_request"]
+        ages_s = []
+
+        async def answer_late(message: t.Any) -> t.Any:
+            response = await answer(message)
+            await asyncio.sleep(SLOW_WAY_S)
+            return response
+
+        def record_age(replica: Replica, update: TopicUpdate) -> bool:
+            if replica in follower.sidecar._replicas:
+                ages_s.append(update.confirmed_s_ago)
+            return True
+
+        with (
+            mock.patch.dict(handlers, updates_request=answer_late),
+            mock.patch.object(Replica, "apply_update", record_age),
+        ):
+            await follower.sidecar.relay._update_from(reader.sidecar._own_node_key)
+        self.assertTrue(ages_s)
+        self.assertGreaterEqual(min(ages_s), SLOW_WAY_S)
+
     # A follower waited a second for each node that it may have its records from.
     async def test_a_change_is_not_late_though_all_nodes_that_rank_first_are_frozen(self) -> None:
         await self.until_settled()
