Have the tests' store as the platform has it before the first node starts

Cause: the set-up of the relay's tests gave the store its era and the status topic after the nodes had started, so that some nodes had loaded that topic in era 0 and some in era 1.

Change: the store is made with both before the nodes start, which is what the set-up said.

--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -104,6 +104,15 @@
         await until(lambda: self.sidecar.routing.version == version)
 
 
+def store_with_status_topic() -> StoreStandIn:
+    """Return a store of the first era with an empty status topic, which the platform has from the
+    start: reads of it wait, with no 404."""
+    store = StoreStandIn()
+    store.era = 1
+    store.records_by_topic["keyed.status"] = []
+    return store
+
+
 class FleetTestCase(unittest.IsolatedAsyncioTestCase):
     """A test case with :attr:`node_count` sidecars of service ``s1``, with four slots each."""
 
@@ -121,7 +130,7 @@
         patch = mock.patch.object(application, "READINESS_PROPAGATION_S", 0.05)
         patch.start()
         self.addCleanup(patch.stop)
-        self.store = StoreStandIn()
+        self.store = self.create_store()
         endpoint = await self.store.start()
         self.addAsyncCleanup(self.store.stop)
         self.http = aiohttp.ClientSession()
@@ -143,6 +152,10 @@
             self.instances.append(instance)
         self.addAsyncCleanup(self.stop_instances)
 
+    def create_store(self) -> StoreStandIn:
+        """Return the store as it is before the first node starts."""
+        return StoreStandIn()
+
     async def stop_instances(self) -> None:
         await asyncio.gather(*(instance.stop() for instance in self.instances))
 
--- a/tests/sidecar/records/test_relay.py
+++ b/tests/sidecar/records/test_relay.py
@@ -10,9 +10,11 @@
 
 from bulrushflow.sidecar import application
 from bulrushflow.sidecar.records import relay
+from tests.platform.standin import StoreStandIn
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import Instance
 from tests.sidecar.fleet import configuration
+from tests.sidecar.fleet import store_with_status_topic
 from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import GUARD_S
 from tests.waiting import until
@@ -37,11 +39,11 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.store.era = 1
-        # The platform has this topic from the start: reads of it wait, with no 404.
-        self.store.records_by_topic["keyed.status"] = []
         await self.serve()
 
+    def create_store(self) -> StoreStandIn:
+        return store_with_status_topic()
+
     def readers(self) -> list[Instance]:
         return [item for item in self.instances if item.sidecar.relay.source is None]
 
--- a/tests/sidecar/records/test_time_to_in_force.py
+++ b/tests/sidecar/records/test_time_to_in_force.py
@@ -15,9 +15,11 @@
 from bulrushflow.sidecar.records.storage import TopicUpdate
 from bulrushflow.sidecar.records.upstreams import LOCAL_CANDIDATES
 from bulrushflow.sidecar.records.upstreams import Upstreams
+from tests.platform.standin import StoreStandIn
 from tests.sidecar.fleet import FleetTestCase
 from tests.sidecar.fleet import Instance
 from tests.sidecar.fleet import configuration
+from tests.sidecar.fleet import store_with_status_topic
 from tests.sidecar.samples import RecordingDecisions
 from tests.waiting import until
 
@@ -73,11 +75,11 @@
 class InForceTestCase(FleetTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.store.era = 1
-        # The platform has this topic from the start: reads of it wait, with no 404.
-        self.store.records_by_topic["keyed.status"] = []
         await self.serve()
 
+    def create_store(self) -> StoreStandIn:
+        return store_with_status_topic()
+
     def readers_by_data_centre(self) -> dict[str, Instance]:
         """Return the nodes that all others of their data centre have the records from."""
         by_id = {item.settings.node_id: item for item in self.instances}
