Load the whole state where a node without a position has records too old

A node whose position the store no longer keeps, or that learned of a restored store, had no offset and was left to its sources alone, however old its state.

Test: test_refresher, a node without a position; it hung before.

--- a/src/bulrushflow/sidecar/records/refresher.py
+++ b/src/bulrushflow/sidecar/records/refresher.py
@@ -58,8 +58,8 @@
     async def check(self) -> None:
         """Read the store, or restart a read without an answer, if the records are too old."""
         replica = self._reader.replica
-        if replica.offset is None:
-            # The relay loads the topic.
+        if not replica.loaded:
+            # The node starts, and isn't ready before the relay has loaded the topic.
             return
         now = asyncio.get_running_loop().time()
         if replica.confirmed_s_ago <= self._freshness.refresh_age_s:
--- a/tests/sidecar/records/test_refresher.py
+++ b/tests/sidecar/records/test_refresher.py
@@ -69,6 +69,14 @@
         await self.refresher.check()
         self.assertEqual(len(self.decisions.inputs("records current again")), 1)
 
+    # CONFIG: a node whose position the store no longer kept waited for its source alone.
+    async def test_a_node_without_a_position_loads_the_whole_state_itself(self) -> None:
+        self.store.put("a", b"1")
+        self.replica.drop_offset()
+        self.age()
+        await self.refresher.check()
+        await until(lambda: self.replica.offset == 1)
+
     async def test_a_node_that_stops_or_has_no_source_does_not_turn_to_the_store(self) -> None:
         self.may_read = False
         self.age()
