--- a/src/bulrushflow/sidecar/records/freshness.py
+++ b/src/bulrushflow/sidecar/records/freshness.py
@@ -9,7 +9,7 @@
 between two confirmations, and the transfer of a large record over a narrow link."""
 UPDATE_WAIT_FRACTION = 0.2
 """Part of it that a request for another node's records may wait there."""
-REFRESH_FRACTION = 0.7
+REFRESH_FRACTION = 0.65
 """Part of it after which a node whose records weren't confirmed reads the store itself. The rest is
 for that read: a large record takes 0.4 s on a link of 5 Mbit/s."""
 
