Hold the link in the test of small responses beside downloads

Cause: the test failed once beside two plays, with large-0 before small-4. The download that is due first gets the link alone and ends 0.17 s after its start, five calls one after another take 0.06 s on a machine that is idle enough (three runs with times, load 10), so the order depended on the machine.

Change: the link stays busy until the five calls have ended, and is released then. As strict: a response in one queue with the downloads can't arrive at all.

--- a/tests/sidecar/calls/test_large_responses.py
+++ b/tests/sidecar/calls/test_large_responses.py
@@ -1,6 +1,7 @@
 """Large responses between two nodes: whole, broken off, cancelled, and to callers that are slow."""
 
 import asyncio
+import math
 import re
 import typing as t
 from unittest import mock
@@ -273,10 +274,25 @@
         self.assertEqual(await self.outcomes(), {"ok": 1})
 
 
+class HeldLink(LinkPacer):
+    """A narrow link that is busy with the chunks written so far until the test releases it."""
+
+    __slots__ = ("held",)
+
+    def __init__(self) -> None:
+        super().__init__(5.0)
+        self.held = True
+
+    def next_chunk_at(self, now: float) -> float:
+        """See :meth:`Pacer.next_chunk_at`."""
+        chunk_at = super().next_chunk_at(now)
+        return max(chunk_at, now + 0.01) if self.held and chunk_at > -math.inf else chunk_at
+
+
 class NarrowLinkTests(DownloadTestCase):
     async def test_small_responses_pass_the_downloads_of_a_narrow_link(self) -> None:
         """In one queue with whole responses, each would wait for all downloads ahead of it."""
-        self.remote._links.sender._pacer = LinkPacer(5.0)
+        link = self.remote._links.sender._pacer = HeldLink()
         self.target.body = bytes(90_000)
         ended: list[str] = []
 
@@ -289,6 +305,8 @@
         await until(lambda: len(self.incoming) == len(downloads))
         for i in range(5):
             await call(f"small-{i}", "/a/small")
+        self.assertGreater(self.remote._links.sender.count, 0)
+        link.held = False
         await asyncio.gather(*downloads)
         self.assertEqual(ended[:5], [f"small-{i}" for i in range(5)])
 
