--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -1,7 +1,6 @@
 """The sidecar process: wires its components together, and starts and stops them in order."""
 
 import asyncio
-import math
 import random
 
 from loguru import logger
@@ -49,17 +48,13 @@
 from bulrushflow.sidecar.own_records import OwnRecordReconciler
 from bulrushflow.sidecar.records.codec import node_key
 from bulrushflow.sidecar.records.directory import Directory
+from bulrushflow.sidecar.records.feed import RecordFeed
 from bulrushflow.sidecar.records.freshness import FreshnessBound
 from bulrushflow.sidecar.records.handlers import NodeEntryHandler
 from bulrushflow.sidecar.records.handlers import RolloutStatusHandler
-from bulrushflow.sidecar.records.refresher import CHECK_PERIOD_S as RECORDS_AGE_CHECK_S
-from bulrushflow.sidecar.records.refresher import RecordRefresher
 from bulrushflow.sidecar.records.registration import Registration
-from bulrushflow.sidecar.records.relay import RecordRelay
 from bulrushflow.sidecar.records.replica import Replica
 from bulrushflow.sidecar.records.storage import Store
-from bulrushflow.sidecar.records.store_reader import StoreReader
-from bulrushflow.sidecar.records.update_server import UpdateServer
 from bulrushflow.sidecar.records.upstreams import Upstreams
 from bulrushflow.sidecar.rollouts.call_evidence import CallEvidence
 from bulrushflow.sidecar.rollouts.driver import RolloutDriver
@@ -141,8 +136,8 @@
         )
         startup = StartupReads(
             lambda: {
-                "operator's orders": self._operator_replica,
-                "rollout statuses": self._status_replica,
+                "operator's orders": self.records.orders,
+                "rollout statuses": self.records.statuses,
             },
             self._clock,
         )
@@ -168,12 +163,12 @@
             settings.places_by_work,
             startup.wait,
         )
-        self._build_replicas(adapter, store)
+        self.records = self._build_records(adapter, store)
         self._transfers = ResponseTransfers(self._pacer, self._metrics, self._decisions)
         self._forwarder = PeerForwarder(
             self._links,
             self._admission,
-            self._operator_replica,
+            self.records.orders,
             self.directory.is_current,
             self._transfers,
             self._decisions,
@@ -209,7 +204,7 @@
             adapter.header_names,
             lambda: self.routing,
             lambda: self.rejected_configuration,
-            self._operator_replica,
+            self.records.orders,
             lambda: self.settings.own_service,
             self._dispatcher,
             self._allowances,
@@ -232,13 +227,13 @@
             limits,
         )
 
-    def _build_replicas(self, adapter: Adapter, store: Store) -> None:
+    def _build_records(self, adapter: Adapter, store: Store) -> RecordFeed:
         topics = adapter.topics
         own_records = OwnRecordReconciler(
             self._registration,
             self._admission,
             self._quarantine,
-            lambda: self._node_replica.loaded,
+            lambda: self.records.nodes.loaded,
             lambda: self.settings.target,
             self._publish_target,
         )
@@ -253,35 +248,23 @@
             adapter.decode_status, self._apply_status, self._rollouts.reconcile, self._decisions
         )
         freshness = FreshnessBound(lambda: self.settings.bounds.config_apply_s)
-        self._operator_replica = Replica(
-            topics.orders, adapter.operator_record_handler(self), self._decisions, freshness
+        orders = adapter.operator_record_handler(self)
+        upstreams = Upstreams(
+            self._own_node_key, self.settings.data_centre, self.directory.peers_by_key
         )
-        self._node_replica = Replica(topics.nodes, nodes, self._decisions)
-        self._status_replica = Replica(topics.statuses, statuses, self._decisions)
-        self._replicas = (self._operator_replica, self._node_replica, self._status_replica)
-        self._readers = [
-            StoreReader(store, replica, self._decisions, self._rng) for replica in self._replicas
-        ]
-        settings = self.settings
-        self.relay = RecordRelay(
-            self._links,
-            Upstreams(self._own_node_key, settings.data_centre, self.directory.peers_by_key),
-            self._readers,
-            self._readers[1],
-            self.directory.entry,
-            freshness,
-            self._decisions,
-            self._rng,
-        )
-        self._refresher = RecordRefresher(
-            self._readers[0],
+        return RecordFeed(
+            store,
+            Replica(topics.orders, orders, self._decisions, freshness),
+            Replica(topics.nodes, nodes, self._decisions),
+            Replica(topics.statuses, statuses, self._decisions),
             freshness,
-            lambda: self.relay.may_refresh,
-            lambda: self.relay.source,
+            upstreams,
+            self.directory,
+            self._links,
+            self.timers,
             self._decisions,
             self._rng,
         )
-        self._update_server = UpdateServer(self._links, self._replicas, self.relay.note_request)
 
     async def on_start(self) -> None:
         await self.timers.start()
@@ -296,7 +279,7 @@
             StatusLog(
                 self._store,
                 self._adapter.topics.statuses,
-                self._status_replica,
+                self.records.statuses,
                 self._adapter.encode_status,
             ),
             self.timers,
@@ -304,15 +287,13 @@
             self._decisions,
         )
         await self._registration.start()
-        await self.relay.start()
-        for reader in self._readers:
-            await reader.start()
+        await self.records.start()
         application = announcement_application(
             self._adapter.paths,
             self._adapter.decode_announcement,
             self._admission,
             self._registration,
-            AnnouncementChecks(self._node_replica.wait_loaded, self._is_known_service),
+            AnnouncementChecks(self.records.nodes.wait_loaded, self._is_known_service),
             self._decisions,
         )
         serve = self.listeners.serve
@@ -327,7 +308,6 @@
         self._allowances.start(self.timers)
         self.timers.subscribe("repeats", RETRY_BUDGET_UPDATE_S, self._update_retry_budget)
         self.timers.subscribe("state metrics", STATE_METRICS_S, self._observe_state)
-        self.timers.subscribe("records age", RECORDS_AGE_CHECK_S, self._refresher.check)
         memory = MemoryWatch(resident_bytes)
         self.timers.subscribe("memory", MEMORY_CHECK_S, memory.check)
         logger.bind(node=self.settings.node_id, service=self.settings.own_service).info("started")
@@ -343,8 +323,7 @@
         deadline = started_at + self.settings.bounds.grace_s - SHUTDOWN_MARGIN_S
         self._stopping = True
         self._callers.begin_stop(deadline - ANSWER_MARGIN_S)
-        self._update_server.close()
-        self.relay.stopping = True
+        self.records.begin_stop()
         logger.bind(in_flight=self._callers.in_flight).info("stopping")
         await asyncio.sleep(READINESS_PROPAGATION_S)
         # Callers with too few other nodes keep sending; reject them while there is time left.
@@ -363,8 +342,8 @@
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         await self.listeners.close()
-        for service in (self.relay, *self._readers, self._registration):
-            await service.stop()
+        await self.records.stop()
+        await self._registration.stop()
         await self.timers.stop()
         self._forwarder.close()
         self._allowances.close()
@@ -375,7 +354,7 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should use this node."""
-        return not self._stopping and bool(self.routing.version) and self._node_replica.loaded
+        return not self._stopping and bool(self.routing.version) and self.records.nodes.loaded
 
     def _is_known_service(self, service: str) -> bool:
         """Return whether a service is this instance's own, or one of the configuration."""
@@ -386,7 +365,7 @@
 
     def is_configuration_current(self) -> bool:
         """Return whether the store responds and no newer configuration is known to exist."""
-        return self._operator_replica.is_current
+        return self.records.orders.is_current
 
     def reload(self, settings: SidecarSettings) -> None:
         """Apply changed settings; listening addresses change only on a restart."""
@@ -410,13 +389,12 @@
         self.rejected_configuration = None
         if routing.version <= self.routing.version:
             return
-        age_s = self._operator_replica.confirmed_s_ago
         self._decisions.event(
             "configuration in force",
             version=routing.version,
             before=self.routing.version,
-            source=self.relay.source or "store",
-            unconfirmed_s=None if math.isinf(age_s) else round(age_s, 3),
+            source=self.records.source,
+            unconfirmed_s=self.records.orders_age_s(),
         )
         before = self.routing.disabled_routes()
         for route in routing.disabled_routes():
@@ -493,7 +471,7 @@
 
     async def _observe_state(self) -> None:
         observe_target(self._metrics, self._admission)
-        observe_records(self._metrics, self._replicas, self.relay)
+        observe_records(self._metrics, self.records.replicas, self.records.relay)
         self._metrics.observe_configuration(
             self.routing.version, self.rejected_configuration is not None
         )
--- a/tests/sidecar/calls/test_limited_targets.py
+++ b/tests/sidecar/calls/test_limited_targets.py
@@ -60,7 +60,7 @@
         await self.send_calls(random.Random(4), 20)
         self.assertEqual(self.targets[0].received, [])
         self.store.status = 200
-        await until(lambda: self.instances[0].sidecar._node_replica.loaded)
+        await until(lambda: self.instances[0].sidecar.records.nodes.loaded)
         self.assertEqual(await self.announce(0, sequence=2, slots=40), 200)
         self.targets[0].released.clear()
         since = asyncio.get_running_loop().time()
--- a/tests/sidecar/records/test_relay.py
+++ b/tests/sidecar/records/test_relay.py
@@ -29,7 +29,7 @@
     """Have a node's reads of the store get no answer, those that wait now included."""
     store = instance.sidecar._store
     with mock.patch.object(store, "read", hang), mock.patch.object(store, "newest", hang):
-        for reader in instance.sidecar._readers:
+        for reader in instance.sidecar.records.readers:
             reader.interrupt_wait()
         yield
 
@@ -45,7 +45,7 @@
         return store_with_status_topic()
 
     def readers(self) -> list[Instance]:
-        return [item for item in self.instances if item.sidecar.relay.source is None]
+        return [item for item in self.instances if item.sidecar.records.relay.source is None]
 
     async def until_one_reads(self) -> Instance:
         """Wait until one node reads the store, and return it."""
@@ -69,7 +69,7 @@
         # Three topics, of which the one with records is read again after each.
         self.assertLess(self.store.reads - before, 3 * 3 * self.node_count)
         for instance in self.others(reader):
-            self.assertEqual(instance.sidecar.relay.source, reader.settings.node_id)
+            self.assertEqual(instance.sidecar.records.relay.source, reader.settings.node_id)
             self.assertTrue(instance.sidecar.is_configuration_current())
 
     async def test_metrics_show_who_reads_the_store_and_how_old_the_state_may_be(self) -> None:
@@ -104,7 +104,7 @@
     async def test_a_change_comes_into_force_though_the_reader_is_frozen(self) -> None:
         reader = await self.until_one_reads()
         reader.sidecar._links._handlers["updates_request"] = hang
-        reader.sidecar.relay.note_request()
+        reader.sidecar.records.relay.note_request()
         self.store.put("keyed.op", "config", configuration(2))
         await self.until_in_force(self.others(reader), 2)
 
@@ -115,7 +115,7 @@
         with cut_off(reader):
             self.store.put("keyed.op", "config", configuration(2))
             # Nodes of other data centres learn of it, and a call brings their offset.
-            reader.sidecar._operator_replica.note_peer_offset(2, 1)
+            reader.sidecar.records.orders.note_peer_offset(2, 1)
             # The reader itself too, which asked no node and kept the former configuration.
             await self.until_in_force(self.instances, 2)
 
@@ -133,14 +133,14 @@
     async def test_a_change_comes_into_force_though_the_store_refuses_the_reader(self) -> None:
         reader = await self.until_one_reads()
         reader.sidecar._store._base = "http://127.0.0.1:1"  # type: ignore[attr-defined]
-        for item in reader.sidecar._readers:
+        for item in reader.sidecar.records.readers:
             item.interrupt_wait()
         self.store.put("keyed.op", "config", configuration(2))
         await self.until_in_force(self.instances, 2)
 
     # Two nodes that have their records from each other would confirm each other's state for ever.
     async def test_records_are_taken_only_from_a_node_that_the_store_confirmed_lately(self) -> None:
-        replica = self.instances[0].sidecar._operator_replica
+        replica = self.instances[0].sidecar.records.orders
         update = replica.update_since(0, replica.era)
         self.assertTrue(relay._is_fresh(replace(update, confirmed_s_ago=1.0)))
         self.assertFalse(relay._is_fresh(replace(update, confirmed_s_ago=1.0, current=False)))
@@ -214,7 +214,7 @@
             for _ in range(5):
                 await asyncio.sleep(0.1)
                 for instance in self.others(reader):
-                    self.assertFalse(any(item.enabled for item in instance.sidecar._readers))
+                    self.assertFalse(any(item.enabled for item in instance.sidecar.records.readers))
             await stopping
         self.instances = []
 
@@ -229,7 +229,7 @@
         for instance in self.instances:
             await until(
                 lambda instance=instance: (  # type: ignore[misc]
-                    instance.sidecar._operator_replica.era == 2
+                    instance.sidecar.records.orders.era == 2
                 )
             )
 
@@ -241,7 +241,7 @@
             await self.until_one_reads()
             self.store.status = 503
             for instance in self.instances:
-                for item in instance.sidecar._readers:
+                for item in instance.sidecar.records.readers:
                     item.interrupt_wait()
             for instance in self.instances:
                 sidecar = instance.sidecar
@@ -262,9 +262,9 @@
         await super().asyncSetUp()
         await self.serve()
         self.sidecar = self.instances[0].sidecar
-        await self.sidecar.relay.stop()
+        await self.sidecar.records.relay.stop()
         self.store.status = 503
-        for reader in self.sidecar._readers:
+        for reader in self.sidecar.records.readers:
             reader.disable()
             await until(lambda reader=reader: reader._reading is None)  # type: ignore[misc]
 
@@ -275,8 +275,8 @@
             mock.patch.object(relay, "MIN_PROBE_PAUSE_S", 0.5),
             mock.patch.object(relay, "MAX_PROBE_PAUSE_S", 0.5),
         ):
-            decisions = self.sidecar.relay._decisions = RecordingDecisions()
-            await self.sidecar.relay._read_alone()
+            decisions = self.sidecar.records.relay._decisions = RecordingDecisions()
+            await self.sidecar.records.relay._read_alone()
         self.assertEqual(self.store.reads - before, 1)
         [probe] = decisions.inputs("store probe failed")
         self.assertEqual((probe["topic"], probe["pause_s"]), ("keyed.op", 0.5))
@@ -287,10 +287,12 @@
         self.instances[0].sidecar = started
         await started.start()
         with mock.patch.object(relay, "NEIGHBOURS_TIMEOUT_S", 0.01):
-            await until(lambda: started._readers[1].has_failed)
+            await until(lambda: started.records.readers[1].has_failed)
             before = self.store.reads
             await until(lambda: self.store.reads >= before + 3)
-        self.assertEqual([reader.enabled for reader in started._readers], [False, True, False])
+        self.assertEqual(
+            [reader.enabled for reader in started.records.readers], [False, True, False]
+        )
         self.store.status = 200
         await self.instances[0].until_version(1)
 
@@ -327,8 +329,10 @@
 
     async def test_nodes_of_a_build_that_relays_nothing_read_for_themselves(self) -> None:
         await self.serve()
-        await until(lambda: sum(i.sidecar.relay.source is None for i in self.instances) == 1)
-        [reader] = [i for i in self.instances if i.sidecar.relay.source is None]
+        await until(
+            lambda: sum(i.sidecar.records.relay.source is None for i in self.instances) == 1
+        )
+        [reader] = [i for i in self.instances if i.sidecar.records.relay.source is None]
         # An earlier build ignores requests that it doesn't know.
         reader.sidecar._links._handlers.pop("updates_request")
         self.store.put("keyed.op", "config", configuration(2))
--- a/tests/sidecar/records/test_time_to_in_force.py
+++ b/tests/sidecar/records/test_time_to_in_force.py
@@ -38,7 +38,7 @@
     """Have a node's reads of the store get no answer, those that wait now included."""
     store = instance.sidecar._store
     store.read = store.newest = hang  # type: ignore[method-assign]
-    for reader in instance.sidecar._readers:
+    for reader in instance.sidecar.records.readers:
         reader.interrupt_wait()
 
 
@@ -59,7 +59,7 @@
 
     store.read = read_slowly  # type: ignore[method-assign]
     store.newest = load_slowly  # type: ignore[method-assign]
-    for reader in instance.sidecar._readers:
+    for reader in instance.sidecar.records.readers:
         reader.interrupt_wait()
 
 
@@ -86,7 +86,7 @@
         sources_by_data_centre: dict[str, set[str]] = {}
         for item in self.instances:
             sources = sources_by_data_centre.setdefault(item.settings.data_centre, set())
-            sources.add(item.sidecar.relay.source or item.settings.node_id)
+            sources.add(item.sidecar.records.relay.source or item.settings.node_id)
         return {
             name: by_id[next(iter(sources))]
             for name, sources in sources_by_data_centre.items()
@@ -101,7 +101,9 @@
             readers_by_name = self.readers_by_data_centre()
             if set(readers_by_name) != names:
                 return False
-            polls = [item.sidecar._readers[0]._poll_timeout_s for item in readers_by_name.values()]
+            polls = [
+                item.sidecar.records.readers[0]._poll_timeout_s for item in readers_by_name.values()
+            ]
             return all(seconds >= store_reader.LONG_POLL_S for seconds in polls)
 
         await until(settled)
@@ -153,7 +155,7 @@
     async def test_the_age_of_records_has_the_time_that_they_took_between_the_nodes(self) -> None:
         [reader] = await self.until_settled()
         follower = self.all_but([reader])[0]
-        await follower.sidecar.relay.stop()
+        await follower.sidecar.records.relay.stop()
         handlers = reader.sidecar._links._handlers
         answer = handlers["updates_request"]
         ages_s = []
@@ -164,7 +166,7 @@
             return response
 
         def record_age(replica: Replica, update: TopicUpdate) -> bool:
-            if replica in follower.sidecar._replicas:
+            if replica in follower.sidecar.records.replicas:
                 ages_s.append(update.confirmed_s_ago)
             return True
 
@@ -172,14 +174,14 @@
             mock.patch.dict(handlers, updates_request=answer_late),
             mock.patch.object(Replica, "apply_update", record_age),
         ):
-            await follower.sidecar.relay._update_from(reader.sidecar._own_node_key)
+            await follower.sidecar.records.relay._update_from(reader.sidecar._own_node_key)
         self.assertTrue(ages_s)
         self.assertGreaterEqual(min(ages_s), SLOW_WAY_S)
 
     # A follower waited a second for each node that it may have its records from.
     async def test_a_change_is_not_late_though_all_nodes_that_rank_first_are_frozen(self) -> None:
         await self.until_settled()
-        local, _ = self.instances[0].sidecar.relay._upstreams._candidates()
+        local, _ = self.instances[0].sidecar.records.relay._upstreams._candidates()
         by_key = {item.sidecar._own_node_key: item for item in self.instances}
         frozen = [by_key[key] for key in local[:LOCAL_CANDIDATES]]
         for instance in frozen:
@@ -194,14 +196,14 @@
     async def test_a_change_is_not_late_once_the_store_serves_a_node_again(self) -> None:
         [node] = self.instances
         sidecar = node.sidecar
-        decisions = sidecar.relay._decisions = RecordingDecisions()
+        decisions = sidecar.records.relay._decisions = RecordingDecisions()
         longest_pause = mock.patch.object(sidecar._rng, "uniform", lambda low, high: high)
         with contextlib.ExitStack() as patches:
             patches.enter_context(longest_pause)
             # Another node is listed, and not available, so that this one isn't the first to read.
             patches.enter_context(mock.patch.object(Upstreams, "leads", lambda _: False))
             self.store.status = 503
-            for reader in sidecar._readers:
+            for reader in sidecar.records.readers:
                 reader.interrupt_wait()
             await until(lambda: bool(decisions.inputs("store probe failed")))
             self.store.status = 200
--- a/tests/sidecar/rollouts/test_restarted_nodes.py
+++ b/tests/sidecar/rollouts/test_restarted_nodes.py
@@ -41,7 +41,7 @@
         self.assertEqual(self.targets[1].received, [])
         self.store.unavailable_topics.clear()
         await until(
-            lambda: all(instance.sidecar._status_replica.loaded for instance in self.instances)
+            lambda: all(instance.sidecar.records.statuses.loaded for instance in self.instances)
         )
         async with asyncio.timeout(GUARD_S):
             for number in (0, 1):
--- a/tests/sidecar/test_evacuations.py
+++ b/tests/sidecar/test_evacuations.py
@@ -50,7 +50,7 @@
 
     async def cut_off(self, instance: Instance) -> None:
         """Have a node read no more records, from the store or from other nodes."""
-        for service in (instance.sidecar.relay, *instance.sidecar._readers):
+        for service in (instance.sidecar.records.relay, *instance.sidecar.records.readers):
             await service.stop()
 
     async def test_targets_in_an_evacuated_data_centre_get_no_calls_until_the_withdrawal(
@@ -120,7 +120,7 @@
         self.order("a")
         await self.until_evacuated("a")
         sidecar = self.instances[0].sidecar
-        with mock.patch.object(type(sidecar._operator_replica), "loaded", False):
+        with mock.patch.object(type(sidecar.records.orders), "loaded", False):
             self.assertIn("has not read", sidecar._admission._suspension() or "")
             self.assertEqual(sidecar._admission.capacity, 0)
         await self.instances[0].stop()
