--- a/src/bulrushflow/sidecar/records/replica.py
+++ b/src/bulrushflow/sidecar/records/replica.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.sidecar.records.confirmation import Confirmation
 from bulrushflow.sidecar.records.freshness import FreshnessBound
 from bulrushflow.sidecar.records.lag_monitor import LagMonitor
 from bulrushflow.sidecar.records.lag_monitor import Position
@@ -49,8 +50,7 @@
 
     __slots__ = (
         "_cache",
-        "_confirmed_at",
-        "_confirmed_directly",
+        "_confirmation",
         "_connected",
         "_decisions",
         "_end",
@@ -61,7 +61,6 @@
         "_loaded",
         "_observers",
         "_peer_era",
-        "_requested_at",
         "_restarts",
         "freshness",
         "offset",
@@ -91,12 +90,7 @@
         self._cache = TopicCache()
         self._observers: list[t.Callable[[], None]] = []
         self._lag_observers: list[LagObserver] = []
-        self._confirmed_at: float | None = None
-        """Since when the state is known to lack nothing: when the store began its last answer that
-        had everything, to this node or to the one that feeds it."""
-        self._requested_at = 0.0
-        """When the pending request was sent, or its response began."""
-        self._confirmed_directly = False
+        self._confirmation = Confirmation()
         self.offset: int | None = None
         """Start offset of the next read; ``None`` while the whole state has to be loaded."""
         self._loaded = asyncio.Event()
@@ -132,8 +126,7 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the store responds, and a record that this replica hasn't read is neither known
-        nor possible because of the state's age."""
+        """Whether the store responds and, by all that is known, no change can be missing here."""
         if not self.connected or self.offset is None or self.is_behind:
             return False
         return self.freshness is None or self.confirmed_s_ago <= self.freshness.apply_s
@@ -156,9 +149,7 @@
     @property
     def confirmed_s_ago(self) -> float:
         """Age of the store's latest confirmation of the state; infinite before the first one."""
-        if self._confirmed_at is None:
-            return float("inf")
-        return asyncio.get_running_loop().time() - self._confirmed_at
+        return self._confirmation.age_s
 
     @property
     def valid_for_s(self) -> float:
@@ -170,7 +161,7 @@
     @property
     def confirmed_directly(self) -> bool:
         """Whether the latest confirmation came from the store itself, not through another node."""
-        return self._confirmed_directly
+        return self._confirmation.direct
 
     def subscribe(self, observer: t.Callable[[], None]) -> None:
         """Call ``observer`` whenever the offset or the connection to the store changes."""
@@ -183,11 +174,11 @@
     def begin_request(self) -> None:
         """Note that a request for the topic's records is sent to the store."""
         self._end.begin_request()
-        self._requested_at = asyncio.get_running_loop().time()
+        self._confirmation.begin()
 
     def begin_response(self) -> None:
         """Note that the store's response begins: it has what the topic had until then."""
-        self._requested_at = asyncio.get_running_loop().time()
+        self._confirmation.begin()
 
     def apply_state(self, page: StorePage) -> bool:
         """Replace the state by a page of the store with the newest record of each key.
@@ -266,10 +257,7 @@
             if restored or update.start_offset != self.offset:
                 return False
             self._apply_records(page)
-        confirmed_at = asyncio.get_running_loop().time() - update.confirmed_s_ago
-        if self._confirmed_at is None or restored or confirmed_at > self._confirmed_at:
-            self._confirmed_at = confirmed_at
-        self._confirmed_directly = False
+        self._confirmation.take_over(update.confirmed_s_ago, restored)
         return True
 
     def note_peer_offset(self, offset: int, era: int | None = None) -> None:
@@ -339,9 +327,9 @@
 
     def _confirm(self, page: StorePage) -> None:
         if page.next_offset >= page.end:
-            self._confirmed_at = self._requested_at
-        if not self._confirmed_directly:
-            self._confirmed_directly = True
+            self._confirmation.complete()
+        if not self._confirmation.direct:
+            self._confirmation.direct = True
             self._notify()
 
     def _rejects_era(self, page: StorePage) -> bool:
--- a/tests/sidecar/records/test_refresher.py
+++ b/tests/sidecar/records/test_refresher.py
@@ -53,8 +53,9 @@
 
     def age(self) -> None:
         """Have the store's last confirmation lie too long ago."""
-        assert self.replica._confirmed_at is not None
-        self.replica._confirmed_at -= APPLY_S
+        confirmation = self.replica._confirmation
+        assert confirmation._confirmed_at is not None
+        confirmation._confirmed_at -= APPLY_S
 
     async def test_a_node_reads_the_store_itself_once_its_records_are_too_old(self) -> None:
         self.store.put("a", b"1")
