Don't leave a source because of the age of its records

Cause: a source whose records the store hadn't confirmed lately said that it wasn't current.

Change: the age leads to one read at each node that needs it, and nothing else. A source is left if it fails, lags behind others, or doesn't answer.

Tests: test_time_to_in_force, test_update_server, test_relay, test_refresher and test_replica, 64 passed, the readers that are all cut off or slow among them: their followers' own reads are in time.

--- a/src/bulrushflow/sidecar/records/freshness.py
+++ b/src/bulrushflow/sidecar/records/freshness.py
@@ -4,9 +4,6 @@
 
 READ_WAIT_FRACTION = 0.35
 """Part of the time that passes between two confirmations by the store at a node that reads it."""
-MAX_AGE_FRACTION = 0.6
-"""Part of it after which records that the store hasn't confirmed since aren't current: the time
-between two confirmations, and the transfer of a large record over a narrow link."""
 UPDATE_WAIT_FRACTION = 0.2
 """Part of it that a request for another node's records may wait there."""
 REFRESH_FRACTION = 0.65
@@ -40,11 +37,6 @@
         """Seconds between the store's answer to a read and the end of the next one's wait."""
         return READ_WAIT_FRACTION * self._apply_s()
 
-    @property
-    def max_age_s(self) -> float:
-        """Greatest age of the store's confirmation in seconds for records that are handed on."""
-        return MAX_AGE_FRACTION * self._apply_s()
-
     @property
     def refresh_age_s(self) -> float:
         """Age of the store's confirmation in seconds at which a node reads the store itself."""
--- a/src/bulrushflow/sidecar/records/replica.py
+++ b/src/bulrushflow/sidecar/records/replica.py
@@ -151,13 +151,6 @@
         """Age of the store's latest confirmation of the state; infinite before the first one."""
         return self._confirmation.age_s
 
-    @property
-    def valid_for_s(self) -> float:
-        """Seconds until the state is too old to be handed on; infinite without a bound."""
-        if self.freshness is None:
-            return float("inf")
-        return self.freshness.max_age_s - self.confirmed_s_ago
-
     @property
     def confirmed_directly(self) -> bool:
         """Whether the latest confirmation came from the store itself, not through another node."""
--- a/src/bulrushflow/sidecar/records/update_server.py
+++ b/src/bulrushflow/sidecar/records/update_server.py
@@ -66,8 +66,7 @@
         for position in positions:
             replica = self._replicas_by_topic[position.topic]
             replica.note_peer_offset(position.known_end, position.era)
-        valid_for_s = min(self._replicas_by_topic[p.topic].valid_for_s for p in positions)
-        wait_s = min(MAX_WAIT_S, message.wait_ms / 1000, max(0.0, valid_for_s))
+        wait_s = min(MAX_WAIT_S, message.wait_ms / 1000)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         await self._wait_until_due(positions, wait_s)
@@ -109,9 +108,7 @@
         return replica.offset is not None and replica.offset > position.offset
 
     def _is_current(self, replica: Replica) -> bool:
-        if self.closed or not replica.connected or replica.stale:
-            return False
-        return replica.valid_for_s > 0
+        return not self.closed and replica.connected and not replica.stale
 
     def _update(self, position: TopicPosition, offsets_only: bool) -> t.Any:
         replica = self._replicas_by_topic[position.topic]
