--- a/src/bulrushflow/sidecar/records/store_reader.py
+++ b/src/bulrushflow/sidecar/records/store_reader.py
@@ -63,7 +63,7 @@
         self._poll_timeout_s = SHORT_POLL_S
         self._pause_s = 0.0
         """Pause before the next read, unless one is requested meanwhile."""
-        self._reading: asyncio.Task[t.Any] | None = None
+        self._read_task: asyncio.Task[t.Any] | None = None
         self._read_started_at = 0.0
         self._responded_at = 0.0
         self._response_due_at = 0.0
@@ -72,16 +72,12 @@
         self._waiting = False
         self._responding = False
         self._read_ended = asyncio.Event()
-        self._read_pending = False
+        self.reading = False
+        """Whether a read is pending."""
         self.has_failed = False
         """Whether the last read failed."""
         replica.subscribe_lag(self._restart_read)
 
-    @property
-    def reading(self) -> bool:
-        """Whether a read is pending."""
-        return self._read_pending
-
     def enable(self) -> None:
         """Read the topic from now on."""
         if self.enabled:
@@ -107,7 +103,7 @@
         It gets twice the time with each restart, so that a slow store's answer is reached.
         """
         now = asyncio.get_running_loop().time()
-        if self._reading is None or self._responding:
+        if self._read_task is None or self._responding:
             return
         if now < self._response_due_at + self._patience_s:
             return
@@ -119,7 +115,7 @@
         )
         self._patience_s *= 2
         self._refresh_requested = True
-        self._reading.cancel()
+        self._read_task.cancel()
 
     async def wait_for_read(self, timeout_s: float) -> None:
         """Wait until a read ends, well or not, and at most ``timeout_s`` seconds."""
@@ -130,16 +126,16 @@
 
     def interrupt_wait(self) -> None:
         """End a read that waits for records."""
-        if self._reading is not None and self._waiting:
-            self._reading.cancel()
+        if self._read_task is not None and self._waiting:
+            self._read_task.cancel()
 
     async def run(self) -> None:
         """See :meth:`BackgroundService.run`."""
         while True:
             await self._until_requested()
-            self._read_pending = True
+            self.reading = True
             self.has_failed = not await self._read_once()
-            self._read_pending = False
+            self.reading = False
             self._read_ended.set()
             if not self.has_failed:
                 self._backoff.reset()
@@ -238,7 +234,7 @@
         reading = loop.create_task(
             self._store.read(self.replica.topic, offset, wait_s, on_response=self._end_wait)
         )
-        self._reading = reading
+        self._read_task = reading
         try:
             return await reading
         except asyncio.CancelledError:
@@ -248,7 +244,7 @@
                 raise
             return None
         finally:
-            self._reading = None
+            self._read_task = None
 
     def _wait_s(self, since_response_s: float) -> float:
         """Return how long the next read waits for records.
@@ -287,7 +283,7 @@
         One that fetches records is left to finish: it would be restarted by each new record, and
         never complete while these come faster than a response.
         """
-        if self._reading is None or not self._waiting:
+        if self._read_task is None or not self._waiting:
             return
         now = asyncio.get_running_loop().time()
         self._decisions.event(
@@ -303,4 +299,4 @@
         # Of a restored store, whose records may be as many as before, a read that waits again would
         # learn only when its time is over.
         self._poll_timeout_s = 0.0
-        self._reading.cancel()
+        self._read_task.cancel()
--- a/tests/sidecar/records/test_relay.py
+++ b/tests/sidecar/records/test_relay.py
@@ -266,7 +266,7 @@
         self.store.status = 503
         for reader in self.sidecar.records.readers:
             reader.disable()
-            await until(lambda reader=reader: reader._reading is None)  # type: ignore[misc]
+            await until(lambda reader=reader: reader._read_task is None)  # type: ignore[misc]
 
     async def test_a_node_without_a_source_probes_a_failing_store_with_one_read(self) -> None:
         # Each probe was four reads, since the reader repeated a failed one at once.
