Count a node's growth from its memory at the start

Here the test fails alone, on an idle machine, in 7 of 7 runs: the memory is looked at first after half a second; by then all 160 connections had sent (58 MB at the begin, 270 MB at the first check), so the garbage counted as the usual memory and nothing was collected. Where the machine is slower, the first check came in time: it passed until now. A node that is sent garbage in its first half second keeps it too. And the base never fell, so a collection in a busy moment allowed the memory of that moment and 32 MB more.

Change: the base is the memory at the start, and the least since the last collection.

Tests: two of the decision, both failing before.

--- a/src/bulrushflow/sidecar/memory.py
+++ b/src/bulrushflow/sidecar/memory.py
@@ -14,7 +14,7 @@
 
 CHECK_PERIOD_S = 0.5
 MAX_GROWTH_BYTES = 32 << 20
-"""Growth since the last collection that begins one. Instances have as little as 200 MB."""
+"""Growth that begins a collection. Instances have as little as 200 MB."""
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _STATM = pathlib.Path("/proc/self/statm")
 _RESIDENT_FIELD = 1
@@ -23,6 +23,8 @@
 class MemoryWatch:
     """Collects garbage once the process has grown by :data:`MAX_GROWTH_BYTES`.
 
+    The growth counts from the least memory since the last collection, or since this was made.
+
     :param resident_bytes: returns the resident memory of the process, ``None`` if it isn't known.
     """
 
@@ -30,15 +32,14 @@
 
     def __init__(self, resident_bytes: t.Callable[[], int | None]) -> None:
         self._resident_bytes = resident_bytes
-        self._base_bytes: int | None = None
+        self._base_bytes = resident_bytes()
 
     async def check(self) -> None:
         """Compare the memory with that after the last collection."""
         resident = self._resident_bytes()
         if resident is None:
             return
-        if self._base_bytes is None:
-            self._base_bytes = resident
+        self._base_bytes = resident if self._base_bytes is None else min(self._base_bytes, resident)
         if resident - self._base_bytes < MAX_GROWTH_BYTES:
             return
         collected = gc.collect()
--- a/tests/sidecar/test_memory.py
+++ b/tests/sidecar/test_memory.py
@@ -40,6 +40,20 @@
         await self.watch.check()
         self.collections.assert_called_once()
 
+    # A node whose first check came after the garbage took it for its usual memory.
+    async def test_the_growth_before_the_first_check_counts(self) -> None:
+        watch = MemoryWatch(lambda: self.resident)
+        self.resident = BASE_BYTES + MAX_GROWTH_BYTES
+        await watch.check()
+        self.collections.assert_called_once()
+
+    async def test_the_growth_counts_from_the_least_memory_since(self) -> None:
+        self.resident = BASE_BYTES - (8 << 20)
+        await self.watch.check()
+        self.resident += MAX_GROWTH_BYTES
+        await self.watch.check()
+        self.collections.assert_called_once()
+
     async def test_without_a_figure_nothing_is_collected(self) -> None:
         self.resident = None
         await self.watch.check()
