Return what a collection frees to the system

Cause: a collection freed the buffers of connections that had sent garbage, but they lay between blocks in use, and the C library's allocator keeps such pages: 241 MB were left after a full collection, 60 MB once the allocator had been asked to return them.

Change: malloc_trim after each collection, where the C library has it (both kinds of machine; elsewhere nothing is called).

Tests: blocks below the size of an own mapping, with kept ones between them, go back to the system; it fails without the call, as the node's test does.

--- a/src/bulrushflow/sidecar/memory.py
+++ b/src/bulrushflow/sidecar/memory.py
@@ -2,9 +2,11 @@
 
 Load: connections that send bytes which are no HTTP. What is kept of each is few objects of up to a
 megabyte in all, in reference cycles. The collector counts objects, so that hundreds of such
-connections would fill an instance's memory before a collection begins.
+connections would fill an instance's memory before a collection begins. What a collection frees lies
+between blocks that are in use, and stays with the process until the allocator is told to return it.
 """
 
+import ctypes
 import gc
 import os
 import pathlib
@@ -43,11 +45,19 @@
         if resident - self._base_bytes < MAX_GROWTH_BYTES:
             return
         collected = gc.collect()
+        _return_free_pages()
         after = self._resident_bytes() or resident
         self._base_bytes = after
         logger.bind(before=resident, after=after, objects=collected).info("garbage collected")
 
 
+def _return_free_pages() -> None:
+    """Return free memory to the system, where the C library has a call for it."""
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if trim is not None:
+        trim(0)
+
+
 def resident_bytes() -> int | None:
     """Return the resident memory of this process; ``None`` where the system doesn't tell."""
     try:
--- a/tests/sidecar/test_memory.py
+++ b/tests/sidecar/test_memory.py
@@ -10,6 +10,10 @@
 from tests.waiting import until
 
 BASE_BYTES = 50 << 20
+PAYLOAD_BYTES = 64 << 10
+"""Small enough for the allocator's heap; larger blocks have a mapping of their own."""
+KEPT_BYTES = 1 << 10
+"""Too large for the interpreter's own pools, so that the block lies between the freed ones."""
 
 
 class MemoryWatchTests(unittest.IsolatedAsyncioTestCase):
@@ -65,6 +69,29 @@
         self.assertGreater(resident, 1 << 20)
 
 
+class _Cycle:
+    def __init__(self, payload: bytes) -> None:
+        self.payload = payload
+        self.itself = self
+
+
+class ReleaseTests(unittest.IsolatedAsyncioTestCase):
+    # The allocator kept what a collection had freed, so that a node stayed as large as before.
+    async def test_what_a_collection_frees_goes_back_to_the_system(self) -> None:
+        resident = 0
+        watch = MemoryWatch(lambda: resident)
+        kept = []
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for _ in range(3 * MAX_GROWTH_BYTES // PAYLOAD_BYTES):
+            _Cycle(bytes(PAYLOAD_BYTES))
+            kept.append(bytes(KEPT_BYTES))
+        resident = memory.resident_bytes() or 0
+        await watch.check()
+        returned = resident - (memory.resident_bytes() or 0)
+        self.assertGreater(returned, 2 * MAX_GROWTH_BYTES)
+
+
 class GarbageTests(FleetTestCase):
     node_count = 1
 
