--- a/src/bulrushflow/rollouts/__init__.py
+++ b/src/bulrushflow/rollouts/__init__.py
@@ -6,11 +6,11 @@
 from bulrushflow.rollouts.controller import RolloutController
 from bulrushflow.rollouts.controller import RolloutTimes
 from bulrushflow.rollouts.evidence import Evidence
-from bulrushflow.rollouts.evidence import EvidenceStore
 from bulrushflow.rollouts.evidence import FailureKind
 from bulrushflow.rollouts.evidence import RouteCounts
 from bulrushflow.rollouts.evidence import VersionRoute
 from bulrushflow.rollouts.evidence import empty_buckets
+from bulrushflow.rollouts.evidence_store import EvidenceStore
 from bulrushflow.rollouts.exposure import ExposureBudget
 from bulrushflow.rollouts.exposure import ExposureLimits
 from bulrushflow.rollouts.schedule import RolloutSchedule
