Leave the latencies of slow targets out of the comparison of versions

Cause: both versions' latencies were summed over all targets. With a tenth or more of the old calls at slow targets, the old version's 95% quantile lies among these, so calls that are three times slower are no slower than the old ones, neither against the history nor in the same block.

Change: a fault of a version shows at each of its targets. Each half second the targets of a version are compared with each other; a target whose calls are many times slower than the version's median, by a sequential test, has its latencies left out until it is as fast as the others again. It concerns both versions alike, and both ways to agree, as it stands where evidence is summed. Calls and errors count as before. If most targets are slow, none is an outlier.

--- a/src/bulrushflow/nodes/rollout_driver.py
+++ b/src/bulrushflow/nodes/rollout_driver.py
@@ -178,7 +178,7 @@
         controller = self._controller(rollout, now_s)
         share = self._shared_rollouts.share_permille(rollout.offset)
         result = controller.update_analysis(
-            self.evidence_store.totals(rollout.offset), share, now_s
+            self.evidence_store.totals(rollout.offset, now_s), share, now_s
         )
         ranked = [m.node_id for m in rank_members(members, f"move/{rollout.offset}")]
         if self._shared_rollouts.is_rolled_back(rollout.offset):
--- a/src/bulrushflow/rollouts/evidence_store.py
+++ b/src/bulrushflow/rollouts/evidence_store.py
@@ -7,6 +7,7 @@
 from bulrushflow.rollouts.evidence import RouteCounts
 from bulrushflow.rollouts.evidence import Source
 from bulrushflow.rollouts.evidence import VersionRoute
+from bulrushflow.rollouts.outliers import UsualLatencies
 
 
 class EvidenceStore:
@@ -15,11 +16,12 @@
     Counts from before a node left or restarted remain in the totals.
     """
 
-    __slots__ = ("_last_reports", "_own_source", "by_rollout")
+    __slots__ = ("_last_reports", "_latencies_by_rollout", "_own_source", "by_rollout")
 
     def __init__(self, own_id: str, incarnation: int = 0) -> None:
         self._own_source: Source = (own_id, incarnation)
         self._last_reports: dict[tuple[int, str], tuple[Revision, float]] = {}
+        self._latencies_by_rollout: dict[int, UsualLatencies] = {}
         self.by_rollout: dict[int, dict[Source, Evidence]] = {}
 
     def local(self, rollout_id: int) -> Evidence:
@@ -53,13 +55,17 @@
         last = self._last_reports.get((rollout_id, node_id))
         return None if last is None else last[1]
 
-    def totals(self, rollout_id: int) -> dict[VersionRoute, RouteCounts]:
-        """Return the counts summed over all nodes."""
-        totals: dict[VersionRoute, RouteCounts] = {}
-        for evidence in self.by_rollout.get(rollout_id, {}).values():
-            for key, counts in evidence.counts_by_version_route.items():
-                totals.setdefault(key, RouteCounts()).add(counts)
-        return totals
+    def totals(self, rollout_id: int, now_s: float) -> dict[VersionRoute, RouteCounts]:
+        """Return the counts summed over all nodes, without latencies of outliers.
+
+        See :class:`~bulrushflow.rollouts.outliers.UsualLatencies`.
+
+        :param now_s: this node's monotonic clock.
+        """
+        latencies = self._latencies_by_rollout.get(rollout_id)
+        if latencies is None:
+            latencies = self._latencies_by_rollout[rollout_id] = UsualLatencies()
+        return latencies.totals(self.reports(rollout_id), now_s)
 
     def given(self, rollout_id: int, version: str) -> int:
         """Return the calls to the version under test that all nodes sent to their targets."""
@@ -74,6 +80,7 @@
         for rollout_id in list(self.by_rollout):
             if rollout_id not in rollout_ids:
                 del self.by_rollout[rollout_id]
+                self._latencies_by_rollout.pop(rollout_id, None)
         for key in list(self._last_reports):
             if key[0] not in rollout_ids:
                 del self._last_reports[key]
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -354,7 +354,7 @@
             if signal.strength < 1:
                 return None
             return f"{signal.rule}: route {route}: {signal.figures}"
-        totals = self._evidence.totals(rollout.order.order_id)
+        totals = self._evidence.totals(rollout.order.order_id, now)
         given = self._evidence.given(rollout.order.order_id, rollout.order.to_version)
         result = rollout.controller.update_analysis(totals, rollout.share_permille, now, given)
         if result.outcome is not AnalysisOutcome.FAULTY:
--- a/tests/nodes/test_evidence_reporting.py
+++ b/tests/nodes/test_evidence_reporting.py
@@ -107,4 +107,4 @@
         )
         report = messages.EvidenceReport(move=7, node_id="n1", sequence=1, routes=[route])
         EvidenceReporter(evidence_store, "n0", StuckSender(0)).merge_report(report, 1.0)
-        self.assertEqual(evidence_store.totals(7), {})
+        self.assertEqual(evidence_store.totals(7, 0.0), {})
--- a/tests/rollouts/test_evidence.py
+++ b/tests/rollouts/test_evidence.py
@@ -22,7 +22,7 @@
         book = EvidenceStore("n1", 1)
         for calls in (5, 9, 5, 9):
             book.merge(evidence("n2", calls), 1.0)
-        self.assertEqual(book.totals(7)["v2", "/dues"].calls, 9)
+        self.assertEqual(book.totals(7, 0.0)["v2", "/dues"].calls, 9)
 
     def test_only_a_report_that_is_not_older_renews_the_last_report(self) -> None:
         book = EvidenceStore("n1", 1)
@@ -37,13 +37,13 @@
         # A node without new calls repeats its report to show that it is alive.
         book.merge(evidence("n2", 9, incarnation=2), 3.0)
         self.assertEqual(book.last_report_at(7, "n2"), 3.0)
-        self.assertEqual(book.totals(7)["v2", "/dues"].calls, 21)
+        self.assertEqual(book.totals(7, 0.0)["v2", "/dues"].calls, 21)
 
     def test_a_restarted_node_adds_to_its_earlier_counts(self) -> None:
         book = EvidenceStore("n1", 1)
         book.merge(evidence("n2", 9, incarnation=1), 1.0)
         book.merge(evidence("n2", 2, incarnation=2), 2.0)
-        self.assertEqual(book.totals(7)["v2", "/dues"].calls, 11)
+        self.assertEqual(book.totals(7, 0.0)["v2", "/dues"].calls, 11)
 
     def test_calls_in_flight_count_as_given(self) -> None:
         book = EvidenceStore("n1", 1)
@@ -59,7 +59,7 @@
     def test_own_evidence_is_not_accepted_from_others(self) -> None:
         book = EvidenceStore("n1", 1)
         book.merge(evidence("n1", 50, incarnation=1), 1.0)
-        self.assertEqual(book.totals(7), {})
+        self.assertEqual(book.totals(7, 0.0), {})
 
     def test_routes_beyond_the_limit_share_one_entry(self) -> None:
         report = Evidence(7, "n2")
