--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -6,7 +6,6 @@
 import typing as t
 
 from aiohttp import web
-from msgspec.structs import replace
 from result import Err
 from result import Ok
 from result import Result
@@ -14,7 +13,6 @@
 from bulrushflow.bodies import BodyReservation
 from bulrushflow.bodies import read_body
 from bulrushflow.metrics import Metrics
-from bulrushflow.organisations import Organisation
 from bulrushflow.overload import OriginLimits
 from bulrushflow.overload import ServiceTimes
 from bulrushflow.routing import ByteBudget
@@ -26,6 +24,7 @@
 from bulrushflow.routing import answer_lost
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.allowances import AllowanceService
+from bulrushflow.sidecar.calls.call_builder import CallBuilder
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
 from bulrushflow.sidecar.calls.headers import HeaderNames
 from bulrushflow.sidecar.calls.http_server import HttpServer
@@ -33,7 +32,6 @@
 from bulrushflow.sidecar.calls.keys import RefusedRequest
 from bulrushflow.sidecar.calls.outcomes import CallOutcomes
 from bulrushflow.sidecar.calls.refusals import failure_status
-from bulrushflow.sidecar.calls.request_headers import RequestHeaders
 from bulrushflow.sidecar.calls.responses import ResponseBuilder
 from bulrushflow.sidecar.calls.route_lookup import MissingRoute
 from bulrushflow.sidecar.calls.route_lookup import RouteLookup
@@ -49,8 +47,6 @@
 MAX_HELD_BODY_BYTES = 24 << 20
 """Bound on the request bodies that are held at the same time, from the first byte to the call's
 outcome. A body is copied up to four times on its way, and instances have as little as 200 MB."""
-DEFAULT_TIMEOUT_S = 60.0
-"""Timeout of a call whose caller sets none; the route's shorter timeout applies as well."""
 
 
 class CallerServer:
@@ -81,12 +77,13 @@
         self._response_times = ServiceTimes()
         """Usual time to an answer by route, as this node's callers see it."""
         self._header_names = header_names
-        self._request_headers = RequestHeaders(header_names)
+        self._calls = CallBuilder(
+            header_names, routing, own_service, dispatcher.choose_service, limits
+        )
         self.routes = RouteLookup(rejected_configuration, orders)
         self.keys = KeyCheck(orders, allowances, self._response_times, metrics, decisions)
         self._routing = routing
         self._orders = orders
-        self._own_service = own_service
         self._dispatcher = dispatcher
         self._metrics = metrics
         self.outcomes = CallOutcomes(metrics, decisions)
@@ -185,7 +182,7 @@
                 return self._responses.refused(request_id, refused)
             case Ok(_):
                 pass
-        deadline = min(started_at + self._timeout_s(request, route), self._answer_by)
+        deadline = min(started_at + self._calls.timeout_s(request, route), self._answer_by)
         with BodyReservation(self.body_budget) as reservation:
             max_bytes = routing.limits.max_body_bytes
             match await self._read_body(request, max_bytes, deadline, reservation):
@@ -200,10 +197,10 @@
                     return self._responses.refused(request_id, refused)
                 case Ok(organisation):
                     pass
-            call = self._build_call(request, route, body, started_at, deadline)
+            call = self._calls.build(request, route, body, started_at, deadline)
             if in_force.organisations is not None:
-                call = self._with_organisation(call, organisation)
-            caller_deadline = started_at + self._caller_timeout_s(request)
+                call = self._calls.with_organisation(call, organisation)
+            caller_deadline = started_at + self._calls.caller_timeout_s(request)
             return await self._run(
                 request, route, call, routing.version, started_at, caller_deadline
             )
@@ -291,22 +288,6 @@
         finally:
             self._timeouts.discard(timeout)
 
-    def _timeout_s(self, request: web.BaseRequest, route: Route) -> float:
-        return min(self._caller_timeout_s(request), route.timeout_s)
-
-    def _caller_timeout_s(self, request: web.BaseRequest) -> float:
-        return _parse_timeout_s(request.headers.get(self._header_names.timeout_ms))
-
-    def _waited_s(self, request: web.BaseRequest, route: Route, started_at: float) -> float:
-        """Return for how long the caller has been waiting for this call, if it is known."""
-        # Beside callers that set no time limit, all others would seem to have little time left.
-        if self._limits is None or self._header_names.timeout_ms not in request.headers:
-            return 0.0
-        routing = self._routing()
-        waits = self._limits.caller_waits
-        waits.configure(routing.version, routing.latency_objectives())
-        return waits.record(route.name, self._caller_timeout_s(request), started_at)
-
     def _retry_after_s(self, call: Call, caller_deadline: float) -> float | None:
         """Return when a refused caller should come back; ``None`` if nothing is known of that."""
         if self._limits is None:
@@ -343,40 +324,6 @@
         response.force_close()
         return Err(response)
 
-    def _build_call(
-        self,
-        request: web.BaseRequest,
-        route: Route,
-        body: bytes,
-        started_at: float,
-        deadline: float,
-    ) -> Call:
-        headers = request.headers
-        waited_s = self._waited_s(request, route, started_at)
-        return Call(
-            request_id=headers[self._header_names.request_id],
-            tenant=self._own_service(),
-            service=self._dispatcher.choose_service(route),
-            version="",
-            route=route.name,
-            method=request.method,
-            path=request.raw_path,
-            headers=self._request_headers.passed_on(headers),
-            body=body,
-            deadline=deadline,
-            idempotent=route.idempotent,
-            priority=route.priority,
-            late_after=started_at + max(0.0, route.latency_objective_s - waited_s),
-        )
-
-    def _with_organisation(self, call: Call, organisation: Organisation | None) -> Call:
-        """Return the call of an organisation, or of none, without its key."""
-        headers = self._request_headers.without_key(call.headers)
-        if organisation is None:
-            return replace(call, headers=headers)
-        priority = call_priority(call.priority, organisation)
-        return replace(call, headers=headers, organisation=organisation.name, priority=priority)
-
     def _result_response(
         self,
         call: Call,
@@ -416,17 +363,3 @@
         if wait_s is not None:
             response.headers["Retry-After"] = f"{wait_s:.2f}"
         return response
-
-
-def call_priority(route_priority: int, organisation: Organisation | None) -> int:
-    """Return a call's priority: its organisation's, or else its route's."""
-    if organisation is None or organisation.priority is None:
-        return route_priority
-    return organisation.priority
-
-
-def _parse_timeout_s(text: str | None) -> float:
-    """Return the seconds in a header given in milliseconds, at most ``DEFAULT_TIMEOUT_S``."""
-    if text is None or not (text.isascii() and text.isdigit()):
-        return DEFAULT_TIMEOUT_S
-    return min(DEFAULT_TIMEOUT_S, int(text[:9]) / 1000)
--- a/src/bulrushflow/sidecar/calls/explanation.py
+++ b/src/bulrushflow/sidecar/calls/explanation.py
@@ -21,8 +21,8 @@
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import Outcome
 from bulrushflow.sidecar.calls.allowances import AllowanceService
+from bulrushflow.sidecar.calls.call_builder import call_priority
 from bulrushflow.sidecar.calls.callers import CallerServer
-from bulrushflow.sidecar.calls.callers import call_priority
 from bulrushflow.sidecar.calls.dispatcher import Dispatcher
 from bulrushflow.sidecar.calls.explanation_report import AllowanceReport
 from bulrushflow.sidecar.calls.explanation_report import CandidateReport
--- a/src/bulrushflow/sidecar/diagnostics.py
+++ b/src/bulrushflow/sidecar/diagnostics.py
@@ -14,7 +14,7 @@
 from result import Result
 
 from bulrushflow.metrics import Metrics
-from bulrushflow.sidecar.calls.callers import DEFAULT_TIMEOUT_S
+from bulrushflow.sidecar.calls.call_builder import DEFAULT_TIMEOUT_S
 from bulrushflow.sidecar.calls.explanation import Explainer
 from bulrushflow.sidecar.calls.explanation import Question
 from bulrushflow.sidecar.calls.headers import AUTHORIZATION
