--- a/src/bulrushflow/sidecar/rollouts/driver.py
+++ b/src/bulrushflow/sidecar/rollouts/driver.py
@@ -24,10 +24,10 @@
 from bulrushflow.sidecar.records.codec import decode_rollout_status
 from bulrushflow.sidecar.records.codec import encode_rollout_status
 from bulrushflow.sidecar.records.directory import Directory
+from bulrushflow.sidecar.rollouts.rollout import FULL_PERMILLE
+from bulrushflow.sidecar.rollouts.rollout import Rollout
 from bulrushflow.sidecar.rollouts.status_builder import StatusBuilder
 from bulrushflow.sidecar.rollouts.statuses import StatusLog
-from bulrushflow.sidecar.rollouts.tracker import FULL_PERMILLE
-from bulrushflow.sidecar.rollouts.tracker import Rollout
 from bulrushflow.sidecar.rollouts.tracker import Rollouts
 from bulrushflow.timers import Clock
 from bulrushflow.timers import Timers
--- a/src/bulrushflow/sidecar/rollouts/status_builder.py
+++ b/src/bulrushflow/sidecar/rollouts/status_builder.py
@@ -7,7 +7,7 @@
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.records.directory import Directory
-from bulrushflow.sidecar.rollouts.tracker import Rollout
+from bulrushflow.sidecar.rollouts.rollout import Rollout
 from bulrushflow.sidecar.rollouts.tracker import Rollouts
 from bulrushflow.timers import Clock
 
--- a/src/bulrushflow/sidecar/rollouts/tracker.py
+++ b/src/bulrushflow/sidecar/rollouts/tracker.py
@@ -8,8 +8,6 @@
 from bulrushflow.rollouts import EvidenceStore
 from bulrushflow.rollouts import ExposureLimits
 from bulrushflow.rollouts import FailureKind
-from bulrushflow.rollouts import RolloutController
-from bulrushflow.rollouts import RolloutTimes
 from bulrushflow.rollouts import ServiceVersions
 from bulrushflow.rollouts import StepDecision
 from bulrushflow.rollouts.evidence import Evidence
@@ -20,52 +18,14 @@
 from bulrushflow.sidecar.model import RolloutPhase
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.records.directory import Peer
+from bulrushflow.sidecar.rollouts.rollout import FULL_PERMILLE
+from bulrushflow.sidecar.rollouts.rollout import OLD_VERSION
+from bulrushflow.sidecar.rollouts.rollout import Rollout
+from bulrushflow.sidecar.rollouts.rollout import supersedes
 
-FULL_PERMILLE = 1000
-FINISH_MARGIN_S = 3.0
-"""Time reserved before the deadline for the last calls at the old version to end. With 2.5 s a node
-that took over from the driver completed a rollout too late."""
-OLD_VERSION = "old"
-"""Stands for the version in use in the evidence, or for all others while it isn't known."""
 NO_VERSIONS: t.Final = ServiceVersions()
 
 
-class Rollout:
-    """One order, its status, and this node's analysis of the new version."""
-
-    __slots__ = ("controller", "order", "seen_at", "share_since", "status", "watch")
-
-    def __init__(self, order: RolloutOrder, seen_at: float, limits: ExposureLimits) -> None:
-        self.order = order
-        self.seen_at = seen_at
-        self.share_since = seen_at
-        self.status: RolloutStatus | None = None
-        finish_by_s = max(1.0, order.duration_s - FINISH_MARGIN_S)
-        times = RolloutTimes(0, int(finish_by_s * 1000), order.duration_s - finish_by_s)
-        self.watch: CompletedRolloutWatch | None = None
-        """Analysis after the rollout's completion."""
-        self.controller = RolloutController(OLD_VERSION, order.to_version, times, seen_at, limits)
-
-    @property
-    def phase(self) -> RolloutPhase:
-        """Phase of the rollout as known to this node."""
-        return self.status.phase if self.status is not None else RolloutPhase.RUNNING
-
-    @property
-    def share_permille(self) -> int:
-        """Traffic share of the new version."""
-        if self.status is None or self.phase is RolloutPhase.ROLLED_BACK:
-            return 0
-        return FULL_PERMILLE if self.phase is RolloutPhase.COMPLETED else self.status.share_permille
-
-    def elapsed_s(self, now: float, now_ms: int) -> float:
-        """Return the seconds since the order, as this node saw it or, if longer, by its status."""
-        own_s = now - self.seen_at
-        if self.status is None:
-            return own_s
-        return max(own_s, (now_ms - self.status.stated_at_ms) / 1000)
-
-
 class Rollouts:
     """The newest rollout of each service.
 
@@ -173,7 +133,7 @@
         newly_recorded_end = newly_recorded_end and not self.is_recorded(status)
         if newly_recorded_end:
             self._recorded_ends_by_service[status.service] = status
-        if known is not None and not _supersedes(status, known, newly_recorded_end):
+        if known is not None and not supersedes(status, known, newly_recorded_end):
             return False
         self._statuses_by_service[status.service] = status
         self._apply_versions(status)
@@ -382,20 +342,3 @@
 def _version(peer: Peer) -> str:
     target = peer.entry.target
     return target.version if target is not None else ""
-
-
-def _supersedes(status: RolloutStatus, known: RolloutStatus, newly_recorded_end: bool) -> bool:
-    """Return whether a status replaces the known one.
-
-    A completed rollout can still be rolled back, and a rollback is undone only by what the store
-    recorded in its place.
-    """
-    if status.key != known.key:
-        return status.is_after(known)
-    if newly_recorded_end and status.step >= known.step:
-        return True
-    if known.phase is RolloutPhase.ROLLED_BACK:
-        return False
-    if known.phase is RolloutPhase.COMPLETED:
-        return status.phase is RolloutPhase.ROLLED_BACK and status.step > known.step
-    return status.phase is not RolloutPhase.RUNNING or status.step > known.step
