--- a/src/bulrushflow/sidecar/calls/dispatcher.py
+++ b/src/bulrushflow/sidecar/calls/dispatcher.py
@@ -6,8 +6,6 @@
 import typing as t
 
 import msgspec
-from result import Err
-from result import Ok
 
 from bulrushflow.metrics import Metrics
 from bulrushflow.overload import LOADED_WAIT_S
@@ -15,12 +13,11 @@
 from bulrushflow.placement import ResponseSizes
 from bulrushflow.placement import WorkChoice
 from bulrushflow.routing import Call
-from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
-from bulrushflow.routing import Outcome
-from bulrushflow.routing import Response
 from bulrushflow.routing import not_run
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.attempt_results import FULL_LOAD
+from bulrushflow.sidecar.calls.attempt_results import AttemptResults
 from bulrushflow.sidecar.calls.balancer import DEFAULT_LATENCY_S
 from bulrushflow.sidecar.calls.balancer import Balancer
 from bulrushflow.sidecar.calls.call_progress import CallProgress
@@ -47,8 +44,6 @@
 HEDGE_DELAY_FACTOR = 3.0
 """Least time after which an idempotent call is hedged, that is sent to a second target too, as a
 multiple of the first target's smoothed latency."""
-FULL_LOAD = 1.0
-"""Calls per slot from which a target has no slot free."""
 
 PeerFilter = t.Callable[[str, t.Sequence[Peer]], t.Sequence[Peer]]
 
@@ -102,12 +97,14 @@
         self._balancer = balancer
         self._filter_peers = filter_peers
         self._quarantine = quarantine
-        self._signals = signals
         self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
         self._cold_start = cold_start
         self._response_sizes = ResponseSizes()
+        self._results = AttemptResults(
+            directory, forwarder, signals, self._response_sizes, work_choice, decisions
+        )
         self._credit_by_route: dict[str, dict[str, float]] = {}
 
     def choose_service(self, route: Route) -> str:
@@ -379,24 +376,18 @@
             self._metrics.retries.inc({"service": call.service})
         started_at = loop.time()
         peer.in_flight += 1
-        if self._work_choice is not None:
-            self._work_choice.record_sent(peer)
+        self._results.record_sent(peer)
         try:
             result, report = await self._send(peer, attempt)
         except asyncio.CancelledError:
             progress.abandoned = True
-            if self._work_choice is not None:
-                self._work_choice.record_unreported(peer)
             # An attempt that is cancelled because another one succeeded has not failed.
-            if not progress.succeeded:
-                late = loop.time() >= call.deadline
-                reason = "no answer by the deadline" if late else "the caller disconnected"
-                failure = CallFailure(Outcome.UNKNOWN, reason)
-                self._log_failed_attempt(peer, attempt, failure, None, loop.time() - started_at)
+            failed = not progress.succeeded
+            self._results.record_cancelled(peer, attempt, failed, loop.time() - started_at)
             raise
         finally:
             peer.in_flight -= 1
-        self._update_peer(peer, attempt, result, report, loop.time() - started_at)
+        self._results.record(peer, attempt, result, report, loop.time() - started_at)
         return result
 
     async def _send(self, peer: Peer, call: Call) -> tuple[CallResult, PeerReport]:
@@ -406,56 +397,3 @@
         capacity = self._admission.capacity
         load = self._admission.load / capacity if capacity else None
         return result, PeerReport(True, load, work=self._admission.work_report(call.route))
-
-    def _update_peer(
-        self, peer: Peer, call: Call, result: CallResult, report: PeerReport, seconds: float
-    ) -> None:
-        now = asyncio.get_running_loop().time()
-        if report.cold_ms is not None:
-            peer.record_cold(report.cold_ms, now)
-        if report.link_reported:
-            peer.record_link_backlog(report.link_backlog_s, now)
-        if self._work_choice is not None:
-            if report.work is not None:
-                self._work_choice.record_report(peer, report.work, call.route, now)
-            else:
-                self._work_choice.record_unreported(peer)
-        match result:
-            case Ok(response):
-                if not response.is_failure:
-                    self._response_sizes.record(call.route, response.size)
-                peer.record_response(seconds, response.is_failure, now)
-                peer.record_load(report.load or 0.0, now)
-                self._apply_signals(peer, response)
-                return
-            case Err(failure):
-                pass
-        if failure.outcome is Outcome.UNKNOWN or failure.reached_target:
-            peer.record_response(seconds, True, now)
-        if not report.reached:
-            self._forwarder.mark_unreachable(peer)
-        elif report.load is None:
-            peer.mark_unavailable(now)
-        elif failure.outcome is Outcome.NOT_RUN and not report.link_full:
-            peer.record_load(max(report.load, FULL_LOAD), now)
-        self._log_failed_attempt(peer, call, failure, report.load, seconds)
-
-    def _apply_signals(self, peer: Peer, response: Response) -> None:
-        """Record what a target said of itself in a response that this node passes on."""
-        signals = self._signals.read(response.headers)
-        if signals.invalid_limit is None:
-            peer.limit_per_s = signals.limit_per_s
-        if signals.leaving and self._directory.mark_leaving(peer):
-            self._decisions.event("peer's target leaving", node=peer.entry.node_id)
-
-    def _log_failed_attempt(
-        self, peer: Peer, call: Call, failure: CallFailure, load: float | None, seconds: float
-    ) -> None:
-        self._decisions.attempt_failed(
-            call,
-            failure.outcome.name.lower(),
-            reason=failure.reason,
-            node=peer.entry.node_id,
-            load=load,
-            seconds=round(seconds, 3),
-        )
