--- a/src/bulrushflow/sidecar/application.py
+++ b/src/bulrushflow/sidecar/application.py
@@ -41,10 +41,10 @@
 from bulrushflow.sidecar.memory import MemoryWatch
 from bulrushflow.sidecar.memory import resident_bytes
 from bulrushflow.sidecar.model import NodeEntry
-from bulrushflow.sidecar.model import RolloutOrder
 from bulrushflow.sidecar.model import RolloutStatus
 from bulrushflow.sidecar.model import Routing
 from bulrushflow.sidecar.model import TargetEntry
+from bulrushflow.sidecar.operator_orders import OperatorOrders
 from bulrushflow.sidecar.own_records import OwnRecordReconciler
 from bulrushflow.sidecar.records.codec import node_key
 from bulrushflow.sidecar.records.directory import Directory
@@ -85,15 +85,11 @@
 
 
 class Sidecar(Service):
-    """One sidecar process, constructed from checked settings.
-
-    Also the :class:`OrderSink` of the operator's decoded records.
-    """
+    """One sidecar process, constructed from checked settings."""
 
     def __init__(self, settings: SidecarSettings, store: Store, adapter: Adapter) -> None:
         super().__init__()
         self.settings = settings
-        self.routing = Routing(0)
         self._adapter = adapter
         self._store = store
         self._clock = SystemClock()
@@ -102,8 +98,6 @@
         self._metrics = Metrics(MAX_ROUTE_LABELS)
         self._own_node_key = node_key(settings.address)
         self._stopping = False
-        self.rejected_configuration: str | None = None
-        """Why the newest configuration was rejected; ``None`` if it is in force."""
         self.listeners = Listeners()
         self.timers = Timers(self._rng)
         self._pacer = LinkPacer(settings.link_mbps) if settings.link_mbps else None
@@ -134,6 +128,14 @@
             self._decisions,
             self._clock,
         )
+        self._orders = OperatorOrders(
+            self._rollouts,
+            self._evacuations,
+            lambda: self.records.source,
+            lambda: self.records.orders_age_s(),
+            self._apply_configuration,
+            self._decisions,
+        )
         startup = StartupReads(
             lambda: {
                 "operator's orders": self.records.orders,
@@ -203,7 +205,7 @@
         self._callers = CallerServer(
             adapter.header_names,
             lambda: self.routing,
-            lambda: self.rejected_configuration,
+            lambda: self._orders.rejected_configuration,
             self.records.orders,
             lambda: self.settings.own_service,
             self._dispatcher,
@@ -248,7 +250,7 @@
             adapter.decode_status, self._apply_status, self._rollouts.reconcile, self._decisions
         )
         freshness = FreshnessBound(lambda: self.settings.bounds.config_apply_s)
-        orders = adapter.operator_record_handler(self)
+        orders = adapter.operator_record_handler(self._orders)
         upstreams = Upstreams(
             self._own_node_key, self.settings.data_centre, self.directory.peers_by_key
         )
@@ -352,6 +354,16 @@
         await self._store.close()
         logger.bind(seconds=round(loop.time() - started_at, 2)).info("stopped")
 
+    @property
+    def routing(self) -> Routing:
+        """The configuration in force."""
+        return self._orders.routing
+
+    @property
+    def rejected_configuration(self) -> str | None:
+        """Why the newest configuration was rejected; ``None`` if it is in force."""
+        return self._orders.rejected_configuration
+
     def is_ready(self) -> bool:
         """Return whether callers should use this node."""
         return not self._stopping and bool(self.routing.version) and self.records.nodes.loaded
@@ -384,58 +396,15 @@
         ]
         logger.bind(changed=changed, service=settings.own_service).info("settings reloaded")
 
-    def apply_configuration(self, routing: Routing) -> None:
-        """See :meth:`OrderSink.apply_configuration`; ignores a version that isn't newer."""
-        self.rejected_configuration = None
-        if routing.version <= self.routing.version:
-            return
-        self._decisions.event(
-            "configuration in force",
-            version=routing.version,
-            before=self.routing.version,
-            source=self.records.source,
-            unconfirmed_s=self.records.orders_age_s(),
-        )
-        before = self.routing.disabled_routes()
-        for route in routing.disabled_routes():
-            if route not in before:
-                self._decisions.event(
-                    "route disabled", route=route.name, host=route.host, reason=route.disabled
-                )
-        changed = routing.organisations is not self.routing.organisations
-        self.routing = routing
+    def _apply_configuration(self, organisations_changed: bool) -> None:
         self._admission.refresh_cold_limit()
-        if changed:
+        if organisations_changed:
             self._configure_allowances()
 
     def _configure_allowances(self) -> None:
         bounds = self.settings.bounds.allowances
         self._allowances.configure(limits_by_organisation(self.routing.organisations, bounds))
 
-    def reject_configuration(self, reason: str) -> None:
-        """See :meth:`OrderSink.reject_configuration`."""
-        self.rejected_configuration = reason
-
-    def order_rollout(self, order: RolloutOrder) -> None:
-        """See :meth:`OrderSink.order_rollout`."""
-        self._rollouts.apply_order(order, asyncio.get_running_loop().time())
-
-    def withdraw_rollout(self, service: str) -> None:
-        """See :meth:`OrderSink.withdraw_rollout`."""
-        self._rollouts.remove_order(service)
-
-    def order_evacuation(self, data_centre: str) -> None:
-        """See :meth:`OrderSink.order_evacuation`."""
-        self._evacuations.order(data_centre)
-
-    def withdraw_evacuation(self, data_centre: str) -> None:
-        """See :meth:`OrderSink.withdraw_evacuation`."""
-        self._evacuations.withdraw(data_centre)
-
-    def report_unreadable(self, key: str, reason: str) -> None:
-        """See :meth:`OrderSink.report_unreadable`."""
-        self._decisions.event("record unreadable", key=key, reason=reason)
-
     def _apply_status(self, status: RolloutStatus) -> None:
         self._rollouts.apply_status(status, asyncio.get_running_loop().time(), recorded=True)
 
