--- a/src/bulrushflow/rollouts/analysis.py
+++ b/src/bulrushflow/rollouts/analysis.py
@@ -23,7 +23,7 @@
 """Routes with a smaller fraction of the service's calls aren't waited for."""
 
 ALL_ROUTES = "all"
-"""Stands for a route where a signal is that of all routes."""
+"""Name in reasons for the routes of a signal that concerns all of them."""
 NO_SIGNAL = RegressionSignal(0.0, "", "")
 
 
@@ -143,7 +143,10 @@
     def _slow_signal_of_all(
         self, old_by_route: dict[str, RouteCounts], new_by_route: dict[str, RouteCounts]
     ) -> RegressionSignal:
-        """Return the signal of slow calls on all routes together, which fewer calls suffice for."""
+        """Return the signal of slow calls on all routes together.
+
+        A version that is slower on each route shows here after fewer calls than on one of them.
+        """
         strength = max(detector.strength for detector in self._slow_on_all_routes.values())
         new = sum(counts.calls for counts in new_by_route.values())
         old = sum(counts.calls for counts in old_by_route.values())
