--- a/tests/sidecar/records/test_relay.py
+++ b/tests/sidecar/records/test_relay.py
@@ -91,7 +91,7 @@
         reader = await self.until_one_reads()
         logs_by_node = {}
         for instance in self.instances:
-            decisions = instance.sidecar._decisions = RecordingDecisions()
+            decisions = instance.sidecar._orders._decisions = RecordingDecisions()
             logs_by_node[instance.settings.node_id] = decisions
         self.store.put("keyed.op", "config", configuration(2))
         await self.until_in_force(self.instances, 2)
