Log what a response that is not delivered whole spent its time on

Cause: of a response that was cut only its size was known, so a sender that gives it no turn, a window that isn't granted again and a caller that reads slowly look alike. Change: 'response not sent to its end' has the bytes sent, the time, the part of it without a window, how late the response is and the link's backlog; the origin node's 'response broken off' has the bytes passed on, and how long it waited for the sender and for the caller. What the transfer tests check is unchanged; they get the new type.

--- a/src/bulrushflow/sidecar/calls/callers.py
+++ b/src/bulrushflow/sidecar/calls/callers.py
@@ -15,13 +15,13 @@
 from bulrushflow.metrics import Metrics
 from bulrushflow.overload import OriginLimits
 from bulrushflow.overload import ServiceTimes
+from bulrushflow.routing import BodyStream
 from bulrushflow.routing import ByteBudget
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallFailure
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
 from bulrushflow.routing import Response
-from bulrushflow.routing import answer_lost
 from bulrushflow.routing import unknown
 from bulrushflow.sidecar.calls.allowances import AllowanceService
 from bulrushflow.sidecar.calls.call_builder import CallBuilder
@@ -35,6 +35,7 @@
 from bulrushflow.sidecar.calls.responses import ResponseBuilder
 from bulrushflow.sidecar.calls.route_lookup import MissingRoute
 from bulrushflow.sidecar.calls.route_lookup import RouteLookup
+from bulrushflow.sidecar.calls.streaming import StreamProgress
 from bulrushflow.sidecar.calls.streaming import stream_body
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.sidecar.model import Route
@@ -215,8 +216,12 @@
         caller_deadline: float,
     ) -> web.StreamResponse:
         running = self._dispatcher.dispatch(route, call)
-        stopped = unknown("this node stops, and the target has not answered")
-        result = await self._until_stop(call, running, stopped, started_at)
+        result = await self._until_stop(
+            call,
+            running,
+            lambda: unknown("this node stops, and the target has not answered"),
+            started_at,
+        )
         if result.is_ok() and result.unwrap().stream is not None:
             return await self._stream(request, call, result.unwrap(), version, started_at)
         seconds = self.outcomes.count(call, result, started_at)
@@ -236,10 +241,12 @@
         )
         if self.stopping:
             response.force_close()
-        streaming = stream_body(request, response, target_response, call.deadline)
+        progress = StreamProgress(t.cast(BodyStream, target_response.stream).total)
+        streaming = stream_body(request, response, target_response, call.deadline, progress)
         try:
-            stopped = answer_lost("response broken off: this node stops")
-            result = await self._until_stop(call, streaming, stopped, started_at)
+            result = await self._until_stop(
+                call, streaming, lambda: progress.broken_off("this node stops"), started_at
+            )
         except ConnectionResetError:
             # A write noticed the disconnect before this task was cancelled for it.
             self.outcomes.record_cancelled(call, started_at)
@@ -271,17 +278,17 @@
         self,
         call: Call,
         running: t.Coroutine[t.Any, t.Any, CallResult],
-        stopped: CallResult,
+        stopped: t.Callable[[], CallResult],
         started_at: float,
     ) -> CallResult:
-        """Return a call's result, or ``stopped`` once this node has to stop."""
+        """Return a call's result, or that of ``stopped`` once this node has to stop."""
         timeout = asyncio.timeout_at(None if math.isinf(self._answer_by) else self._answer_by)
         try:
             async with timeout:
                 self._timeouts.add(timeout)
                 return await running
         except TimeoutError:
-            return stopped
+            return stopped()
         except asyncio.CancelledError:
             self.outcomes.record_cancelled(call, started_at)
             raise
--- a/src/bulrushflow/sidecar/calls/streaming.py
+++ b/src/bulrushflow/sidecar/calls/streaming.py
@@ -13,11 +13,52 @@
 from bulrushflow.routing import answer_lost
 
 
+class WaitTime:
+    """Adds up the time that is spent in its blocks."""
+
+    __slots__ = ("_entered_at", "seconds")
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self._entered_at = 0.0
+
+    def __enter__(self) -> None:
+        self._entered_at = asyncio.get_running_loop().time()
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.seconds += asyncio.get_running_loop().time() - self._entered_at
+
+
+class StreamProgress:
+    """How much of a response was passed on, and for what its sender and its caller were awaited.
+
+    :param total: length of the response's body, in bytes.
+    """
+
+    __slots__ = ("caller_wait", "sender_wait", "sent", "total")
+
+    def __init__(self, total: int) -> None:
+        self.total = total
+        self.sent = 0
+        """Bytes that the caller's connection took."""
+        self.sender_wait = WaitTime()
+        self.caller_wait = WaitTime()
+
+    def broken_off(self, reason: str) -> CallResult:
+        """Return the result of a call whose response ends here."""
+        return answer_lost(
+            f"response broken off after {self.sent} of {self.total} bytes: {reason}; waited "
+            f"{self.sender_wait.seconds:.2f} s for its sender and "
+            f"{self.caller_wait.seconds:.2f} s for the caller"
+        )
+
+
 async def stream_body(
     request: web.BaseRequest,
     response: web.StreamResponse,
     target_response: Response,
     deadline: float,
+    progress: StreamProgress,
 ) -> CallResult:
     """Write a response whose body is still arriving, and return the call's result.
 
@@ -30,23 +71,27 @@
     """
     body = t.cast(BodyStream, target_response.stream)
     response.content_length = body.total
-    sent = 0
     try:
         async with asyncio.timeout_at(deadline):
             await response.prepare(request)
             while True:
-                match await body.read():
+                with progress.sender_wait:
+                    read = await body.read()
+                match read:
                     case Ok(b""):
                         break
                     case Ok(data):
-                        await response.write(data)
-                        sent += len(data)
+                        with progress.caller_wait:
+                            await response.write(data)
+                        progress.sent += len(data)
                     case Err(reason):
-                        return _break_off(request, reason, sent, body.total)
+                        _abort(request)
+                        return progress.broken_off(reason)
             await response.write_eof()
             return target_response.as_result()
     except TimeoutError:
-        return _break_off(request, "the deadline passed", sent, body.total)
+        _abort(request)
+        return progress.broken_off("the deadline passed")
     except BaseException:
         _abort(request)
         raise
@@ -54,11 +99,6 @@
         body.close()
 
 
-def _break_off(request: web.BaseRequest, reason: str, sent: int, total: int) -> CallResult:
-    _abort(request)
-    return answer_lost(f"response broken off after {sent} of {total} bytes: {reason}")
-
-
 def _abort(request: web.BaseRequest) -> None:
     if request.transport is not None:
         request.transport.abort()
--- a/src/bulrushflow/sidecar/calls/transfers.py
+++ b/src/bulrushflow/sidecar/calls/transfers.py
@@ -21,6 +21,7 @@
 from bulrushflow.routing.model import SERVER_ERROR
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.wire import messages
+from bulrushflow.wire.chunks import TransferEnd
 from bulrushflow.wire.frames import MAX_FRAME_BYTES
 from bulrushflow.wire.transfers import ChunkedResponse
 from bulrushflow.wire.transfers import IncomingBody
@@ -111,16 +112,27 @@
             return {"call_answer": self._refuse_space(request, answer, size)}
         body, answer.body, answer.chunked_bytes = answer.body, b"", size
 
-        def end(complete: bool) -> None:
+        def end(transfer: TransferEnd) -> None:
             self.budget.release(size)
-            self._metrics.count_transfer(complete)
-            if not complete:
-                self._decisions.event(
-                    "response not sent to its end", request=request.request_id, size=size
-                )
+            self._metrics.count_transfer(transfer.complete)
+            if not transfer.complete:
+                self._log_incomplete(request.request_id, transfer, late_after)
 
         return ChunkedResponse({"call_answer": answer}, body, window, end, late_after)
 
+    def _log_incomplete(self, request_id: str, transfer: TransferEnd, late_after: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._decisions.event(
+            "response not sent to its end",
+            request=request_id,
+            size=transfer.size,
+            sent=transfer.sent_bytes,
+            seconds=round(transfer.seconds, 3),
+            grant_wait_s=round(transfer.grant_wait_s, 3),
+            late_s=round(now - late_after, 3),
+            link_backlog_s=None if self.backlog_s is None else round(self.backlog_s, 3),
+        )
+
     async def receive(self, result: CallResult, body: IncomingBody, deadline: float) -> CallResult:
         """Return the result of a call whose response's body follows in chunks.
 
--- a/src/bulrushflow/wire/chunks.py
+++ b/src/bulrushflow/wire/chunks.py
@@ -4,6 +4,8 @@
 import math
 import typing as t
 
+import msgspec
+
 from bulrushflow.wire import messages
 
 MAX_UNSENT_BYTES = 32 << 10
@@ -68,6 +70,22 @@
         """Call back at a time."""
 
 
+class TransferEnd(msgspec.Struct, frozen=True):
+    """How far the sending of a body had come when it ended. Times are in seconds."""
+
+    size: int
+    """Length of the whole body, in bytes."""
+    sent_bytes: int
+    seconds: float
+    grant_wait_s: float
+    """Time in which the window allowed nothing; the rest was spent on turns of the link."""
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole body was sent."""
+        return self.sent_bytes == self.size
+
+
 class OutgoingBody:
     """A body that is being sent as the response to one exchange.
 
@@ -76,7 +94,19 @@
     :param due_at: event loop time after which the body is late.
     """
 
-    __slots__ = ("data", "due_at", "exchange", "link", "offset", "on_sent", "window_end")
+    __slots__ = (
+        "_blocked_since",
+        "_grant_wait_s",
+        "_started_at",
+        "data",
+        "due_at",
+        "exchange",
+        "link",
+        "offset",
+        "on_sent",
+        "size",
+        "window_end",
+    )
 
     def __init__(
         self,
@@ -91,14 +121,40 @@
         self.link = link
         self.exchange = exchange
         self.data = data
+        self.size = len(data)
         self.offset = 0
         self.window_end = window
         self.on_sent = on_sent
+        self._started_at = math.nan
+        self._blocked_since: float | None = None
+        """Time since which the window has allowed nothing; ``None`` while it allows bytes."""
+        self._grant_wait_s = 0.0
 
     @property
     def sendable_bytes(self) -> int:
         """Bytes that the window allows to be sent now."""
-        return min(len(self.data), self.window_end) - self.offset
+        return min(self.size, self.window_end) - self.offset
+
+    def start(self, now: float) -> None:
+        """Count the times of the transfer from ``now`` on."""
+        self._started_at = now
+        self.note_window(now)
+
+    def note_window(self, now: float) -> None:
+        """Note whether the window allows bytes from ``now`` on."""
+        blocked = self.sendable_bytes <= 0 and self.offset < self.size
+        if blocked and self._blocked_since is None:
+            self._blocked_since = now
+        elif not blocked and self._blocked_since is not None:
+            self._grant_wait_s += now - self._blocked_since
+            self._blocked_since = None
+
+    def end(self, now: float) -> TransferEnd:
+        """Return how far the body was sent."""
+        waiting_s = 0.0 if self._blocked_since is None else now - self._blocked_since
+        return TransferEnd(
+            self.size, self.offset, now - self._started_at, self._grant_wait_s + waiting_s
+        )
 
     def urgency(self, now: float) -> tuple[bool, float]:
         """Return the sort key of bodies: the one that is due first, then those that are late."""
@@ -135,6 +191,7 @@
     def start(self, body: OutgoingBody) -> None:
         """Begin to send a body, which takes its turns from now on."""
         self._bodies.add(body)
+        body.start(self._loop().time())
         self._pacer.add_waiting(len(body.data))
         if body.sendable_bytes > 0:
             self._turns.append(body)
@@ -154,6 +211,7 @@
         """Enlarge a body's window by ``size`` bytes."""
         waited = body.sendable_bytes <= 0
         body.window_end += size
+        body.note_window(self._loop().time())
         if waited and body.sendable_bytes > 0 and body in self._bodies:
             self._turns.append(body)
             self._send_due()
@@ -196,6 +254,7 @@
         body.offset += size
         self._pacer.add_waiting(-size)
         body.link.send(exchange=body.exchange, body_chunk=messages.BodyChunk(data=chunk))
+        body.note_window(self._loop().time())
         if body.offset == len(body.data):
             self.stop(body)
             body.on_sent()
--- a/src/bulrushflow/wire/link.py
+++ b/src/bulrushflow/wire/link.py
@@ -15,6 +15,7 @@
 
 from bulrushflow.wire import messages
 from bulrushflow.wire.chunks import ChunkSender
+from bulrushflow.wire.chunks import TransferEnd
 from bulrushflow.wire.chunks import UnpacedLink
 from bulrushflow.wire.frames import LENGTH
 from bulrushflow.wire.frames import MAX_FRAME_BYTES
@@ -373,15 +374,11 @@
             self._send_failure(number, _TOO_LARGE)
 
     async def _send_chunked(self, number: int, response: ChunkedResponse) -> None:
-        complete = False
-        try:
-            if self.send(exchange=number, **response.head):
-                await self._transfers.send(number, response.body, response.window, response.due_at)
-                complete = True
-            else:
-                self._send_failure(number, _TOO_LARGE)
-        finally:
-            response.on_end(complete)
+        if self.send(exchange=number, **response.head):
+            await self._transfers.send(number, response)
+            return
+        self._send_failure(number, _TOO_LARGE)
+        response.on_end(TransferEnd(len(response.body), 0, 0.0, 0.0))
 
     def _send_failure(self, number: int, reason: str) -> None:
         if number:
--- a/src/bulrushflow/wire/transfers.py
+++ b/src/bulrushflow/wire/transfers.py
@@ -14,6 +14,7 @@
 from bulrushflow.wire.chunks import ChunkLink
 from bulrushflow.wire.chunks import ChunkSender
 from bulrushflow.wire.chunks import OutgoingBody
+from bulrushflow.wire.chunks import TransferEnd
 
 GRANT_FRACTION = 0.5
 """Fraction of the window that the reader consumes before it is granted again."""
@@ -24,15 +25,14 @@
 
     :param head: the frame's fields.
     :param window: bytes of the body that may be sent before the receiver grants more.
-    :param on_end: called once the body was sent, or is not sent any further, with whether it was
-        sent as a whole.
+    :param on_end: called once the body was sent, or is not sent any further.
     :param due_at: event loop time after which the response is late.
     """
 
     head: dict[str, t.Any]
     body: bytes
     window: int
-    on_end: t.Callable[[bool], None]
+    on_end: t.Callable[[TransferEnd], None]
     due_at: float = math.inf
 
 
@@ -233,15 +233,17 @@
         for exchange in list(self._incoming):
             self.fail(exchange, reason)
 
-    async def send(self, exchange: int, body: bytes, window: int, due_at: float = math.inf) -> None:
-        """Send a body in chunks; a cancellation stops it at once."""
+    async def send(self, exchange: int, response: ChunkedResponse) -> None:
+        """Send a response's body in chunks; a cancellation stops it at once."""
         sent = asyncio.get_running_loop().create_future()
 
-        def end() -> None:
+        def complete() -> None:
             if not sent.done():
                 sent.set_result(None)
 
-        outgoing = OutgoingBody(self._link, exchange, body, window, end, due_at)
+        outgoing = OutgoingBody(
+            self._link, exchange, response.body, response.window, complete, response.due_at
+        )
         self._outgoing[exchange] = outgoing
         try:
             self._sender.start(outgoing)
@@ -249,6 +251,7 @@
         finally:
             self._sender.stop(outgoing)
             del self._outgoing[exchange]
+            response.on_end(outgoing.end(asyncio.get_running_loop().time()))
 
     def receive_grant(self, exchange: int, size: int) -> None:
         """Enlarge the window of a body that is being sent."""
--- a/tests/sidecar/calls/test_transfers.py
+++ b/tests/sidecar/calls/test_transfers.py
@@ -10,6 +10,7 @@
 from bulrushflow.routing import Response
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.wire.chunks import TransferEnd
 from bulrushflow.wire.transfers import ChunkedResponse
 from bulrushflow.wire.transfers import IncomingBody
 from tests.wire.test_link import call_answer
@@ -105,5 +106,5 @@
                     self.assertEqual(len(answer.body), size)
                     self.assertEqual(answer.due_at, 7.0)
                     self.assertEqual(transfers.budget.used_bytes, size)
-                    answer.on_end(True)
+                    answer.on_end(TransferEnd(size, size, 0.0, 0.0))
                 self.assertEqual(transfers.budget.used_bytes, 0)
--- a/tests/wire/test_transfers.py
+++ b/tests/wire/test_transfers.py
@@ -9,6 +9,7 @@
 
 from bulrushflow.wire import messages
 from bulrushflow.wire.chunks import ChunkSender
+from bulrushflow.wire.chunks import TransferEnd
 from bulrushflow.wire.chunks import UnpacedLink
 from bulrushflow.wire.link import Link
 from bulrushflow.wire.transfers import ChunkedResponse
@@ -54,9 +55,10 @@
         answer.chunked_bytes = len(BODY)
         return ChunkedResponse({"call_answer": answer}, BODY, self.window, self.end)
 
-    def end(self, complete: bool) -> None:
+    def end(self, transfer: TransferEnd) -> None:
         self.ended += 1
-        self.complete = complete
+        self.complete = transfer.complete
+        self.transfer = transfer
 
     async def begin(self) -> IncomingBody:
         call = request("large")
