Send transfers by their deadline where they would miss it otherwise

Cause: the node beside the target sends what is due first by the latency objective, and what is late after all that is in time. It knew no deadline. On a link that is asked for more than it carries there is always one in time, so a late response waited until its deadline, which a stop of the origin node moves to the stop's end. Change: the sender knows the deadline of each response. Responses that need the link from now on to be complete by their deadlines, earliest first and with 0.5 s to spare, go before all others; where not all fit, the largest is left out of the plan, so that it can't take the others with it.

--- a/src/bulrushflow/placement/links.py
+++ b/src/bulrushflow/placement/links.py
@@ -67,7 +67,7 @@
 
     def record_written(self, size: int, now: float) -> None:
         """Count ``size`` bytes that were written to any connection."""
-        self._free_at = max(self._free_at, now) + size / self._bytes_per_s
+        self._free_at = max(self._free_at, now) + self.transfer_s(size)
 
     def next_chunk_at(self, now: float) -> float:
         """Return when the next chunk may be written; ``now`` or earlier if it may be at once."""
@@ -79,7 +79,11 @@
 
     def backlog_s(self, now: float) -> float:
         """Return how long the link needs for what is written, waits or is expected, in seconds."""
-        return max(0.0, self._free_at - now) + self.pending_bytes / self._bytes_per_s
+        return max(0.0, self._free_at - now) + self.transfer_s(self.pending_bytes)
+
+    def transfer_s(self, size: float) -> float:
+        """Return how long the link takes for so many bytes, in seconds."""
+        return size / self._bytes_per_s
 
     @property
     def pending_bytes(self) -> float:
@@ -88,7 +92,7 @@
 
     def delivery_s(self, size: float, now: float) -> float:
         """Return after how many seconds ``size`` more bytes are delivered, behind the backlog."""
-        return self.backlog_s(now) + size / self._bytes_per_s
+        return self.backlog_s(now) + self.transfer_s(size)
 
     def can_deliver(self, size: float, within_s: float, now: float) -> bool:
         """Return whether ``size`` more bytes can be delivered within a time.
--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -246,7 +246,7 @@
             response = self._call_answer(result, call.route)
         response.read_offset = self._orders.offset
         response.read_era = self._orders.era
-        return self._transfers.answer(message, response, call.late_after)
+        return self._transfers.answer(message, response, call.late_after, call.deadline)
 
     def _call_answer(self, result: CallResult, route: str) -> t.Any:
         admission = self._admission
--- a/src/bulrushflow/sidecar/calls/transfers.py
+++ b/src/bulrushflow/sidecar/calls/transfers.py
@@ -94,13 +94,14 @@
             self._pacer.settle(key)
 
     def answer(
-        self, request: t.Any, answer: t.Any, late_after: float
+        self, request: t.Any, answer: t.Any, late_after: float, deadline: float
     ) -> dict[str, t.Any] | ChunkedResponse:
         """Return how the answer to a call request is sent: as one frame, or in chunks.
 
         A response without space is lost: its call may have run.
 
         :param late_after: event loop time after which the response counts as late.
+        :param deadline: event loop time after which the other node doesn't take it any more.
         """
         size = len(answer.body)
         if answer.outcome == Outcome.ANSWERED and answer.status < SERVER_ERROR:
@@ -118,7 +119,7 @@
             if not transfer.complete:
                 self._log_incomplete(request.request_id, transfer, late_after)
 
-        return ChunkedResponse({"call_answer": answer}, body, window, end, late_after)
+        return ChunkedResponse({"call_answer": answer}, body, window, end, late_after, deadline)
 
     def _log_incomplete(self, request_id: str, transfer: TransferEnd, late_after: float) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/bulrushflow/wire/chunks.py
+++ b/src/bulrushflow/wire/chunks.py
@@ -1,6 +1,7 @@
 """Sending of large bodies in chunks, in turns and at the pace of the node's link."""
 
 import asyncio
+import heapq
 import math
 import typing as t
 
@@ -11,6 +12,9 @@
 MAX_UNSENT_BYTES = 32 << 10
 """Unsent bytes of a connection above which no chunk is added to it. A small response waits behind
 these at most, besides one chunk."""
+COMPLETION_MARGIN_S = 0.5
+"""Time before its deadline by which a body should be sent: grants are on their way, and the origin
+node passes the last window on to its caller."""
 BLOCKED_RECHECK_S = 0.01
 """Time after which connections with too many unsent bytes are looked at again."""
 
@@ -31,6 +35,9 @@
     def add_waiting(self, size: int) -> None:
         """Count bytes of bodies that wait to be written; negative once they don't any more."""
 
+    def transfer_s(self, size: float) -> float:
+        """Return how long the link takes for so many bytes, in seconds."""
+
 
 class UnpacedLink:
     """A link of unknown bandwidth: chunks wait only for their window and for unsent bytes."""
@@ -48,6 +55,10 @@
     def add_waiting(self, size: int) -> None:
         """See :meth:`Pacer.add_waiting`."""
 
+    def transfer_s(self, size: float) -> float:
+        """See :meth:`Pacer.transfer_s`."""
+        return 0.0
+
 
 class ChunkLink(t.Protocol):
     """A connection that carries chunks."""
@@ -92,6 +103,7 @@
     :param window: bytes that may be sent before the receiver grants more.
     :param on_sent: called once the last chunk was written.
     :param due_at: event loop time after which the body is late.
+    :param deadline: event loop time after which nobody takes the body any more.
     """
 
     __slots__ = (
@@ -99,6 +111,7 @@
         "_grant_wait_s",
         "_started_at",
         "data",
+        "deadline",
         "due_at",
         "exchange",
         "link",
@@ -116,8 +129,10 @@
         window: int,
         on_sent: t.Callable[[], None],
         due_at: float = math.inf,
+        deadline: float = math.inf,
     ) -> None:
         self.due_at = due_at
+        self.deadline = deadline
         self.link = link
         self.exchange = exchange
         self.data = data
@@ -135,6 +150,11 @@
         """Bytes that the window allows to be sent now."""
         return min(self.size, self.window_end) - self.offset
 
+    @property
+    def remaining_bytes(self) -> int:
+        """Bytes that were not sent yet."""
+        return self.size - self.offset
+
     def start(self, now: float) -> None:
         """Count the times of the transfer from ``now`` on."""
         self._started_at = now
@@ -161,11 +181,54 @@
         return now >= self.due_at, self.due_at
 
 
+class DeadlinePlan(msgspec.Struct, frozen=True):
+    """Which bodies have to go first to be complete by their deadlines, and which can't be."""
+
+    urgent_until: float
+    """Bodies with deadlines up to this event loop time have none to spare."""
+    impossible: frozenset[OutgoingBody]
+
+    def rank(self, body: OutgoingBody, now: float) -> tuple[int, bool, float]:
+        """Return the sort key of bodies by their turns."""
+        if body in self.impossible:
+            return 2, *body.urgency(now)
+        if body.deadline <= self.urgent_until:
+            return 0, False, body.deadline
+        return 1, *body.urgency(now)
+
+
+def plan_deadlines(bodies: t.Iterable[OutgoingBody], pacer: Pacer, now: float) -> DeadlinePlan:
+    """Return the plan by which most of the bodies are complete by their deadlines.
+
+    The earliest deadline goes first. Where bodies don't fit before a deadline, the one with most
+    bytes left is dropped from the plan (Moore-Hodgson), so that one can't take the others with it.
+
+    :param now: event loop time.
+    """
+    urgent_until = -math.inf
+    total_bytes = 0
+    largest: list[tuple[int, int, OutgoingBody]] = []
+    impossible: set[OutgoingBody] = set()
+    limited = [body for body in bodies if body.deadline < math.inf]
+    for number, body in enumerate(sorted(limited, key=lambda body: body.deadline)):
+        total_bytes += body.remaining_bytes
+        heapq.heappush(largest, (-body.remaining_bytes, number, body))
+        if now + pacer.transfer_s(total_bytes) > body.deadline:
+            _, _, dropped = heapq.heappop(largest)
+            total_bytes -= dropped.remaining_bytes
+            impossible.add(dropped)
+        if now + pacer.transfer_s(total_bytes) > body.deadline - COMPLETION_MARGIN_S:
+            urgent_until = body.deadline
+    return DeadlinePlan(urgent_until, frozenset(impossible))
+
+
 class ChunkSender:
     """Sends the bodies of all connections of a node in turns, at the pace of the node's link.
 
     The body that is due first goes first: with equal shares all would be late together when the
-    link is busy. Bodies that are late already, or equally urgent, take turns.
+    link is busy. Bodies that are late already, or equally urgent, take turns. Before all of them go
+    those that would not be complete by their deadline otherwise: on a busy link there is always one
+    that isn't late yet, so that those that are late would wait until their callers leave.
 
     :param timers: the event loop; by default the one that runs when the first body is sent.
     """
@@ -242,11 +305,12 @@
             self._timer = loop.call_at(loop.time() + BLOCKED_RECHECK_S, self._send_due)
 
     def _next_body(self, now: float) -> OutgoingBody | None:
-        """Return the most urgent body whose connection takes a chunk, or ``None``."""
-        for body in sorted(self._turns, key=lambda body: body.urgency(now)):
-            if body.link.unsent_bytes <= MAX_UNSENT_BYTES:
-                return body
-        return None
+        """Return the body whose turn it is among those whose connection takes a chunk."""
+        ready = [body for body in self._turns if body.link.unsent_bytes <= MAX_UNSENT_BYTES]
+        if not ready:
+            return None
+        plan = plan_deadlines(self._bodies, self._pacer, now)
+        return min(ready, key=lambda body: plan.rank(body, now))
 
     def _send_chunk(self, body: OutgoingBody) -> None:
         size = min(self._pacer.chunk_bytes, body.sendable_bytes)
--- a/src/bulrushflow/wire/transfers.py
+++ b/src/bulrushflow/wire/transfers.py
@@ -27,6 +27,7 @@
     :param window: bytes of the body that may be sent before the receiver grants more.
     :param on_end: called once the body was sent, or is not sent any further.
     :param due_at: event loop time after which the response is late.
+    :param deadline: event loop time after which the receiver doesn't take it any more.
     """
 
     head: dict[str, t.Any]
@@ -34,6 +35,7 @@
     window: int
     on_end: t.Callable[[TransferEnd], None]
     due_at: float = math.inf
+    deadline: float = math.inf
 
 
 class IncomingBody:
@@ -242,7 +244,13 @@
                 sent.set_result(None)
 
         outgoing = OutgoingBody(
-            self._link, exchange, response.body, response.window, complete, response.due_at
+            self._link,
+            exchange,
+            response.body,
+            response.window,
+            complete,
+            response.due_at,
+            response.deadline,
         )
         self._outgoing[exchange] = outgoing
         try:
--- a/tests/sidecar/calls/test_large_responses.py
+++ b/tests/sidecar/calls/test_large_responses.py
@@ -159,7 +159,7 @@
         self.target.body = bytes(DOWNLOAD_BYTES)
 
         def answer_whole(
-            _: ResponseTransfers, request: t.Any, answer: t.Any, late_after: float
+            _: ResponseTransfers, request: t.Any, answer: t.Any, late_after: float, deadline: float
         ) -> dict[str, t.Any]:
             return {"call_answer": answer}
 
--- a/tests/sidecar/calls/test_transfers.py
+++ b/tests/sidecar/calls/test_transfers.py
@@ -100,11 +100,13 @@
             with self.subTest(window=window, size=size):
                 asked = request("r-1")
                 asked.chunk_window = window
-                answer = transfers.answer(asked, call_answer("x" * size), late_after=7.0)
+                answer = transfers.answer(
+                    asked, call_answer("x" * size), late_after=7.0, deadline=9.0
+                )
                 self.assertEqual(isinstance(answer, ChunkedResponse), chunked)
                 if isinstance(answer, ChunkedResponse):
                     self.assertEqual(len(answer.body), size)
-                    self.assertEqual(answer.due_at, 7.0)
+                    self.assertEqual((answer.due_at, answer.deadline), (7.0, 9.0))
                     self.assertEqual(transfers.budget.used_bytes, size)
                     answer.on_end(TransferEnd(size, size, 0.0, 0.0))
                 self.assertEqual(transfers.budget.used_bytes, 0)
--- a/tests/wire/test_chunks.py
+++ b/tests/wire/test_chunks.py
@@ -130,6 +130,44 @@
         self.assertLessEqual(connection.exchanges[:first_of_2].count(1), 1)
         self.assertEqual(connection.exchanges[first_of_2 : first_of_2 + 4], [2, 2, 2, 2])
 
+    # LOST: a body that was late got no turn while others arrived, and was cut at its deadline.
+    def test_a_late_body_is_complete_by_its_deadline_on_a_busy_link(self) -> None:
+        """Bodies of 90 KB, each in time on its arrival, ask for 1.2 times what the link carries."""
+        uplink = VirtualUplink(self.timers)
+        connection = VirtualConnection(uplink)
+        done_at: dict[int, float] = {}
+
+        def start(exchange: int, due_s: float, deadline_s: float) -> None:
+            def end() -> None:
+                done_at[exchange] = self.timers.now
+
+            now = self.timers.now
+            data = b"x" * 90_000
+            uplink.sender.start(
+                OutgoingBody(
+                    connection, exchange, data, NO_WINDOW_LIMIT, end, now + due_s, now + deadline_s
+                )
+            )
+
+        for exchange in range(1, 60):
+            begin = functools.partial(start, exchange, 1.5, 9.0)
+            self.timers.call_at(0.14 * exchange, begin)
+        self.timers.call_at(1.0, functools.partial(start, 0, -0.1, 3.0))
+        self.timers.run_until(8.0)
+        self.assertLessEqual(done_at[0], 4.0)
+
+    def test_one_body_that_is_too_large_does_not_take_others_with_it(self) -> None:
+        """Sent by their deadlines alone, the large one would make all behind it miss theirs."""
+        uplink = VirtualUplink(self.timers)
+        connection = VirtualConnection(uplink)
+        bodies = [self.body(connection, 0, bytes(700_000))]
+        bodies += [self.body(connection, exchange, bytes(90_000)) for exchange in range(1, 5)]
+        for body in bodies:
+            body.deadline = 1.0 + 0.01 * body.exchange
+            uplink.sender.start(body)
+        self.timers.run_until(1.0)
+        self.assertEqual(sorted(self.sent), [1, 2, 3, 4])
+
     def test_small_responses_pass_sixteen_downloads_on_a_narrow_link(self) -> None:
         """Sent as whole frames, the downloads would delay small responses by up to 2.3 s."""
         uplink = VirtualUplink(self.timers)
