Admit large responses by the caller's deadline where it comes before the objective

Cause: a call that isn't late yet was admitted to the link by its latency objective alone. A stop of the origin node moves the deadline before it, so a response was accepted that the link can't deliver before the stop's end.

--- a/src/bulrushflow/sidecar/calls/transfers.py
+++ b/src/bulrushflow/sidecar/calls/transfers.py
@@ -21,6 +21,7 @@
 from bulrushflow.routing.model import SERVER_ERROR
 from bulrushflow.sidecar.decisions import DecisionLog
 from bulrushflow.wire import messages
+from bulrushflow.wire.chunks import COMPLETION_MARGIN_S
 from bulrushflow.wire.chunks import TransferEnd
 from bulrushflow.wire.frames import MAX_FRAME_BYTES
 from bulrushflow.wire.transfers import ChunkedResponse
@@ -66,9 +67,12 @@
         if self._pacer is None or not size:
             return None
         now = asyncio.get_running_loop().time()
-        # A response that would be late everywhere is still of some use until the deadline.
-        due_at = call.late_after if call.late_after > now else call.deadline
-        remaining_s = due_at - now
+        # A response that would be late everywhere is still of some use until the deadline, which
+        # comes before the latency objective where the origin node stops.
+        due_at = call.deadline - COMPLETION_MARGIN_S
+        if call.late_after > now:
+            due_at = min(due_at, call.late_after)
+        remaining_s = max(0.0, due_at - now)
         if not self._pacer.pending_bytes or self._pacer.can_deliver(size, remaining_s, now):
             return None
         reason = (
--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -289,6 +289,19 @@
         self.assertTrue(result.is_ok(), result)
         self.assertEqual((report.link_reported, report.link_full), (True, False))
 
+    # A stop of the origin node ends a call before its objective, which alone was considered.
+    async def test_a_call_whose_deadline_comes_before_its_objective_is_judged_by_the_deadline(
+        self,
+    ) -> None:
+        self.learn_large_responses()
+        self.remote.pacer.add_waiting(int(LINK_MBPS * 1e6 / 8 * 4))
+        loop = asyncio.get_running_loop()
+        sent = replace(call(timeout_s=2.5), late_after=loop.time() + 9.0)
+        result, report = await self.local.forwarder.send(self.peer, sent)
+        self.assertIs(result.unwrap_err().outcome, Outcome.NOT_RUN)
+        self.assertTrue(report.link_full)
+        self.assertEqual(self.target.received, [])
+
     async def test_small_responses_pass_a_link_with_a_backlog(self) -> None:
         self.remote.pacer.add_waiting(1 << 30)
         result, _ = await self.local.forwarder.send(self.peer, call())
