--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -19,6 +19,12 @@
 """Range of the bandwidth of the nodes beside targets of downloads."""
 DEMAND = (0.9, 1.3)
 """Range of the downloads' demand, as a fraction of what these links carry."""
+OBJECTIVE_S = (0.3, 1.5)
+"""Range of the latency objective of the other downloads."""
+ARCHIVE_SHARE = (0.0, 0.6)
+"""Range of the fraction of the downloads whose objective is near their deadline."""
+SIZE_SPREAD = (0.6, 1.0)
+"""Range of the standard deviation of the logarithm of the responses' sizes."""
 SLOW_SHARE = (0.02, 0.1)
 """Range of the fraction of the connections whose callers read slowly."""
 
@@ -38,6 +44,9 @@
     seconds: float
     link_mbps: float
     demand: float
+    objective_s: float
+    archive_share: float
+    size_spread: float
     slow_share: float
     stops: tuple[Step, ...]
     reloads: tuple[Step, ...]
@@ -55,6 +64,9 @@
         seconds=seconds,
         link_mbps=rng.uniform(*LINK_MBPS),
         demand=rng.uniform(*DEMAND),
+        objective_s=rng.uniform(*OBJECTIVE_S),
+        archive_share=rng.uniform(*ARCHIVE_SHARE),
+        size_spread=rng.uniform(*SIZE_SPREAD),
         slow_share=rng.uniform(*SLOW_SHARE),
         stops=tuple(_node_series(rng, nodes, STOP_GAP_S, end)),
         reloads=tuple(_node_series(rng, nodes, RELOAD_GAP_S, end)),
