Soak: an exit at the moment of the kill isn't one, and its own pauses are shown

What counts is the exit status. The summary names the longest such pause, since this program takes the times. SIGTERM to this program ends its sidecars too; they were left running.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -60,6 +61,10 @@
 
 async def run_seeds(arguments: argparse.Namespace) -> dict[int, set[str]]:
     """Play all runs, some at the same time; return the rules that each one broke."""
+    task = asyncio.current_task()
+    assert task is not None
+    # A cancelled run still ends its processes.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     waiting = list(range(arguments.first_seed, arguments.first_seed + arguments.seeds))
     rules_by_seed: dict[int, set[str]] = {}
 
--- a/benchmarks/soak/events.py
+++ b/benchmarks/soak/events.py
@@ -76,5 +76,7 @@
     stops: list[Stop] = []
     reloads: list[Reload] = []
     changes: list[Change] = []
+    longest_pause_s: float = 0.0
+    """Longest time for which this program, which takes the times, didn't run."""
     unplanned_exits: list[str] = []
     """Processes that ended without SIGTERM, with their exit status."""
--- a/benchmarks/soak/report.py
+++ b/benchmarks/soak/report.py
@@ -24,7 +24,8 @@
     found = ", ".join(f"{rule} {count}" for rule, count in sorted(rules.items())) or "passed"
     return (
         f"seed {seed}: {found}; {len(record.calls)} calls ({counts}), median download {median}, "
-        f"{len(record.stops)} stops, {len(record.reloads)} reloads, {len(record.changes)} changes"
+        f"{len(record.stops)} stops, {len(record.reloads)} reloads, {len(record.changes)} changes, "
+        f"longest pause of the soak {record.longest_pause_s:.2f} s"
     )
 
 
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -27,6 +27,7 @@
 from tests.platform.standin import StoreStandIn
 from tests.processes.programs import until
 
+PAUSE_CHECK_S = 0.05
 ZONES = ("celje-a", "celje-b", "velenje")
 
 
@@ -52,16 +53,26 @@
     async def play(self) -> Record:
         """Play the run, end all its processes, and return what was seen."""
         async with aiohttp.ClientSession() as session:
+            pauses = asyncio.create_task(self._watch_pauses())
             try:
                 await self._start(session)
                 await self._load()
             finally:
+                pauses.cancel()
                 await self._close()
         return self.record
 
     def _now(self) -> float:
         return time.monotonic() - self._started_at
 
+    async def _watch_pauses(self) -> None:
+        """Record for how long this program was kept from running."""
+        while True:
+            before = self._now()
+            await asyncio.sleep(PAUSE_CHECK_S)
+            pause_s = self._now() - before - PAUSE_CHECK_S
+            self.record.longest_pause_s = max(self.record.longest_pause_s, pause_s)
+
     async def _start(self, session: aiohttp.ClientSession) -> None:
         store = await self._store.start()
         self._publish()
--- a/benchmarks/soak/sidecars.py
+++ b/benchmarks/soak/sidecars.py
@@ -157,7 +157,6 @@
             stop = self._stop
             if not self._program.ended:
                 if stop is not None and self._now() - stop.at >= self._record.grace_s:
-                    stop.killed = True
                     await self._program.kill()
                 continue
             exit_status = await self._program.terminate()
@@ -167,6 +166,8 @@
             else:
                 stop.ended_at = self._now()
                 stop.exit_status = exit_status
+                # It may have ended at the same moment.
+                stop.killed = exit_status == -signal.SIGKILL
             self.in_rotation = False
             self._stop = None
             await asyncio.sleep(RESTART_DELAY_S)
