Wait in the log design's drain until callers have the end of their responses

The drain waits for unsent bytes too, by the check that the sidecar has, which moves to a module of its own.

--- a/src/bulrushflow/callers/server.py
+++ b/src/bulrushflow/callers/server.py
@@ -30,6 +30,7 @@
 from bulrushflow.targets.client import REQUEST_ID_HEADER
 from bulrushflow.targets.client import TENANT_HEADER
 from bulrushflow.targets.client import TIMEOUT_HEADER
+from bulrushflow.unsent import has_unsent
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 STRIPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | {
@@ -72,18 +73,27 @@
         self._byte_budget = byte_budget
         self._is_ready = is_ready
         self._in_flight = 0
+        self._server: web.Server | None = None
         self._draining = False
         self._last_refused_at = 0.0
 
     def server(self) -> web.Server:
         """Return the low-level HTTP server; it cancels the call of a caller that disconnects."""
-        return web.Server(
+        self._server = web.Server(
             self._handle, handler_cancellation=True, access_log=None, auto_decompress=False
         )
+        return self._server
+
+    @property
+    def _busy(self) -> bool:
+        """Whether a call is in flight, or a caller has not received the end of its response."""
+        return self._in_flight > 0 or (self._server is not None and has_unsent(self._server))
 
     async def drain(self, timeout_s: float) -> bool:
         """Refuse new calls and wait for those in flight; return whether all ended.
 
+        A call has ended once its response has left this process.
+
         Every response closes its connection, so that callers connect to another node. The drain
         ends only after ``DRAIN_QUIET_S`` without a request, since a request that is sent on a
         connection that is just being closed would be lost.
@@ -95,10 +105,10 @@
         started_at = loop.time()
         while loop.time() - started_at < timeout_s:
             quiet_s = loop.time() - max(self._last_refused_at, started_at)
-            if self._in_flight == 0 and quiet_s >= DRAIN_QUIET_S:
+            if not self._busy and quiet_s >= DRAIN_QUIET_S:
                 return True
             await asyncio.sleep(DRAIN_POLL_S)
-        return self._in_flight == 0
+        return not self._busy
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if self._draining or not self._is_ready():
--- a/src/bulrushflow/sidecar/calls/http_server.py
+++ b/src/bulrushflow/sidecar/calls/http_server.py
@@ -9,6 +9,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from bulrushflow.sidecar.decisions import DecisionLog
+from bulrushflow.unsent import has_unsent
 
 Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
 
@@ -45,15 +46,8 @@
 
     @property
     def has_unsent(self) -> bool:
-        """Whether the end of a response still waits in a connection's buffer of this process.
-
-        A connection that the server has closed has no transport any more, and is listed until all
-        is sent.
-        """
-        transports = [handler.transport for handler in self.connections]
-        return any(
-            transport is None or transport.get_write_buffer_size() for transport in transports
-        )
+        """Whether the end of a response still waits in a connection's buffer of this process."""
+        return has_unsent(self)
 
     def __call__(self) -> web.RequestHandler:
         handler = _RequestHandler(self, loop=self._loop, **self._kwargs)
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server for callers."""
 
 import asyncio
+import socket
 import typing as t
 import unittest
 from unittest import mock
@@ -30,6 +31,8 @@
 from tests.waiting import until
 
 MAX_BODY_BYTES = 1000
+SLOW_BODY_BYTES = 48 << 10
+SOCKET_BUFFER_BYTES = 4 << 10
 
 
 class StubStore:
@@ -222,6 +225,29 @@
         writer.close()
         self.assertEqual(self.dispatcher.calls, [])
 
+    # The end of a response was lost with the process's buffer.
+    async def test_drain_waits_until_a_slow_caller_has_the_whole_response(self) -> None:
+        self.dispatcher.result = Response(200, (), bytes(SLOW_BODY_BYTES)).as_result()
+        site: t.Any = next(iter(self.runner.sites))
+        listener = site._server.sockets[0]
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, ("127.0.0.1", self.runner.addresses[0][1]))
+            await loop.sock_sendall(sock, b"POST /payments/7 HTTP/1.1\r\nhost: a\r\n\r\n")
+            await until(lambda: len(self.dispatcher.calls) == 1)
+            drain = asyncio.create_task(self.callers.drain(GUARD_S))
+            await until(lambda: self.callers._in_flight == 0)
+            await asyncio.sleep(2 * server_module.DRAIN_QUIET_S)
+            self.assertFalse(drain.done())
+            received = b""
+            # The connection was kept, as the response began before the drain.
+            while len(received.partition(b"\r\n\r\n")[2]) < SLOW_BODY_BYTES:
+                received += await loop.sock_recv(sock, 1 << 20)
+            self.assertTrue(await drain)
+
     async def test_drain_completes_calls_and_closes_kept_alive_connections(self) -> None:
         self.assertEqual((await self.post())[0], 200)
         self.dispatcher.may_end.clear()
