Reuse the services that a configuration leaves as they are

Each change decoded and checked all services anew, though mostly one route differs. The document of the services is compared as a whole, as those of hosts and organisations are.

--- a/src/bulrushflow/platform/configuration.py
+++ b/src/bulrushflow/platform/configuration.py
@@ -76,7 +76,7 @@
 class _Configuration(msgspec.Struct):
     version: int
     listeners: list[msgspec.Raw]
-    clusters: list[_Cluster]
+    clusters: msgspec.Raw
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: msgspec.Raw = msgspec.field(default_factory=msgspec.Raw)
 
@@ -92,15 +92,18 @@
 
 
 class ConfigurationDecoder:
-    """Decodes configurations, and reuses the routes that didn't change since the last one.
+    """Decodes configurations, and reuses the parts that didn't change since the last one.
 
     The operator sends the whole configuration with each change, which mostly concerns few routes.
     """
 
-    __slots__ = ("_hosts_by_document", "_organisations")
+    __slots__ = ("_clusters", "_hosts_by_document", "_organisations", "_services")
 
     def __init__(self) -> None:
         self._hosts_by_document: dict[bytes, _HostRoutes] = {}
+        self._clusters = b""
+        """Document of the services of the last configuration."""
+        self._services: t.Mapping[str, ServiceSettings] = {}
         self._organisations = OrganisationsDecoder()
 
     def decode(self, data: bytes) -> Result[Routing, str]:
@@ -120,13 +123,12 @@
             return Err(f"configuration: {exc}")
 
     def _convert(self, document: _Configuration) -> Result[Routing, str]:
-        services: dict[str, ServiceSettings] = {}
-        for cluster in document.clusters:
-            match _convert_cluster(cluster):
-                case Err(reason):
-                    return Err(f"configuration {document.version}: {reason}")
-                case Ok(service_settings):
-                    services[cluster.name] = service_settings
+        clusters = bytes(document.clusters)
+        match self._decode_services(clusters):
+            case Err(reason):
+                return Err(f"configuration {document.version}: {reason}")
+            case Ok(services):
+                pass
         hosts_by_document: dict[bytes, _HostRoutes] = {}
         for raw in document.listeners:
             match self._host_routes(bytes(raw)):
@@ -146,6 +148,8 @@
             case Ok(organisations):
                 pass
         self._hosts_by_document = hosts_by_document
+        self._clusters = clusters
+        self._services = services
         limits = document.limits
         return Ok(
             Routing(
@@ -162,6 +166,23 @@
             )
         )
 
+    def _decode_services(self, clusters: bytes) -> Result[t.Mapping[str, ServiceSettings], str]:
+        if clusters == self._clusters:
+            return Ok(self._services)
+        match decode_document(clusters, list[_Cluster]):
+            case Err(reason):
+                return Err(f"clusters: {reason}")
+            case Ok(documents):
+                pass
+        services: dict[str, ServiceSettings] = {}
+        for cluster in documents:
+            match _convert_cluster(cluster):
+                case Err(reason):
+                    return Err(reason)
+                case Ok(service_settings):
+                    services[cluster.name] = service_settings
+        return Ok(services)
+
     def _host_routes(self, document: bytes) -> Result[_HostRoutes, str]:
         known = self._hosts_by_document.get(document)
         if known is not None:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -168,6 +168,29 @@
         self.assertEqual(second.routes_by_host["a"]["/b/"].priority, 1)
         self.assertEqual(second.routes_by_host["b"]["/a/"].priority, 6)
 
+    def test_services_that_did_not_change_are_reused(self) -> None:
+        first = self.decode(listener("a")).unwrap()
+        second = self.decode(listener("a", priority=1), version=8).unwrap()
+        self.assertIs(second.services_by_name, first.services_by_name)
+
+    # Services kept from a rejected configuration would come into force with the next one.
+    def test_services_of_a_rejected_configuration_are_not_reused(self) -> None:
+        self.decode(listener("a"))
+        changed = [{"name": "s1", "maxConnections": 3}]
+        self.assertTrue(self.decode(listener("a", kind=7), clusters=changed).is_err())
+        kept = self.decode(listener("a")).unwrap()
+        self.assertEqual(kept.services_by_name["s1"].max_connections, 100)
+        taken = self.decode(listener("a"), clusters=changed).unwrap()
+        self.assertEqual(taken.services_by_name["s1"].max_connections, 3)
+
+    def test_an_unreadable_service_rejects_the_configuration(self) -> None:
+        self.decode(listener("a"))
+        unreadable: tuple[t.Any, ...] = (None, 7, [{"name": 7}], [{}])
+        for clusters in unreadable:
+            with self.subTest(clusters):
+                reason = self.decode(listener("a"), clusters=clusters).unwrap_err()
+                self.assertIn("clusters", reason)
+
     def test_a_route_that_moves_to_another_host_is_not_taken_from_the_first(self) -> None:
         self.decode(listener("a"))
         second = self.decode(listener("b")).unwrap()
