Model of stops: follow the held responses and the moved deadlines

Cause: the model calls what the stop calls, which has changed: a response's progress, bodies that a stopping node completes first, deadlines that peers are told. Change: the model only.

--- a/benchmarks/stop_model/node.py
+++ b/benchmarks/stop_model/node.py
@@ -24,6 +24,7 @@
 from benchmarks.stop_model.target import Target
 from bulrushflow.metrics import Metrics
 from bulrushflow.placement import LinkPacer
+from bulrushflow.routing import BodyStream
 from bulrushflow.routing import Call
 from bulrushflow.routing import CallResult
 from bulrushflow.routing import Outcome
@@ -34,10 +35,13 @@
 from bulrushflow.sidecar.application import READINESS_PROPAGATION_S
 from bulrushflow.sidecar.application import SHUTDOWN_MARGIN_S
 from bulrushflow.sidecar.calls.admission_controller import AdmissionController
+from bulrushflow.sidecar.calls.callers import LAST_WRITE_S
 from bulrushflow.sidecar.calls.dispatcher import TARGET_NEWS_S
 from bulrushflow.sidecar.calls.dispatcher import TARGET_POLL_S
 from bulrushflow.sidecar.calls.forwarding import PeerForwarder
 from bulrushflow.sidecar.calls.refusals import failure_status
+from bulrushflow.sidecar.calls.streaming import StreamProgress
+from bulrushflow.sidecar.calls.streaming import read_whole
 from bulrushflow.sidecar.calls.streaming import stream_body
 from bulrushflow.sidecar.calls.transfers import ResponseTransfers
 from bulrushflow.sidecar.decisions import DecisionLog
@@ -141,6 +145,7 @@
         self._answer_by = deadline - times.answer_margin_s
         for timeout in self._timeouts.values():
             timeout.reschedule(self._answer_by)
+        self._forwarder.begin_stop(self._answer_by)
         await asyncio.sleep(times.readiness_propagation_s)
         self.closed = True
         await self.links.drain(deadline - loop.time())
@@ -174,8 +179,14 @@
         stopped = unknown("this node stops, and the target has not answered")
         result = await self._until_stop(entry.call, self._dispatch(call), stopped)
         if result.is_ok() and result.unwrap().stream is not None:
-            await self._stream(entry, call, connection, result)
-            return
+            if math.isinf(self._answer_by):
+                await self._stream(entry, call, connection, result)
+                return
+            response = result.unwrap()
+            progress = StreamProgress(t.cast(BodyStream, response.stream).total)
+            until = min(call.deadline, self._answer_by - LAST_WRITE_S)
+            whole = read_whole(response, until, progress)
+            result = await self._until_stop(entry.call, whole, stopped)
         match result:
             case Ok(response):
                 await self._answer(connection, response.status, len(response.body))
@@ -206,11 +217,13 @@
     async def _stream(
         self, entry: CallEntry, call: Call, connection: CallerConnection, result: CallResult
     ) -> None:
+        response = result.unwrap()
         streaming = stream_body(
             t.cast(web.BaseRequest, CallerRequest(connection)),
             t.cast(web.StreamResponse, CallerResponse(connection)),
-            result.unwrap(),
+            response,
             call.deadline,
+            StreamProgress(t.cast(BodyStream, response.stream).total),
         )
         await self._until_stop(entry.call, streaming, unknown("this node stops"))
 
