--- a/tests/wire/test_chunks.py
+++ b/tests/wire/test_chunks.py
@@ -168,6 +168,28 @@
         self.timers.run_until(1.0)
         self.assertEqual(sorted(self.sent), [1, 2, 3, 4])
 
+    # LOST: bytes that a slow caller keeps from being sent pushed another body out of the plan.
+    def test_a_body_that_its_window_blocks_does_not_take_the_turns_of_another(self) -> None:
+        """The large body fits before its deadline, since the blocked one sends nothing."""
+        uplink = VirtualUplink(self.timers)
+        connection = VirtualConnection(uplink)
+        blocked = self.body(connection, 1, bytes(350_000), 8_000)
+        blocked.deadline = 2.0
+        large = self.body(connection, 2, bytes(900_000))
+        large.deadline, large.due_at = 2.2, -0.1
+        uplink.sender.start(blocked)
+        uplink.sender.start(large)
+
+        def start(exchange: int) -> None:
+            body = self.body(connection, exchange, bytes(50_000))
+            body.due_at, body.deadline = self.timers.now + 1.5, self.timers.now + 9.0
+            uplink.sender.start(body)
+
+        for i in range(20):
+            self.timers.call_at(0.1 * i, functools.partial(start, 10 + i))
+        self.timers.run_until(2.2)
+        self.assertIn(2, self.sent)
+
     def test_small_responses_pass_sixteen_downloads_on_a_narrow_link(self) -> None:
         """Sent as whole frames, the downloads would delay small responses by up to 2.3 s."""
         uplink = VirtualUplink(self.timers)
