--- a/tests/sidecar/calls/test_forwarding.py
+++ b/tests/sidecar/calls/test_forwarding.py
@@ -111,6 +111,35 @@
         self.assertEqual(result.unwrap().body, b"body")
         self.assertEqual((report.reached, report.load), (True, 0.0))
 
+    # LOST: a call that was dispatched before the stop and sent after it kept its old deadline, so
+    # that the sender of its response didn't know when this node stops.
+    async def test_a_call_that_is_sent_during_a_stop_ends_with_it(self) -> None:
+        sent = call(timeout_s=30.0)
+        now = asyncio.get_running_loop().time()
+        self.local.forwarder.begin_stop(now + 2.0)
+        received: list[Call] = []
+        run = self.remote.admission.run
+
+        async def record_and_run(call: Call) -> CallResult:
+            received.append(call)
+            return await run(call)
+
+        with mock.patch.object(self.remote.admission, "run", record_and_run):
+            await self.local.forwarder.send(self.peer, sent)
+        self.assertLessEqual(received[0].deadline, now + 2.5)
+
+    # LOST: a call was accepted though its response could not arrive before the deadline, since only
+    # the latency objective, which was later, was looked at.
+    async def test_the_link_refuses_a_response_that_misses_the_deadline_before_its_objective(
+        self,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        sent = call(timeout_s=30.0)
+        self.remote.transfers._sizes.record(sent.route, RESPONSE_BYTES)
+        self.remote.pacer.add_waiting(5_312_500)  # one second of the link
+        late = replace(sent, deadline=now + 0.5, late_after=now + 3.0)
+        self.assertIsNotNone(self.remote.transfers.refusal(late))
+
     # Cut by the deadline while it waited for a connection, a call that was never sent got 504.
     async def test_waiting_for_a_connection_ends_before_the_calls_deadline(self) -> None:
         error = Err(LinkError(False, "no connection in time"))
