--- a/tests/wire/test_chunks.py
+++ b/tests/wire/test_chunks.py
@@ -190,6 +190,27 @@
         self.timers.run_until(2.2)
         self.assertIn(2, self.sent)
 
+    # LOST: the plan gave a body the whole link, of which small frames take a part.
+    def test_a_late_body_is_complete_by_its_deadline_beside_small_frames(self) -> None:
+        """Frames take a third of the link; the large body needs 2.5 s of the 3 s that it has."""
+        uplink = VirtualUplink(self.timers)
+        connection = VirtualConnection(uplink)
+        large = self.body(connection, 0, bytes(850_000))
+        large.deadline, large.due_at = 3.0, -0.1
+        uplink.sender.start(large)
+
+        def start(exchange: int) -> None:
+            body = self.body(connection, exchange, bytes(50_000))
+            body.due_at, body.deadline = self.timers.now + 1.5, self.timers.now + 9.0
+            uplink.sender.start(body)
+
+        for i in range(300):
+            self.timers.call_at(0.01 * i, functools.partial(uplink.transmit, 1_800))
+        for i in range(30):
+            self.timers.call_at(0.1 * i, functools.partial(start, 10 + i))
+        self.timers.run_until(3.0)
+        self.assertIn(0, self.sent)
+
     def test_small_responses_pass_sixteen_downloads_on_a_narrow_link(self) -> None:
         """Sent as whole frames, the downloads would delay small responses by up to 2.3 s."""
         uplink = VirtualUplink(self.timers)
