Limit the deadlines of calls that are sent after a stop began

Cause: found in review. A call that was read, queued or retried when its node's stop began was sent with the deadline of before, and peers are told only of calls that are open then; its response could be cut at the stop's end. Change: each call that goes out, and each admission request, ends with the stop.

--- a/src/bulrushflow/sidecar/calls/forwarding.py
+++ b/src/bulrushflow/sidecar/calls/forwarding.py
@@ -107,6 +107,7 @@
         A large body is sent only if the node wouldn't refuse the call, if it can say so in advance:
         the bodies of refused calls would fill the links.
         """
+        call = self._limited(call)
         loop = asyncio.get_running_loop()
         remaining_s = call.deadline - loop.time()
         if remaining_s <= 0:
@@ -153,6 +154,8 @@
     async def _send_call(
         self, link: Link, call: Call, named_limit: NamedLimit | None
     ) -> tuple[CallResult, PeerReport]:
+        # The stop may have begun since, and peers are told of calls that are open then.
+        call = self._limited(call)
         # The other node counts the times from the message's arrival, so what was spent on the
         # connection must be gone from them.
         now = asyncio.get_running_loop().time()
@@ -237,7 +240,10 @@
 
     def _received_call(self, message: t.Any, now: float) -> Call:
         """Return another node's call, which ends before this node stops."""
-        call = codec.call_from_message(message, now)
+        return self._limited(codec.call_from_message(message, now))
+
+    def _limited(self, call: Call) -> Call:
+        """Return a call whose deadline is no later than the end of this node's stop."""
         if call.deadline <= self._answer_by:
             return call
         return msgspec.structs.replace(call, deadline=self._answer_by)
