Leave bodies that are not granted out of the plan of deadlines

Cause: found in review. A body whose caller reads slowly can't be sent, and its bytes pushed others that fit before their deadlines out of the plan, where they got no turn. Change: a body without a window for 0.2 s isn't planned for until it is granted again.

--- a/src/bulrushflow/wire/chunks.py
+++ b/src/bulrushflow/wire/chunks.py
@@ -15,6 +15,8 @@
 COMPLETION_MARGIN_S = 0.5
 """Time before its deadline by which a body should be sent: grants are on their way, and the origin
 node passes the last window on to its caller."""
+STALLED_S = 0.2
+"""Time without a window after which a body isn't planned for: its caller reads slowly."""
 BLOCKED_RECHECK_S = 0.01
 """Time after which connections with too many unsent bytes are looked at again."""
 
@@ -169,6 +171,10 @@
             self._grant_wait_s += now - self._blocked_since
             self._blocked_since = None
 
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the window has allowed nothing for longer than a grant takes."""
+        return self._blocked_since is not None and now - self._blocked_since > STALLED_S
+
     def end(self, now: float) -> TransferEnd:
         """Return how far the body was sent."""
         waiting_s = 0.0 if self._blocked_since is None else now - self._blocked_since
@@ -200,24 +206,25 @@
 def plan_deadlines(bodies: t.Iterable[OutgoingBody], pacer: Pacer, now: float) -> DeadlinePlan:
     """Return the plan by which most of the bodies are complete by their deadlines.
 
-    The earliest deadline goes first. Where bodies don't fit before a deadline, the one with most
-    bytes left is dropped from the plan (Moore-Hodgson), so that one can't take the others with it.
+    The earliest deadline goes first. Where bodies don't fit before a deadline, those with most
+    bytes left are dropped from the plan (Moore-Hodgson), so that one can't take the others with it.
 
     :param now: event loop time.
     """
     urgent_until = -math.inf
     total_bytes = 0
-    largest: list[tuple[int, int, OutgoingBody]] = []
+    droppable: list[tuple[bool, int, int, OutgoingBody]] = []
     impossible: set[OutgoingBody] = set()
-    limited = [body for body in bodies if body.deadline < math.inf]
-    for number, body in enumerate(sorted(limited, key=lambda body: body.deadline)):
+    planned = [body for body in bodies if body.deadline < math.inf and not body.is_stalled(now)]
+    for number, body in enumerate(sorted(planned, key=lambda body: body.deadline)):
         total_bytes += body.remaining_bytes
-        heapq.heappush(largest, (-body.remaining_bytes, number, body))
-        if now + pacer.transfer_s(total_bytes) > body.deadline:
-            _, _, dropped = heapq.heappop(largest)
+        heapq.heappush(droppable, (False, -body.remaining_bytes, number, body))
+        while droppable and now + pacer.transfer_s(total_bytes) > body.deadline:
+            *_, dropped = heapq.heappop(droppable)
             total_bytes -= dropped.remaining_bytes
             impossible.add(dropped)
-        if now + pacer.transfer_s(total_bytes) > body.deadline - COMPLETION_MARGIN_S:
+        needed_s = pacer.transfer_s(total_bytes) + COMPLETION_MARGIN_S
+        if now + needed_s > body.deadline:
             urgent_until = body.deadline
     return DeadlinePlan(urgent_until, frozenset(impossible))
 
