Plan transfers beside small frames, and drop those that have not begun first

Cause: found in review. The plan gave chunks the whole link, of which small frames, requests and records take a part, so it noticed too late that a response has no time to spare. Change: chunks count on 0.7 of the pace; where not all responses fit, those that haven't begun leave the plan first, since their callers can still be refused.

--- a/src/bulrushflow/wire/chunks.py
+++ b/src/bulrushflow/wire/chunks.py
@@ -15,6 +15,9 @@
 COMPLETION_MARGIN_S = 0.5
 """Time before its deadline by which a body should be sent: grants are on their way, and the origin
 node passes the last window on to its caller."""
+CHUNK_FRACTION = 0.7
+"""Part of the link that chunks may count on. Small responses, requests and records don't wait for
+turns and take the rest."""
 STALLED_S = 0.2
 """Time without a window after which a body isn't planned for: its caller reads slowly."""
 BLOCKED_RECHECK_S = 0.01
@@ -207,7 +210,8 @@
     """Return the plan by which most of the bodies are complete by their deadlines.
 
     The earliest deadline goes first. Where bodies don't fit before a deadline, those with most
-    bytes left are dropped from the plan (Moore-Hodgson), so that one can't take the others with it.
+    bytes left are dropped from the plan (Moore-Hodgson), so that one can't take the others with it;
+    of them first those that haven't begun, which can still become a refusal.
 
     :param now: event loop time.
     """
@@ -218,12 +222,12 @@
     planned = [body for body in bodies if body.deadline < math.inf and not body.is_stalled(now)]
     for number, body in enumerate(sorted(planned, key=lambda body: body.deadline)):
         total_bytes += body.remaining_bytes
-        heapq.heappush(droppable, (False, -body.remaining_bytes, number, body))
+        heapq.heappush(droppable, (body.offset > 0, -body.remaining_bytes, number, body))
         while droppable and now + pacer.transfer_s(total_bytes) > body.deadline:
             *_, dropped = heapq.heappop(droppable)
             total_bytes -= dropped.remaining_bytes
             impossible.add(dropped)
-        needed_s = pacer.transfer_s(total_bytes) + COMPLETION_MARGIN_S
+        needed_s = pacer.transfer_s(total_bytes) / CHUNK_FRACTION + COMPLETION_MARGIN_S
         if now + needed_s > body.deadline:
             urgent_until = body.deadline
     return DeadlinePlan(urgent_until, frozenset(impossible))
