Tests of stops beside downloads: check that the link was busy

Cause: found in review. Had the other node's downloads failed, the test would have passed without load. Change: it counts those that their target ran.

--- a/tests/sidecar/test_stops_beside_downloads.py
+++ b/tests/sidecar/test_stops_beside_downloads.py
@@ -27,6 +27,8 @@
 OTHER_BYTES = 60_000
 """Occupies the link for 0.14 s."""
 SIZES_BY_ID = {"large": LARGE_BYTES, "too-large": TOO_LARGE_BYTES}
+BUSY_CALLS = 5
+"""Downloads of the other node that show that the link was busy."""
 OTHER_PERIOD_S = 0.1
 """Time between two downloads of the other node, which ask for 1.4 times what the link carries."""
 
@@ -124,3 +126,5 @@
             await asyncio.gather(busy, return_exceptions=True)
             await stop
         self.assertEqual((status, len(body)), (200, LARGE_BYTES))
+        others = [call for call in self.targets[1].completed if call.startswith("other")]
+        self.assertGreater(len(others), BUSY_CALLS)
